Set up the workspace, the design page and the shared interfaces

The repository was empty. This adds the package layout, formatter and linter (Airbnb rules, prettier), the test runner with its count of scenarios, the catalogues of result codes, log events and counters, the declaration tree with inheritance and mistakes told by file and line, the schemas of the inner protocol, and the interfaces of the platform, control, entry and agent packages.

A recursive schema for the tree was tried first: TypeScript cannot infer its type. Nodes are keyed by path instead, which also gives one file per node in version control.

--- /dev/null
+++ b/packages/catalog/src/counterNames.ts
@@ -0,0 +1,34 @@
+/** The catalogue of counters and timings. `docs/counters.md` is generated from this table. */
+
+/** One entry of the catalogue: what is counted and the tags that it carries. */
+export interface Counter {
+  readonly description: string;
+  readonly tags: readonly string[];
+}
+
+const defineCounters = <Name extends string>(
+  counters: Record<Name, Counter>,
+): Readonly<Record<Name, Counter>> => counters;
+
+export const counters = defineCounters({
+  'requests.accepted': { description: 'Requests passed to a target', tags: ['route'] },
+  'requests.completed': { description: 'Requests answered whole', tags: ['route'] },
+  'requests.refused': { description: 'Refusals by result code', tags: ['code'] },
+  'requests.retried': { description: 'Retries by reason', tags: ['reason'] },
+  'requests.replayed': { description: 'Answers replayed from a claim', tags: ['route'] },
+  'streams.cut': { description: 'Streams ended early by reason', tags: ['reason'] },
+  'batch.items': { description: 'Batch items by outcome', tags: ['outcome'] },
+  'batch.preempted': { description: 'Batch streams cancelled for online work', tags: [] },
+  'batch.claims': { description: 'Chunk claims by outcome', tags: ['outcome'] },
+  'batch.commits': { description: 'Chunk commits by outcome', tags: ['outcome'] },
+  'platform.calls': {
+    description: 'Calls to the platform by operation and outcome',
+    tags: ['operation', 'outcome'],
+  },
+  'configuration.polls': { description: 'Configuration polls by source', tags: ['source'] },
+  'shares.requests': { description: 'Share requests by outcome', tags: ['outcome'] },
+  'orders.sent': { description: 'Orders sent to targets by outcome', tags: ['outcome'] },
+});
+
+/** Name of a counter. */
+export type CounterName = keyof typeof counters;
--- /dev/null
+++ b/packages/catalog/src/refusalBody.ts
@@ -0,0 +1,72 @@
+/** The wire form of a refusal, compatible with the error object of OpenAI-style clients. */
+import { resultCodes, type Refusal, type RunState } from './resultCodes.js';
+
+/** Body of every refusal. */
+export interface RefusalBody {
+  readonly error: {
+    readonly code: string;
+    readonly number: number;
+    readonly type: string;
+    readonly message: string;
+    readonly param: null;
+    readonly hint: string;
+    readonly run: RunState;
+    readonly retryAfterSeconds?: number;
+    readonly requestId?: string;
+    readonly facts?: Readonly<Record<string, unknown>>;
+  };
+}
+
+const errorTypes = new Map([
+  [401, 'authentication_error'],
+  [403, 'permission_error'],
+  [404, 'not_found_error'],
+  [429, 'rate_limit_error'],
+]);
+
+const errorTypeOf = (status: number): string =>
+  errorTypes.get(status) ?? (status < 500 ? 'invalid_request_error' : 'server_error');
+
+/** A refusal ready to be written as an HTTP response. */
+export interface RefusalResponse {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: RefusalBody;
+}
+
+/**
+ * Renders a refusal for HTTP.
+ *
+ * @param refusal - the refusal
+ * @param requestId - identifier of the request, to be quoted in reports
+ * @returns status, headers (with `retry-after` when there is a time to come back) and body
+ */
+export const renderRefusal = (refusal: Refusal, requestId?: string): RefusalResponse => {
+  const entry = resultCodes[refusal.code];
+  const retryAfterSeconds = refusal.retryAfterSeconds ?? entry.retryAfterSeconds;
+  const message = refusal.detail ? `${entry.message} ${refusal.detail}` : entry.message;
+  return {
+    status: entry.status,
+    headers: {
+      'content-type': 'application/json',
+      'jacinthlug-result': String(entry.number),
+      ...(retryAfterSeconds === undefined
+        ? {}
+        : { 'retry-after': String(Math.ceil(retryAfterSeconds)) }),
+    },
+    body: {
+      error: {
+        code: refusal.code,
+        number: entry.number,
+        type: errorTypeOf(entry.status),
+        message,
+        param: null,
+        hint: entry.hint,
+        run: refusal.run ?? entry.run,
+        ...(retryAfterSeconds === undefined ? {} : { retryAfterSeconds }),
+        ...(requestId === undefined ? {} : { requestId }),
+        ...(refusal.facts === undefined ? {} : { facts: refusal.facts }),
+      },
+    },
+  };
+};
--- /dev/null
+++ b/packages/platform/src/ObjectStore.ts
@@ -0,0 +1,53 @@
+/** The narrow interface to the platform's object store. */
+import type { Readable } from 'node:stream';
+import type { ResultAsync } from 'neverthrow';
+
+/** Why a call to the object store failed. */
+export type ObjectFailure =
+  | { readonly kind: 'absent' }
+  /** No answer or an error; a put may have taken effect. Puts of the same content may be repeated. */
+  | { readonly kind: 'unavailable'; readonly message: string };
+
+/** A range of bytes, both ends included. */
+export interface ByteRange {
+  readonly first: number;
+  readonly last: number;
+}
+
+/** The platform's object store. */
+export interface ObjectStore {
+  /**
+   * Writes an object; the write is atomic.
+   *
+   * @param name - name of the object
+   * @param body - content
+   */
+  put(name: string, body: Uint8Array | string): ResultAsync<void, ObjectFailure>;
+
+  /**
+   * Reads an object whole.
+   *
+   * @param name - name of the object
+   * @param range - bytes to read; all when absent
+   * @returns the content
+   */
+  get(name: string, range?: ByteRange): ResultAsync<Buffer, ObjectFailure>;
+
+  /**
+   * Opens an object for reading as a stream.
+   *
+   * @param name - name of the object
+   * @returns the stream; it errors when the answer is cut
+   */
+  open(name: string): ResultAsync<Readable, ObjectFailure>;
+
+  /**
+   * Deletes an object; an absent one counts as deleted.
+   *
+   * @param name - name of the object
+   */
+  remove(name: string): ResultAsync<void, ObjectFailure>;
+
+  /** Closes the connections. */
+  close(): void;
+}
--- /dev/null
+++ b/packages/protocol/src/controlRouter.ts
@@ -0,0 +1,80 @@
+/** Control procedures that the processes of the fleet serve to each other, by tRPC. */
+import { initTRPC, TRPCError } from '@trpc/server';
+import {
+  cancelNotice,
+  configurationWatch,
+  crashReport,
+  shareRequest,
+  type CancelNotice,
+  type ConfigurationState,
+  type ConfigurationWatch,
+  type CrashReport,
+  type LoadReport,
+  type ShareAnswer,
+  type ShareRequest,
+} from './messages.js';
+
+/** Handlers of the control procedures; a process leaves out those that it does not serve. */
+export interface ControlHandlers {
+  watchConfiguration(question: ConfigurationWatch): Promise<ConfigurationState>;
+  shareRates?(question: ShareRequest): Promise<ShareAnswer>;
+  reportLoad?(): Promise<LoadReport>;
+  cancelJob?(notice: CancelNotice): Promise<void>;
+  addSuspects?(report: CrashReport): Promise<void>;
+}
+
+/** What is known about a call before a procedure runs. */
+export interface CallContext {
+  /** Whether the call carried the fleet credential. */
+  readonly fromPeer: boolean;
+}
+
+const trpc = initTRPC.context<CallContext>().create();
+
+const peerProcedure = trpc.procedure.use(({ ctx, next }) => {
+  if (!ctx.fromPeer) throw new TRPCError({ code: 'FORBIDDEN', message: 'fleet-credential-wrong' });
+  return next();
+});
+
+const served = <Handler>(handler: Handler | undefined): Handler => {
+  if (handler === undefined) {
+    throw new TRPCError({ code: 'METHOD_NOT_SUPPORTED', message: 'not served by this role' });
+  }
+  return handler;
+};
+
+/**
+ * Builds the router of a process.
+ *
+ * @param handlers - handlers of the procedures that the process serves
+ * @returns the tRPC router
+ */
+export const createControlRouter = (handlers: ControlHandlers) =>
+  trpc.router({
+    configuration: trpc.router({
+      watch: peerProcedure
+        .input(configurationWatch)
+        .query(({ input }) => handlers.watchConfiguration(input)),
+    }),
+    rates: trpc.router({
+      share: peerProcedure
+        .input(shareRequest)
+        .mutation(({ input }) => served(handlers.shareRates?.bind(handlers))(input)),
+    }),
+    load: trpc.router({
+      report: peerProcedure.query(() => served(handlers.reportLoad?.bind(handlers))()),
+    }),
+    batch: trpc.router({
+      cancelled: peerProcedure
+        .input(cancelNotice)
+        .mutation(({ input }) => served(handlers.cancelJob?.bind(handlers))(input)),
+    }),
+    suspects: trpc.router({
+      add: peerProcedure
+        .input(crashReport)
+        .mutation(({ input }) => served(handlers.addSuspects?.bind(handlers))(input)),
+    }),
+  });
+
+/** Type of the router, for clients. */
+export type ControlRouter = ReturnType<typeof createControlRouter>;
--- /dev/null
+++ b/packages/protocol/src/controlServer.ts
@@ -0,0 +1,43 @@
+/** Serves the control procedures on a Node.js HTTP server. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { timingSafeEqual } from 'node:crypto';
+import { createHTTPHandler } from '@trpc/server/adapters/standalone';
+import { createControlRouter, type ControlHandlers } from './controlRouter.js';
+import { CONTROL_PATH, innerHeaders } from './headers.js';
+
+/** Largest control message that is read. Unit: bytes. */
+const MAX_MESSAGE_BYTES = 4 * 1024 * 1024;
+
+/**
+ * Compares a shown credential with the expected one in constant time.
+ *
+ * @param shown - value of the header
+ * @param expected - credential from the settings
+ * @returns whether they are equal
+ */
+export const isCredential = (shown: string | string[] | undefined, expected: string): boolean => {
+  if (typeof shown !== 'string') return false;
+  const left = Buffer.from(shown);
+  const right = Buffer.from(expected);
+  return left.length === right.length && timingSafeEqual(left, right);
+};
+
+/**
+ * Builds the request listener of the control procedures.
+ *
+ * @param handlers - handlers of the procedures that the process serves
+ * @param fleetCredential - credential that callers must show
+ * @returns a listener for requests whose path starts with {@link CONTROL_PATH}
+ */
+export const createControlListener = (
+  handlers: ControlHandlers,
+  fleetCredential: string,
+): ((request: IncomingMessage, response: ServerResponse) => void) =>
+  createHTTPHandler({
+    router: createControlRouter(handlers),
+    basePath: `${CONTROL_PATH}/`,
+    maxBodySize: MAX_MESSAGE_BYTES,
+    createContext: ({ req }) => ({
+      fromPeer: isCredential(req.headers[innerHeaders.fleet], fleetCredential),
+    }),
+  });
--- /dev/null
+++ b/packages/settings/src/tree/checkStructure.ts
@@ -0,0 +1,90 @@
+/** Checks of the declaration tree that concern more than one node. */
+import type { Declaration, DeclarationKind, Declarations } from './declarations.js';
+
+/** A structural mistake at one node. */
+export interface StructureMistake {
+  /** Path of the node. */
+  readonly path: string;
+  readonly message: string;
+}
+
+const containers: ReadonlySet<DeclarationKind> = new Set(['root', 'group', 'region', 'service']);
+
+/** Kinds whose names are used without their path and so must be unique. */
+const uniqueKinds: ReadonlySet<DeclarationKind> = new Set([
+  'region',
+  'failureDomain',
+  'service',
+  'account',
+]);
+
+/**
+ * Gives the path of the parent of a node.
+ *
+ * @param path - path of a node below the root
+ * @returns the path of its parent; empty for the root
+ */
+export const parentPath = (path: string): string =>
+  path.slice(0, Math.max(0, path.lastIndexOf('/')));
+
+/**
+ * Gives the last name of a path.
+ *
+ * @param path - path of a node
+ * @returns its own name
+ */
+export const nameOf = (path: string): string => path.slice(path.lastIndexOf('/') + 1);
+
+const checkParent = (nodes: Declarations['nodes'], path: string, node: Declaration): string[] => {
+  if (path === '')
+    return node.kind === 'root' ? [] : ['the node at the root must be of kind "root"'];
+  if (node.kind === 'root') return ['only the node with the empty path may be of kind "root"'];
+  const parent = nodes[parentPath(path)];
+  const parentKind = parent?.kind ?? 'group';
+  if (node.kind === 'failureDomain' && parentKind !== 'region') {
+    return ['a failure domain must be below a region'];
+  }
+  return containers.has(parentKind) ? [] : [`a node of kind "${parentKind}" has no children`];
+};
+
+const checkReferences = (nodes: Declarations['nodes'], node: Declaration): string[] => {
+  if (node.kind !== 'route') return [];
+  const known = Object.entries(nodes).some(
+    ([path, other]) => other.kind === 'service' && nameOf(path) === node.service,
+  );
+  return known ? [] : [`no service "${node.service}" is declared`];
+};
+
+const checkUnique = (nodes: Declarations['nodes'], path: string, node: Declaration): string[] => {
+  if (node.kind === 'route') {
+    const twin = Object.entries(nodes).find(
+      ([other, { kind, ...rest }]) =>
+        other !== path &&
+        kind === 'route' &&
+        'path' in rest &&
+        rest.path === node.path &&
+        rest.method === node.method,
+    );
+    return twin ? [`"${twin[0]}" declares the same method and path`] : [];
+  }
+  if (!uniqueKinds.has(node.kind)) return [];
+  const twin = Object.entries(nodes).find(
+    ([other, { kind }]) => other !== path && kind === node.kind && nameOf(other) === nameOf(path),
+  );
+  return twin ? [`"${twin[0]}" has the same name and kind`] : [];
+};
+
+/**
+ * Checks parents, references and unique names.
+ *
+ * @param tree - a tree that matches its schema
+ * @returns each mistake with the path of its node; empty when there is none
+ */
+export const checkStructure = ({ nodes }: Declarations): StructureMistake[] =>
+  Object.entries(nodes).flatMap(([path, node]) =>
+    [
+      ...checkParent(nodes, path, node),
+      ...checkReferences(nodes, node),
+      ...checkUnique(nodes, path, node),
+    ].map((message) => ({ path, message })),
+  );
--- /dev/null
+++ b/packages/settings/src/tree/readFolder.ts
@@ -0,0 +1,69 @@
+/** Reads a folder of declarations: each file `<path>.jsonc` is the node at that path. */
+import { readdir, readFile } from 'node:fs/promises';
+import { join } from 'node:path';
+import { err, ok, ResultAsync, type Result } from 'neverthrow';
+import { checkDocument, parseJsonc, type JsoncDocument, type Mistake } from '../file/parseJsonc.js';
+import { checkStructure } from './checkStructure.js';
+import { declaration, declarations, type Declaration, type Declarations } from './declarations.js';
+
+const FILE_ENDING = '.jsonc';
+const ROOT_FILE = 'root';
+
+interface NodeFile {
+  readonly path: string;
+  readonly document: JsoncDocument;
+  readonly node: Declaration;
+}
+
+const pathOf = (file: string): string => {
+  const path = file.slice(0, -FILE_ENDING.length).split('\\').join('/');
+  return path === ROOT_FILE ? '' : path;
+};
+
+const readNode = async (folder: string, file: string): Promise<Result<NodeFile, Mistake[]>> => {
+  const text = await readFile(join(folder, file), 'utf8');
+  return parseJsonc(text, file).andThen((document) =>
+    checkDocument(document, declaration).map((node) => ({ path: pathOf(file), document, node })),
+  );
+};
+
+const checkTree = (files: readonly NodeFile[]): Result<Declarations, Mistake[]> => {
+  const nodes = Object.fromEntries(files.map(({ path, node }) => [path, node]));
+  const tree = declarations.safeParse({ nodes });
+  if (!tree.success) {
+    return err(
+      tree.error.issues.map(({ path, message }) => {
+        const at = String(path[1] ?? '');
+        return { file: `${at || ROOT_FILE}${FILE_ENDING}`, line: 1, path: '', message };
+      }),
+    );
+  }
+  const mistakes = checkStructure(tree.data).map(({ path, message }) => ({
+    file: `${path || ROOT_FILE}${FILE_ENDING}`,
+    line: 1,
+    path: '',
+    message,
+  }));
+  return mistakes.length > 0 ? err(mistakes) : ok(tree.data);
+};
+
+/**
+ * Reads and checks a folder of declarations.
+ *
+ * @param folder - folder kept in version control
+ * @returns the tree, or every mistake with its file, line and path
+ */
+export const readFolder = async (folder: string): Promise<Result<Declarations, Mistake[]>> => {
+  const names = await ResultAsync.fromPromise(
+    readdir(folder, { recursive: true }),
+    (fault): Mistake[] => [
+      { file: folder, line: 1, path: '', message: `cannot be read: ${(fault as Error).message}` },
+    ],
+  );
+  if (names.isErr()) return err(names.error);
+  const files = names.value.filter((name) => name.endsWith(FILE_ENDING)).sort();
+  const results = await Promise.all(files.map((file) => readNode(folder, file)));
+  const mistakes = results.flatMap((result) => (result.isErr() ? result.error : []));
+  if (mistakes.length > 0) return err(mistakes);
+  return checkTree(results.flatMap((result) => (result.isOk() ? [result.value] : [])));
+};
