Let a route declare several methods

A path such as an availability query is called with GET and POST alike; one method a route forced two nodes with the same settings.

--- a/packages/settings/src/tree/Catalogue.ts
+++ b/packages/settings/src/tree/Catalogue.ts
@@ -29,7 +29,7 @@
 /** A declared route with its effective settings. */
 export interface Route {
   readonly name: string;
-  readonly method: string;
+  readonly methods: readonly string[];
   readonly path: string;
   readonly service: Service;
   readonly repeatable: boolean;
@@ -132,9 +132,9 @@
   const routes = nodesOf('route').flatMap(([path, node]): Route[] => {
     const service = services.get(node.service);
     if (!service) return [];
-    const { method, repeatable, open, identityField } = node;
+    const { methods, repeatable, open, identityField } = node;
     const settings = resolveSettings(tree, path);
-    const route = { name: path, method, path: node.path, service, repeatable, open, settings };
+    const route = { name: path, methods, path: node.path, service, repeatable, open, settings };
     return [identityField === undefined ? route : { ...route, identityField }];
   });
   const grantedKeys = new Map<string, GrantedKey>();
@@ -164,6 +164,6 @@
     serviceOfModel: (model) =>
       [...services.values()].find((service) => service.models.includes(model)),
     findRoute: (method, path) =>
-      routes.find((route) => route.method === method && route.path === path),
+      routes.find((route) => route.path === path && route.methods.includes(method)),
   };
 };
--- a/packages/settings/src/tree/checkStructure.ts
+++ b/packages/settings/src/tree/checkStructure.ts
@@ -58,14 +58,13 @@
 const checkUnique = (nodes: Declarations['nodes'], path: string, node: Declaration): string[] => {
   if (node.kind === 'route') {
     const twin = Object.entries(nodes).find(
-      ([other, { kind, ...rest }]) =>
+      ([other, route]) =>
         other !== path &&
-        kind === 'route' &&
-        'path' in rest &&
-        rest.path === node.path &&
-        rest.method === node.method,
+        route.kind === 'route' &&
+        route.path === node.path &&
+        route.methods.some((method) => node.methods.includes(method)),
     );
-    return twin ? [`"${twin[0]}" declares the same method and path`] : [];
+    return twin ? [`"${twin[0]}" declares the same path and method`] : [];
   }
   if (!uniqueKinds.has(node.kind)) return [];
   const twin = Object.entries(nodes).find(
--- a/packages/settings/src/tree/declarations.ts
+++ b/packages/settings/src/tree/declarations.ts
@@ -74,7 +74,10 @@
 const route = z.strictObject({
   kind: z.literal('route'),
   ...node,
-  method: z.enum(['GET', 'POST', 'PUT', 'PATCH', 'DELETE']).default('POST'),
+  methods: z
+    .array(z.enum(['GET', 'POST', 'PUT', 'PATCH', 'DELETE']))
+    .min(1)
+    .default(['POST']),
   /** Path at the entry host and at the target. */
   path: z
     .string()
