--- a/eslint.config.js
+++ b/eslint.config.js
@@ -12,6 +12,7 @@
   ...configs.base.typescript,
   prettier,
   {
+    settings: { node: { version: '>=20.12.0 <21' } },
     languageOptions: {
       parserOptions: { projectService: { allowDefaultProject: ['*.js', 'tools/*.js'] } },
     },
--- /dev/null
+++ b/packages/demo/src/demo.ts
@@ -0,0 +1,78 @@
+/** Development launcher: starts a fleet, shows what it does, and ends it. */
+import { once } from 'node:events';
+import { parseArgs } from 'node:util';
+import { describeFleet } from './describeFleet.js';
+import { deployments, type DeploymentName } from './launch/deployments.js';
+import { startFleet, type Fleet } from './launch/Fleet.js';
+import { batchJob } from './walkthrough/batchJob.js';
+import { plainService } from './walkthrough/plainService.js';
+import type { Step } from './walkthrough/Step.js';
+import { streamedChat } from './walkthrough/streamedChat.js';
+import { withdrawnKey } from './walkthrough/withdrawnKey.js';
+
+const steps: readonly Step[] = [streamedChat, plainService, batchJob, withdrawnKey];
+
+const usage = `npm run demo -- [options]
+
+  --deployment <name>  ${Object.keys(deployments).join(', ')} (default: small)
+  --stay               print one line of JSON when ready and stay until SIGINT
+  --verbose            pass the logs of all processes on to standard error`;
+
+const isDeployment = (name: string): name is DeploymentName => Object.hasOwn(deployments, name);
+
+const say = (line: string): void => {
+  process.stdout.write(`${line}\n`);
+};
+
+const showSteps = async (fleet: Fleet): Promise<number> => {
+  let failures = 0;
+  for (const step of steps) {
+    try {
+      say(`${step.title}: ${await step.run(fleet)}`);
+    } catch (fault) {
+      failures += 1;
+      say(`${step.title}: FAILED: ${(fault as Error).message}`);
+    }
+  }
+  return failures;
+};
+
+const main = async (): Promise<number> => {
+  const { values } = parseArgs({
+    options: {
+      deployment: { type: 'string', default: 'small' },
+      stay: { type: 'boolean', default: false },
+      verbose: { type: 'boolean', default: false },
+      help: { type: 'boolean', default: false },
+    },
+  });
+  if (values.help) {
+    say(usage);
+    return 0;
+  }
+  if (!isDeployment(values.deployment)) {
+    process.stderr.write(`no deployment "${values.deployment}"\n\n${usage}\n`);
+    return 2;
+  }
+  // Installed before the start, so that a signal during the start still ends every process.
+  const interrupted = Promise.race([once(process, 'SIGINT'), once(process, 'SIGTERM')]);
+  const fleet = await startFleet({ deployment: values.deployment, verbose: values.verbose });
+  let failures = 0;
+  try {
+    if (values.stay) {
+      say(JSON.stringify(describeFleet(fleet)));
+      await interrupted;
+    } else {
+      say(`ready: ${fleet.entries.length} entry hosts, ${fleet.agents.length} agents`);
+      failures = await showSteps(fleet);
+    }
+  } finally {
+    const unclean = await fleet.stop();
+    failures += unclean.length;
+    if (unclean.length > 0) process.stderr.write(`no clean stop: ${unclean.join(', ')}\n`);
+  }
+  if (!values.stay) say(failures === 0 ? 'all processes stopped' : `${failures} failures`);
+  return failures === 0 ? 0 : 1;
+};
+
+process.exitCode = await main();
--- /dev/null
+++ b/packages/demo/src/launch/Operator.ts
@@ -0,0 +1,49 @@
+/** Client of the operators' interface, as the launcher needs it. */
+import { randomUUID } from 'node:crypto';
+import type { Declarations } from '@jacinthlug/settings/tree/declarations';
+import { z } from 'zod';
+
+const granted = z.object({ id: z.string(), secret: z.string(), version: z.number() });
+
+/** A key as it was granted. */
+export type GrantedSecret = z.infer<typeof granted>;
+
+/** Client of the operators' interface. */
+export interface Operator {
+  readonly url: string;
+  readonly credential: string;
+  applyDeclarations(baseVersion: number, tree: Declarations): Promise<void>;
+  grantKey(account: string): Promise<GrantedSecret>;
+  withdrawKey(id: string): Promise<void>;
+}
+
+/**
+ * Opens a client of the operators' interface.
+ *
+ * @param url - base URL of an entry host
+ * @param credential - operator credential
+ * @returns the client
+ */
+export const openOperator = (url: string, credential: string): Operator => {
+  const post = async (path: string, body: Record<string, unknown>): Promise<unknown> => {
+    const response = await fetch(`${url}/operator/v1${path}`, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${credential}`, 'content-type': 'application/json' },
+      body: JSON.stringify({ token: randomUUID(), ...body }),
+    });
+    const text = await response.text();
+    if (!response.ok) throw new Error(`${path}: ${response.status} ${text}`);
+    return JSON.parse(text) as unknown;
+  };
+  return {
+    url,
+    credential,
+    async applyDeclarations(baseVersion, tree) {
+      await post('/configuration', { baseVersion, declarations: tree, note: 'launcher' });
+    },
+    grantKey: async (account) => granted.parse(await post('/keys', { account })),
+    async withdrawKey(id) {
+      await post(`/keys/${id}/withdraw`, {});
+    },
+  };
+};
--- /dev/null
+++ b/packages/demo/src/walkthrough/batchJob.ts
@@ -0,0 +1,68 @@
+/** A batch job of 200 items, two of them impossible, through the unmodified `openai` client. */
+import { setTimeout as sleep } from 'node:timers/promises';
+import OpenAI, { toFile } from 'openai';
+import { callerOf, type Step } from './Step.js';
+
+const ITEMS = 200;
+const IMPOSSIBLE = new Set([17, 142]);
+const LIMIT_MS = 120_000;
+const POLL_MS = 250;
+
+const lineOf = (model: string, index: number): string =>
+  JSON.stringify({
+    custom_id: `item-${index}`,
+    method: 'POST',
+    url: '/v1/chat/completions',
+    body: {
+      model,
+      max_tokens: 8,
+      messages: [
+        {
+          role: 'user',
+          content: `${IMPOSSIBLE.has(index) ? '__impossible__ ' : ''}window ${index}`,
+        },
+      ],
+    },
+  });
+
+const idsOf = (text: string): string[] =>
+  text
+    .split('\n')
+    .filter(Boolean)
+    .map((line) => (JSON.parse(line) as { custom_id: string }).custom_id);
+
+/** A batch job with two impossible items. */
+export const batchJob: Step = {
+  title: 'batch job',
+  async run(fleet) {
+    const { url, key } = callerOf(fleet, 1, 1);
+    const client = new OpenAI({ baseURL: `${url}/v1`, apiKey: key.secret, maxRetries: 0 });
+    const lines = Array.from({ length: ITEMS }, (_, index) =>
+      lineOf(fleet.deployment.model, index),
+    );
+    const file = await client.files.create({
+      purpose: 'batch',
+      file: await toFile(Buffer.from(`${lines.join('\n')}\n`), 'windows.jsonl'),
+    });
+    let job = await client.batches.create({
+      input_file_id: file.id,
+      endpoint: '/v1/chat/completions',
+      completion_window: '24h',
+    });
+    const deadline = performance.now() + LIMIT_MS;
+    while (job.status !== 'completed' && performance.now() < deadline) {
+      await sleep(POLL_MS);
+      job = await client.batches.retrieve(job.id);
+    }
+    if (job.status !== 'completed') throw new Error(`the job is ${job.status}`);
+    const output = await (await client.files.content(job.output_file_id ?? '')).text();
+    const errors = await (await client.files.content(job.error_file_id ?? '')).text();
+    const done = idsOf(output);
+    const failed = idsOf(errors);
+    const distinct = new Set([...done, ...failed]);
+    if (distinct.size !== ITEMS || done.length + failed.length !== ITEMS) {
+      throw new Error(`${done.length} results and ${failed.length} errors for ${ITEMS} items`);
+    }
+    return `${done.length} results, ${failed.length} errors (${failed.sort().join(', ')})`;
+  },
+};
--- /dev/null
+++ b/packages/demo/src/walkthrough/withdrawnKey.ts
@@ -0,0 +1,34 @@
+/** A key that is withdrawn and then refused by every entry host. */
+import { setTimeout as sleep } from 'node:timers/promises';
+import { callerOf, type Step } from './Step.js';
+
+const LIMIT_MS = 10_000;
+const POLL_MS = 20;
+
+/** A withdrawn key. */
+export const withdrawnKey: Step = {
+  title: 'withdrawn key',
+  async run(fleet) {
+    const { key } = callerOf(fleet, 0, fleet.deployment.accounts.length - 1);
+    const ask = async (url: string): Promise<number> => {
+      const response = await fetch(`${url}/v1/models`, {
+        headers: { authorization: `Bearer ${key.secret}` },
+      });
+      await response.arrayBuffer();
+      return response.status;
+    };
+    const urls = fleet.entries.map(({ url }) => url ?? '');
+    const before = await Promise.all(urls.map(ask));
+    if (before.some((status) => status !== 200)) throw new Error(`before: ${before.join(', ')}`);
+    await fleet.operator.withdrawKey(key.id);
+    const withdrawnAt = performance.now();
+    let after = await Promise.all(urls.map(ask));
+    while (after.some((status) => status !== 401)) {
+      if (performance.now() - withdrawnAt > LIMIT_MS) throw new Error(`after: ${after.join(', ')}`);
+      await sleep(POLL_MS);
+      after = await Promise.all(urls.map(ask));
+    }
+    const tookMs = Math.round(performance.now() - withdrawnAt);
+    return `refused by ${urls.length} entry hosts ${tookMs} ms after the withdrawal was accepted`;
+  },
+};
