--- /dev/null
+++ b/packages/catalog/src/renderCatalogues.ts
@@ -0,0 +1,84 @@
+/** Renders the catalogues as the pages of `docs/`. */
+import { counters } from './counterNames.js';
+import { logEvents } from './logEvents.js';
+import { resultCodes } from './resultCodes.js';
+
+const renderTable = (head: readonly string[], rows: readonly (readonly string[])[]): string =>
+  [head, head.map(() => '---'), ...rows].map((cells) => `| ${cells.join(' | ')} |`).join('\n');
+
+const GENERATED = 'Generated from the catalogue by `npm run docs`; do not edit.';
+
+const renderResultCodes = (): string =>
+  [
+    '# Result codes',
+    '',
+    GENERATED,
+    '',
+    'Every refusal is JSON with this `number` and `code`, and tells in `run` whether the request was',
+    'run. "not run" is said only when that is certain.',
+    '',
+    renderTable(
+      ['number', 'code', 'HTTP', 'run', 'come back after', 'message', 'hint'],
+      Object.entries(resultCodes).map(([name, entry]) => [
+        String(entry.number),
+        `\`${name}\``,
+        String(entry.status),
+        entry.run,
+        entry.retryAfterSeconds === undefined ? '' : `${entry.retryAfterSeconds} s`,
+        entry.message,
+        entry.hint,
+      ]),
+    ),
+    '',
+  ].join('\n');
+
+const renderEvents = (): string =>
+  [
+    '# Log events',
+    '',
+    GENERATED,
+    '',
+    'Logs are lines of JSON on standard error, written by bunyan. `event` is the number.',
+    '',
+    renderTable(
+      ['number', 'event', 'severity', 'message', 'what to do'],
+      Object.entries(logEvents).map(([name, entry]) => [
+        String(entry.number),
+        `\`${name}\``,
+        entry.severity,
+        entry.message,
+        entry.hint,
+      ]),
+    ),
+    '',
+  ].join('\n');
+
+const renderCounters = (): string =>
+  [
+    '# Counters',
+    '',
+    GENERATED,
+    '',
+    'Sent by StatsD with the prefix `jacinthlug.` when `statsd` is set, and listed by `/healthz`.',
+    '',
+    renderTable(
+      ['counter', 'tags', 'description'],
+      Object.entries(counters).map(([name, entry]) => [
+        `\`${name}\``,
+        entry.tags.map((tag) => `\`${tag}\``).join(', '),
+        entry.description,
+      ]),
+    ),
+    '',
+  ].join('\n');
+
+/**
+ * Renders every page that is generated from a catalogue.
+ *
+ * @returns content by file name in `docs/`
+ */
+export const renderCatalogues = (): Readonly<Record<string, string>> => ({
+  'result-codes.md': renderResultCodes(),
+  'events.md': renderEvents(),
+  'counters.md': renderCounters(),
+});
