--- /dev/null
+++ b/packages/specs/test/features/models.feature
@@ -0,0 +1,27 @@
+Feature: Models of the core protocols
+  Every reachable state of a small model is visited. Each planted fault guards against a check that
+  cannot fail.
+
+  Scenario Outline: <model> holds in every state
+    When the model "<model>" is explored
+    Then there is no violation
+
+    Examples:
+      | model          |
+      | chunk commit   |
+      | at most once   |
+
+  Scenario Outline: The check of <model> finds "<fault>"
+    When the model "<model>" is explored with the fault "<fault>"
+    Then the violations include "<violation>"
+
+    Examples:
+      | model        | fault                   | violation                               |
+      | chunk commit | no fencing check        | results of a chunk became visible twice |
+      | chunk commit | no job check            | results became visible after the cancel |
+      | chunk commit | repeat without token    | results of a chunk became visible twice |
+      | at most once | no claim                | the request ran twice                   |
+      | at most once | forward while unsettled | the request ran twice                   |
+      | at most once | retry after a cut       | the request ran twice                   |
+      | at most once | crash frees the claim   | the request ran twice                   |
+      | at most once | refuse after the forward | a request that ran was told as not run |
--- /dev/null
+++ b/packages/specs/test/steps/models.steps.ts
@@ -0,0 +1,41 @@
+import assert from 'node:assert/strict';
+import { Then, When } from '@cucumber/cucumber';
+import { createOnceModel, type OnceFault } from '../../src/atMostOnce.js';
+import { createChunkModel, type ChunkFault } from '../../src/chunkCommit.js';
+import { exploreModel, type Exploration } from '../../src/exploreModel.js';
+
+interface Scenario {
+  exploration: Exploration;
+}
+
+const models: Readonly<Record<string, (fault: string) => Exploration>> = {
+  'chunk commit': (fault) => exploreModel(createChunkModel(fault as ChunkFault)),
+  'at most once': (fault) => exploreModel(createOnceModel(fault as OnceFault)),
+};
+
+const explore = (model: string, fault: string): Exploration => {
+  const run = models[model];
+  assert.ok(run, `no model ${model}`);
+  return run(fault);
+};
+
+When('the model {string} is explored', function (this: Scenario, model: string) {
+  this.exploration = explore(model, 'none');
+});
+
+When(
+  'the model {string} is explored with the fault {string}',
+  function (this: Scenario, model: string, fault: string) {
+    this.exploration = explore(model, fault);
+  },
+);
+
+Then('there is no violation', function (this: Scenario) {
+  assert.deepEqual(this.exploration.violations, []);
+  // A model that cannot move holds trivially.
+  assert.ok(this.exploration.states > 100, `${this.exploration.states} states`);
+});
+
+Then('the violations include {string}', function (this: Scenario, violation: string) {
+  assert.ok(this.exploration.violations.includes(violation), String(this.exploration.violations));
+});
