Measure the slopes of the control mechanisms

Both ends of a call share the measuring process. First figures were taken on a busy machine and are not quoted yet.

--- /dev/null
+++ b/packages/demo/src/measure/experiments.ts
@@ -0,0 +1,156 @@
+/** Experiments that give the slopes of docs/CAPACITY.md. */
+import type { ControlHandlers } from '@jacinthlug/protocol/controlRouter';
+import type { ConfigurationState } from '@jacinthlug/protocol/messages';
+import { openCatalogue } from '@jacinthlug/settings/tree/Catalogue';
+import { measureCalls } from './measureCalls.js';
+import type { Experiment } from './Measurement.js';
+import {
+  createConfiguration,
+  createDemands,
+  createMembers,
+  createShares,
+  loadReportExample,
+} from './syntheticFleet.js';
+
+const KIB = 1024;
+
+const currentState: ConfigurationState = {
+  version: 7,
+  mode: 'confirmed',
+  reachesTable: true,
+  heldMs: 700,
+  ageMs: 212.5,
+  failureDomain: 'domain-4',
+  suspectsVersion: 0,
+};
+
+const watchHandlers = (state: ConfigurationState): ControlHandlers => ({
+  watchConfiguration: () => Promise.resolve(state),
+});
+
+const measureWatch = (state: ConfigurationState) =>
+  measureCalls(watchHandlers(state), (client) =>
+    client.configuration.watch.query({
+      asker: 'host-17',
+      version: 7,
+      suspectsVersion: 0,
+      holdMs: 700,
+    }),
+  );
+
+const measureShares = (accounts: number) => {
+  const demands = createDemands(accounts);
+  const shares = createShares(accounts);
+  const handlers: ControlHandlers = {
+    watchConfiguration: () => Promise.resolve(currentState),
+    shareRates: () => Promise.resolve({ kind: 'granted', shares }),
+  };
+  return measureCalls(handlers, (client) =>
+    client.rates.share.mutate({ incarnation: 'entry-17#1', shard: 4, demands, released: [] }),
+  );
+};
+
+const measureLoad = () =>
+  measureCalls(
+    {
+      watchConfiguration: () => Promise.resolve(currentState),
+      reportLoad: () => Promise.resolve(loadReportExample),
+    },
+    (client) => client.load.report.query(),
+  );
+
+const collectGarbage = (): void => {
+  if (!globalThis.gc) throw new Error('run with --expose-gc');
+  globalThis.gc();
+};
+
+/** Heap that a value keeps, after garbage collection. */
+const measureHeap = (build: () => unknown): number => {
+  collectGarbage();
+  const before = process.memoryUsage().heapUsed;
+  const kept = build();
+  collectGarbage();
+  const after = process.memoryUsage().heapUsed;
+  // The value must live until the second reading.
+  if (kept === undefined) throw new Error('nothing was built');
+  return (after - before) / KIB;
+};
+
+const accountSizes = [95, 190, 380, 760];
+const memberSizes = [125, 250, 500, 1000];
+const demandSizes = [1, 10, 40];
+
+/** All experiments; each varies its size over at least three points. */
+export const experiments: readonly Experiment[] = [
+  {
+    name: 'configuration in memory, with lookups',
+    size: 'client accounts with 4 keys each',
+    unit: 'KiB of heap',
+    sizes: accountSizes,
+    measure: (size) => Promise.resolve(measureHeap(() => openCatalogue(createConfiguration(size)))),
+  },
+  {
+    name: 'adopting a configuration',
+    size: 'client accounts with 4 keys each',
+    unit: 'ms of processor time',
+    sizes: accountSizes,
+    measure(size) {
+      const built = createConfiguration(size);
+      const before = process.cpuUsage();
+      openCatalogue(built);
+      const used = process.cpuUsage(before);
+      return Promise.resolve((used.user + used.system) / 1000);
+    },
+  },
+  {
+    name: 'configuration on the wire',
+    size: 'client accounts with 4 keys each',
+    unit: 'bytes a watch answer',
+    sizes: accountSizes,
+    measure: async (size) =>
+      (await measureWatch({ ...currentState, configuration: createConfiguration(size) })).bytes,
+  },
+  {
+    name: 'membership in memory',
+    size: 'members',
+    unit: 'KiB of heap',
+    sizes: memberSizes,
+    measure: (size) => Promise.resolve(measureHeap(() => createMembers(size))),
+  },
+  {
+    name: 'membership on the wire',
+    size: 'members',
+    unit: 'bytes a watch answer',
+    sizes: memberSizes,
+    measure: async (size) =>
+      (await measureWatch({ ...currentState, members: createMembers(size) })).bytes,
+  },
+  {
+    name: 'membership on the wire, processor',
+    size: 'members',
+    unit: 'us of processor time a watch answer',
+    sizes: memberSizes,
+    measure: async (size) =>
+      (await measureWatch({ ...currentState, members: createMembers(size) })).processorMicros,
+  },
+  {
+    name: 'share message',
+    size: 'client accounts in the message',
+    unit: 'bytes a message',
+    sizes: demandSizes,
+    measure: async (size) => (await measureShares(size)).bytes,
+  },
+  {
+    name: 'share message, processor',
+    size: 'client accounts in the message',
+    unit: 'us of processor time a message',
+    sizes: demandSizes,
+    measure: async (size) => (await measureShares(size)).processorMicros,
+  },
+];
+
+/** Costs without a size: an unchanged watch answer and a load report. */
+export const measureConstants = async () => ({
+  watch: await measureWatch(currentState),
+  load: await measureLoad(),
+});
--- /dev/null
+++ b/packages/demo/src/measure/measureCalls.ts
@@ -0,0 +1,61 @@
+/** Cost of control calls between two processes of the fleet: processor time and bytes. */
+import { createServer } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import {
+  openControlClient,
+  openPeerConnections,
+  type ControlClient,
+} from '@jacinthlug/protocol/controlClient';
+import type { ControlHandlers } from '@jacinthlug/protocol/controlRouter';
+import { createControlListener } from '@jacinthlug/protocol/controlServer';
+
+/** Cost of one call, both ends together. */
+export interface CallCost {
+  /** Unit: microseconds of processor time. */
+  readonly processorMicros: number;
+  /** Bytes of TCP payload in both directions. */
+  readonly bytes: number;
+}
+
+const CREDENTIAL = 'measurement-credential';
+const CALLS = 2000;
+const WARM_UP_CALLS = 300;
+
+/**
+ * Measures a control call over a kept-open connection on 127.0.0.1.
+ *
+ * Caller and server share this process, so the processor time is that of both ends.
+ *
+ * @param handlers - handlers of the server
+ * @param call - makes one call
+ * @returns the mean cost of a call
+ */
+export const measureCalls = async (
+  handlers: ControlHandlers,
+  call: (client: ControlClient) => Promise<unknown>,
+): Promise<CallCost> => {
+  const server = createServer(createControlListener(handlers, CREDENTIAL));
+  const sockets = new Set<Socket>();
+  server.on('connection', (socket) => sockets.add(socket));
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const dispatcher = openPeerConnections();
+  const { port } = server.address() as AddressInfo;
+  const client = openControlClient(`127.0.0.1:${port}`, CREDENTIAL, dispatcher);
+  const countBytes = (): number =>
+    [...sockets].reduce((sum, socket) => sum + socket.bytesRead + socket.bytesWritten, 0);
+  const repeat = async (times: number): Promise<void> => {
+    for (let index = 0; index < times; index += 1) await call(client);
+  };
+  await repeat(WARM_UP_CALLS);
+  const bytesBefore = countBytes();
+  const before = process.cpuUsage();
+  await repeat(CALLS);
+  const used = process.cpuUsage(before);
+  const bytes = countBytes() - bytesBefore;
+  await dispatcher.close();
+  server.closeAllConnections();
+  server.close();
+  return { processorMicros: (used.user + used.system) / CALLS, bytes: bytes / CALLS };
+};
