Add the platform clients and their stand-ins

The packages control, batch, entry and agent need a table service, an object store and a host list to run against.

DynamoTable, S3ObjectStore and PrometheusHostList implement the interfaces of the platform package. SDK retries are off, because a repeat inside the SDK hides an outcome that its caller has to know. A table failure is "unavailable" only when nothing can have been written: no connection was established, the service answered 4xx (except 408), or it named a throttle or ServiceUnavailable. Everything else is "unknown". TransactionInProgress is "unknown" too, since an earlier call with the token is still running.

settle repeats while an outcome is unknown and while the service is busy or throttles. A certain "unavailable" without an earlier unknown attempt is returned at once, so that a caller can refuse without waiting for its deadline.

The stand-ins speak the DynamoDB JSON protocol, S3 REST and Prometheus HTTP service discovery. The table stand-in enforces the service's limits (100 writes, 400 KiB per item, token length, one write per row) and keeps client tokens for 10 minutes.

eslint: convertPath lets n/hashbang see that src/*.ts compiles to the binaries named in package.json; without it the rule refuses their hashbang line.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -12,6 +12,8 @@
   ...configs.base.typescript,
   prettier,
   {
+    // Binaries are named in package.json by their compiled files.
+    settings: { n: { convertPath: { 'src/**/*.ts': ['^src/(.+)\\.ts$', 'dist/src/$1.js'] } } },
     languageOptions: {
       parserOptions: { projectService: { allowDefaultProject: ['*.js', 'tools/*.js'] } },
     },
--- /dev/null
+++ b/packages/platform/test/features/hosts.feature
@@ -0,0 +1,38 @@
+Feature: The host list
+  Guards against a host list that is read wrong or taken as empty when it did not answer.
+
+  Background:
+    Given a host list
+
+  Scenario: Members are read and invalid entries are left out
+    Given the listed hosts are
+      | 10.0.0.1:7000      | {"name":"e1","role":"entry","failure_domain":"d1","region":"r","state":"live"}                                  |
+      | 10.0.0.2:7000      | {"name":"a1","role":"agent","failure_domain":"d1","region":"r","state":"leaving","service":"s","target":"t1"}   |
+      | 10.0.0.3:7000      | {"name":"a2","role":"agent","failure_domain":"d1","region":"r","state":"live"}                                  |
+      | 10.0.0.4:7000      | {"name":"e2","role":"entry","failure_domain":"d1","region":"r","state":"gone"}                                  |
+      | 10.0.0.5           | {"name":"e3","role":"entry","failure_domain":"d1","region":"r","state":"live"}                                  |
+      | host.example:7000  | {"name":"e4","role":"entry","failure_domain":"d1","region":"r","state":"live"}                                  |
+    Then the members are
+      | {"name":"e1","role":"entry","address":"10.0.0.1:7000","failureDomain":"d1","region":"r","state":"live"}                                 |
+      | {"name":"a1","role":"agent","address":"10.0.0.2:7000","failureDomain":"d1","region":"r","state":"leaving","service":"s","target":"t1"} |
+
+  Scenario: A change shows after the lag
+    Given the listed hosts are
+      | 10.0.0.1:7000 | {"name":"e1","role":"entry","failure_domain":"d1","region":"r","state":"live"} |
+    And the host list has the faults {"lagMs":3600000}
+    When the listed hosts become
+      | 10.0.0.1:7000 | {"name":"e1","role":"entry","failure_domain":"d1","region":"r","state":"leaving"} |
+    Then the states are "live"
+    When the host list has the faults {"lagMs":0}
+    Then the states are "leaving"
+
+  Scenario Outline: A list with the faults <faults> is a failure, not an empty list
+    Given the host list has the faults <faults>
+    Then reading the list fails
+    And the calls "platform.calls{operation=hosts.list,outcome=unavailable}" are counted as 1
+
+    Examples:
+      | faults           |
+      | {"down":true}    |
+      | {"delayMs":1000} |
+      | {"refuse":true}  |
--- /dev/null
+++ b/packages/platform/test/steps/table.steps.ts
@@ -0,0 +1,145 @@
+import assert from 'node:assert/strict';
+import { randomUUID } from 'node:crypto';
+import { Given, Then, When, type DataTable } from '@cucumber/cucumber';
+import { startTableStandin } from '@jacinthlug/standins/table/startTableStandin';
+import { err, type Result, type ResultAsync } from 'neverthrow';
+import { request } from 'undici';
+import { DynamoTable } from '../../src/DynamoTable.js';
+import type {
+  Attributes,
+  Condition,
+  RowKey,
+  RowQuery,
+  TableFailure,
+  Write,
+} from '../../src/Table.js';
+import { connect, expectValue, freeAddress, type World } from './world.js';
+
+interface Scenario extends World {
+  table: DynamoTable;
+  token: string;
+  writes: Write[];
+  result: Result<void, TableFailure>;
+}
+
+/** Small, so that a query of a few rows has several pages. */
+const PAGE_ROWS = 2;
+
+const SETTLE_LIMIT_MS = 20_000;
+
+const keyOf = (text: string): RowKey => {
+  const [pk = '', sk = ''] = text.split('/');
+  return { pk, sk };
+};
+
+/** Attributes from JSON; the attribute `binary` is in base64. */
+const attributesOf = (json: string): Attributes => {
+  const attributes = JSON.parse(json) as Record<string, string>;
+  const { binary } = attributes;
+  return binary === undefined
+    ? attributes
+    : { ...attributes, binary: new Uint8Array(Buffer.from(binary, 'base64')) };
+};
+
+const writesOf = (table: DataTable): Write[] =>
+  table.raw().map(([kind = '', key = '', attributes = '', conditions = '']) => ({
+    kind: kind as 'put',
+    key: keyOf(key),
+    // The field that a kind does not have is ignored.
+    attributes: attributesOf(attributes),
+    set: attributesOf(attributes),
+    conditions: JSON.parse(conditions || '[]') as Condition[],
+  }));
+
+const settle = (
+  { table, writes, token }: Scenario,
+  limitMs = SETTLE_LIMIT_MS,
+): ResultAsync<void, TableFailure> => table.settle(writes, token, performance.now() + limitMs);
+
+Given('a table service', async function (this: Scenario) {
+  const standin = await startTableStandin({ ...freeAddress, pageRows: PAGE_ROWS });
+  this.table = new DynamoTable(connect(this, standin), this.metrics);
+  this.closers.push(() => this.table.close());
+});
+
+Given('the table service is closed', async function (this: Scenario) {
+  await this.standin.close();
+});
+
+Given(/^the row "(.*)" with (.*)$/, async function (this: Scenario, key: string, json: string) {
+  const put = { kind: 'put', key: keyOf(key), attributes: attributesOf(json) } as const;
+  expectValue(await this.table.transact([put], randomUUID()));
+});
+
+Given('the rows of {string} are {string}', async function (this: Scenario, pk, list: string) {
+  const puts = list
+    .split(',')
+    .map((sk) => ({ kind: 'put' as const, key: { pk: String(pk), sk }, attributes: {} }));
+  expectValue(await this.table.transact(puts, randomUUID()));
+});
+
+When('a transaction is sent with', async function (this: Scenario, table: DataTable) {
+  this.writes = writesOf(table);
+  this.token = randomUUID();
+  this.result = await this.table.transact(this.writes, this.token);
+});
+
+When(
+  'a transaction with the same token is sent with',
+  async function (this: Scenario, table: DataTable) {
+    this.result = await this.table.transact(writesOf(table), this.token);
+  },
+);
+
+When('a transaction is settled with', async function (this: Scenario, table: DataTable) {
+  this.writes = writesOf(table);
+  this.token = randomUUID();
+  this.result = await settle(this);
+});
+
+When(
+  'a transaction is settled within {int} ms with',
+  async function (this: Scenario, limitMs: number, table: DataTable) {
+    this.writes = writesOf(table);
+    this.token = randomUUID();
+    this.result = await settle(this, limitMs);
+  },
+);
+
+When('the same transaction is settled', async function (this: Scenario) {
+  this.result = await settle(this);
+});
+
+Then('it ends with {string}', function (this: Scenario, outcome: string) {
+  const kind = this.result.match(
+    () => 'ok',
+    (failure) => failure.kind,
+  );
+  assert.equal(kind, outcome);
+});
+
+Then(
+  'it ends with {string} of the writes {int}',
+  function (this: Scenario, kind: string, index: number) {
+    assert.deepEqual(this.result, err({ kind, failed: [index] }));
+  },
+);
+
+Then('the row {string} is absent', async function (this: Scenario, key: string) {
+  assert.equal(expectValue(await this.table.get(keyOf(key))), undefined);
+});
+
+Then(/^the row "(.*)" has (.*)$/, async function (this: Scenario, key: string, json: string) {
+  const row = expectValue(await this.table.get(keyOf(key)));
+  assert.deepEqual(row, { ...keyOf(key), attributes: attributesOf(json) });
+});
+
+Then(/^the query (.*) gives "(.*)"$/, async function (this: Scenario, query: string, list: string) {
+  const rows = expectValue(await this.table.query(JSON.parse(query) as RowQuery));
+  assert.equal(rows.map(({ sk }) => sk).join(), list);
+});
+
+Then('the table service counted {int} writes', async function (this: Scenario, writes: number) {
+  const { body } = await request(`${this.standin.url}/_standin/stats`);
+  assert.deepEqual(await body.json(), { reads: 0, writes });
+});
--- /dev/null
+++ b/packages/platform/test/steps/world.ts
@@ -0,0 +1,67 @@
+/** State of a scenario and the steps that all services share. */
+import assert from 'node:assert/strict';
+import { openMetrics, type Metrics } from '@jacinthlug/catalog/Metrics';
+import type { PlatformSettings } from '@jacinthlug/settings/process/hostSettings';
+import type { Standin } from '@jacinthlug/standins/core/startStandinServer';
+import type { Result } from 'neverthrow';
+import { request } from 'undici';
+
+/** Address of a stand-in on a free port. */
+export const freeAddress = { host: '127.0.0.1', port: 0 };
+
+/** Time limit of a call in tests; the fault `delayMs` of slow scenarios is longer. Unit: ms. */
+const CALL_LIMIT_MS = 400;
+
+/** State that the scenarios of all services have. */
+export interface World {
+  standin: Standin;
+  metrics: Metrics;
+  closers: (() => unknown)[];
+}
+
+/**
+ * Prepares a scenario.
+ *
+ * @param world - its state
+ * @param standin - the stand-in that it uses
+ * @returns settings that lead to the stand-in
+ */
+export const connect = (world: World, standin: Standin): PlatformSettings => {
+  const { url } = standin;
+  Object.assign(world, { standin, metrics: openMetrics('test'), closers: [() => standin.close()] });
+  return {
+    table: { url, name: 'jacinthlug' },
+    objects: { url, bucket: 'jacinthlug' },
+    hosts: { url: `${url}/hosts` },
+    region: 'local',
+    accessKeyId: 'jacinthlug',
+    secretAccessKey: 'jacinthlug',
+    callLimitMs: CALL_LIMIT_MS,
+  };
+};
+
+/**
+ * Sets faults of the stand-in.
+ *
+ * @param world - state of the scenario
+ * @param faults - JSON
+ */
+export const setFaults = async ({ standin }: World, faults: string): Promise<void> => {
+  const { statusCode, body } = await request(`${standin.url}/_standin/faults`, {
+    method: 'POST',
+    body: faults,
+  });
+  assert.equal(statusCode, 200, await body.text());
+};
+
+/**
+ * Gives the value of a result that a scenario needs to be one of success.
+ *
+ * @param result - the result
+ * @returns its value
+ */
+export const expectValue = <Value>(result: Result<Value, unknown>): Value =>
+  result.match(
+    (value) => value,
+    (failure) => assert.fail(JSON.stringify(failure)),
+  );
--- /dev/null
+++ b/packages/standins/src/hosts/startHostsStandin.ts
@@ -0,0 +1,55 @@
+/** Stand-in for the host list: Prometheus HTTP service discovery with a settable lag. */
+import {
+  jsonReply,
+  startStandinServer,
+  type Standin,
+  type StandinAddress,
+} from '../core/startStandinServer.js';
+
+/** A list as it was put. */
+interface PutList {
+  readonly hosts: readonly unknown[];
+  /** Monotonic time. Unit: ms. */
+  readonly putAt: number;
+}
+
+const PATH = '/hosts';
+
+/**
+ * Starts the stand-in for the host list. `GET /hosts` answers the list, `PUT /hosts` replaces it;
+ * the fault `lagMs` sets how late a replacement shows.
+ *
+ * @param address - where to listen
+ * @returns the running stand-in
+ */
+export const startHostsStandin = async (address: StandinAddress): Promise<Standin> => {
+  const lists: PutList[] = [{ hosts: [], putAt: -Infinity }];
+  let shown = 0;
+
+  /** Moves on to the newest list older than the lag; a raised lag does not bring back older ones. */
+  const refresh = (lagMs: number): void => {
+    const visibleUntil = performance.now() - lagMs;
+    shown = Math.max(
+      shown,
+      lists.findLastIndex(({ putAt }) => putAt <= visibleUntil),
+    );
+  };
+
+  return startStandinServer(address, {
+    isWrite: ({ method }) => method === 'PUT',
+    handle({ method, path, body }, { lagMs }) {
+      if (path !== PATH) return jsonReply(404, { message: 'no such path' });
+      if (method === 'GET') {
+        refresh(lagMs);
+        return jsonReply(200, lists[shown]?.hosts);
+      }
+      if (method !== 'PUT') return jsonReply(405, { message: 'no such method' });
+      const hosts: unknown = JSON.parse(body.toString());
+      if (!Array.isArray(hosts)) return jsonReply(400, { message: 'not an array' });
+      lists.push({ hosts, putAt: performance.now() });
+      refresh(lagMs);
+      return jsonReply(200, {});
+    },
+    refuse: (status = 503) => jsonReply(status, { message: 'refused' }),
+  });
+};
--- /dev/null
+++ b/packages/standins/src/objects/startObjectsStandin.ts
@@ -0,0 +1,100 @@
+/** Stand-in for the object store: the S3 REST interface, in memory. */
+import { createHash } from 'node:crypto';
+import {
+  startStandinServer,
+  type Standin,
+  type StandinAddress,
+  type StandinReply,
+  type StandinRequest,
+} from '../core/startStandinServer.js';
+
+interface StoredObject {
+  readonly body: Buffer;
+  readonly etag: string;
+  readonly changedAt: Date;
+}
+
+type Objects = Map<string, StoredObject>;
+
+type Method = (objects: Objects, request: StandinRequest) => StandinReply;
+
+const xmlError = (status: number, code: string): StandinReply => ({
+  status,
+  headers: { 'content-type': 'application/xml' },
+  body: `<?xml version="1.0" encoding="UTF-8"?><Error><Code>${code}</Code><Message>${code}</Message></Error>`,
+});
+
+const objectHeaders = ({ etag, changedAt }: StoredObject): Record<string, string> => ({
+  etag,
+  'last-modified': changedAt.toUTCString(),
+  'content-type': 'application/octet-stream',
+  'accept-ranges': 'bytes',
+});
+
+const rangeReply = (object: StoredObject, range: string): StandinReply => {
+  const { body } = object;
+  const [, from = '', to = ''] = /^bytes=(\d+)-(\d*)$/.exec(range) ?? [];
+  const first = Number(from);
+  if (from === '' || first >= body.length) return xmlError(416, 'InvalidRange');
+  const last = Math.min(to === '' ? body.length - 1 : Number(to), body.length - 1);
+  return {
+    status: 206,
+    headers: {
+      ...objectHeaders(object),
+      'content-range': `bytes ${first}-${last}/${body.length}`,
+    },
+    body: body.subarray(first, last + 1),
+  };
+};
+
+const get: Method = (objects, { path, headers }) => {
+  const object = objects.get(path);
+  if (!object) return xmlError(404, 'NoSuchKey');
+  if (headers.range !== undefined) return rangeReply(object, headers.range);
+  return { status: 200, headers: objectHeaders(object), body: object.body };
+};
+
+const put: Method = (objects, { path, headers, body }) => {
+  // A body in signed chunks would be stored with its framing.
+  if (headers['content-encoding']?.includes('aws-chunked')) return xmlError(501, 'NotImplemented');
+  const etag = `"${createHash('md5').update(body).digest('hex')}"`;
+  objects.set(path, { body, etag, changedAt: new Date() });
+  return { status: 200, headers: { etag } };
+};
+
+const methods: Readonly<Record<string, Method>> = {
+  PUT: put,
+  GET: get,
+  HEAD: get,
+  DELETE(objects, { path }) {
+    objects.delete(path);
+    return { status: 204 };
+  },
+};
+
+const writeMethods: ReadonlySet<string> = new Set(['PUT', 'DELETE']);
+
+/** Codes of the fault `refuse`, by HTTP status. */
+const refusalCodes = new Map([
+  [403, 'AccessDenied'],
+  [500, 'InternalError'],
+  [503, 'SlowDown'],
+]);
+
+/**
+ * Starts the stand-in for the object store. Every bucket exists; path-style addresses only.
+ *
+ * @param address - where to listen
+ * @returns the running stand-in
+ */
+export const startObjectsStandin = async (address: StandinAddress): Promise<Standin> => {
+  const objects: Objects = new Map();
+  return startStandinServer(address, {
+    isWrite: ({ method }) => writeMethods.has(method),
+    handle(request) {
+      const method = methods[request.method];
+      return method ? method(objects, request) : xmlError(405, 'MethodNotAllowed');
+    },
+    refuse: (status = 503) => xmlError(status, refusalCodes.get(status) ?? 'UnknownError'),
+  });
+};
--- /dev/null
+++ b/packages/standins/src/table/expressions.ts
@@ -0,0 +1,116 @@
+/** The condition and update expressions of DynamoDB that the product sends. */
+import { compareValues, equalValues, type AttributeValue, type Item } from './attributeValues.js';
+import { invalid } from './ServiceError.js';
+
+/** Names and values that an expression refers to. */
+export interface Placeholders {
+  readonly ExpressionAttributeNames?: Readonly<Record<string, string>>;
+  readonly ExpressionAttributeValues?: Readonly<Record<string, AttributeValue>>;
+}
+
+/** An expression bound to its placeholders. */
+interface Scope {
+  readonly placeholders: Placeholders;
+  readonly item: Item | undefined;
+}
+
+const nameOf = (token: string, { placeholders }: Scope): string => {
+  if (!token.startsWith('#')) return token;
+  const name = placeholders.ExpressionAttributeNames?.[token];
+  if (name === undefined) throw invalid(`undefined attribute name ${token}`);
+  return name;
+};
+
+const operandOf = (token: string, scope: Scope): AttributeValue | undefined => {
+  if (!token.startsWith(':')) return scope.item?.[nameOf(token, scope)];
+  const value = scope.placeholders.ExpressionAttributeValues?.[token];
+  if (value === undefined) throw invalid(`undefined attribute value ${token}`);
+  return value;
+};
+
+const ordered =
+  (holds: (order: number) => boolean) =>
+  (left: AttributeValue, right: AttributeValue): boolean => {
+    const order = compareValues(left, right);
+    return order !== undefined && holds(order);
+  };
+
+const comparators: Readonly<
+  Record<string, (left: AttributeValue, right: AttributeValue) => boolean>
+> = {
+  '=': equalValues,
+  '<>': (left, right) => !equalValues(left, right),
+  '<': ordered((order) => order < 0),
+  '<=': ordered((order) => order <= 0),
+  '>': ordered((order) => order > 0),
+  '>=': ordered((order) => order >= 0),
+};
+
+const functions: Readonly<Record<string, (operands: readonly string[], scope: Scope) => boolean>> =
+  {
+    attribute_exists: ([path = ''], scope) => operandOf(path, scope) !== undefined,
+    attribute_not_exists: ([path = ''], scope) => operandOf(path, scope) === undefined,
+    begins_with: ([path = '', start = ''], scope) => {
+      const value = operandOf(path, scope)?.S;
+      const prefix = operandOf(start, scope)?.S;
+      return typeof value === 'string' && typeof prefix === 'string' && value.startsWith(prefix);
+    },
+  };
+
+const FUNCTION_TERM = /^(\w+)\s*\(([^()]*)\)$/;
+const COMPARISON_TERM = /^([#:]?\w+)\s*(=|<>|<=|>=|<|>)\s*([#:]?\w+)$/;
+
+const termHolds = (term: string, scope: Scope): boolean => {
+  const call = FUNCTION_TERM.exec(term);
+  if (call) {
+    const handler = functions[call[1] ?? ''];
+    if (!handler) throw invalid(`unknown function ${call[1]}`);
+    const operands = (call[2] ?? '').split(',').map((operand) => operand.trim());
+    return handler(operands, scope);
+  }
+  const [, leftToken = '', comparator = '', rightToken = ''] = COMPARISON_TERM.exec(term) ?? [];
+  const compare = comparators[comparator];
+  if (!compare) throw invalid(`unsupported term "${term}"`);
+  const left = operandOf(leftToken, scope);
+  const right = operandOf(rightToken, scope);
+  return left !== undefined && right !== undefined && compare(left, right);
+};
+
+/**
+ * Evaluates a condition: terms joined by AND.
+ *
+ * @param expression - the condition; an absent one holds
+ * @param placeholders - names and values that it refers to
+ * @param item - the row; nothing when it is absent
+ * @returns whether it holds
+ */
+export const holds = (
+  expression: string | undefined,
+  placeholders: Placeholders,
+  item: Item | undefined,
+): boolean => {
+  const terms = expression?.split(/\s+AND\s+/).map((term) => term.trim()) ?? [];
+  // Every term is evaluated, so that a malformed one is found whatever the row is.
+  return terms.map((term) => termHolds(term, { placeholders, item })).every(Boolean);
+};
+
+/**
+ * Evaluates an update of the form `SET name = value, ...`.
+ *
+ * @param expression - the update
+ * @param placeholders - names and values that it refers to
+ * @param item - the row before
+ * @returns the row after
+ */
+export const applyUpdate = (expression: string, placeholders: Placeholders, item: Item): Item => {
+  const assignments = /^SET\s+(.+)$/.exec(expression.trim())?.[1];
+  if (assignments === undefined) throw invalid(`unsupported update "${expression}"`);
+  const scope = { placeholders, item };
+  const changes = assignments.split(',').map((assignment) => {
+    const [name = '', value = '', ...rest] = assignment.split('=').map((part) => part.trim());
+    const operand = operandOf(value, scope);
+    if (operand === undefined || rest.length > 0) throw invalid(`unsupported "${assignment}"`);
+    return [nameOf(name, scope), operand] as const;
+  });
+  return { ...item, ...Object.fromEntries(changes) };
+};
