Add the command line jacinthlug

Operators and callers need a client that does not lose or repeat an edit when an answer is lost.

The comparison of trees is diffDeclarations in the settings package, where the design page places it.

The stand-ins keep idle connections for 65 s.

eslint.config.js: packages/*/bin/*.js are checked without a tsconfig.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -14,7 +14,9 @@
   {
     settings: { node: { version: '>=20.12.0 <21' } },
     languageOptions: {
-      parserOptions: { projectService: { allowDefaultProject: ['*.js', 'tools/*.js'] } },
+      parserOptions: {
+        projectService: { allowDefaultProject: ['*.js', 'tools/*.js', 'packages/*/bin/*.js'] },
+      },
     },
     rules: {
       // A task per connection or peer is an awaited loop.
--- /dev/null
+++ b/packages/cli/src/commands/batch/BatchCancel.ts
@@ -0,0 +1,28 @@
+/** `jacinthlug batch cancel`. */
+import { Args } from '@oclif/core';
+import { batchAnswer, type BatchAnswer } from '../../core/answers.js';
+import { CallerCommand } from '../../core/CallerCommand.js';
+import { formatBatch } from '../../core/formatText.js';
+
+/** Cancels a batch job. */
+export class BatchCancel extends CallerCommand {
+  static override summary = 'Cancel a batch job.';
+
+  static override description = 'Results that were committed before stay readable.';
+
+  static override examples = ['<%= config.bin %> <%= command.id %> batch_abc'];
+
+  static override args = { id: Args.string({ description: 'id of the job', required: true }) };
+
+  override async run(): Promise<BatchAnswer> {
+    const { args, flags } = await this.parse(BatchCancel);
+    const batch = await CallerCommand.openHost(flags).write({
+      path: `/v1/batches/${encodeURIComponent(args.id)}/cancel`,
+      body: {},
+      schema: batchAnswer,
+      repeatFlags: 'the same arguments',
+    });
+    this.log(formatBatch(batch));
+    return batch;
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/batch/BatchResults.ts
@@ -0,0 +1,103 @@
+/** `jacinthlug batch results`. */
+import { createWriteStream } from 'node:fs';
+import { rename, rm } from 'node:fs/promises';
+import type { Readable } from 'node:stream';
+import { text } from 'node:stream/consumers';
+import { pipeline } from 'node:stream/promises';
+import { Args, Flags } from '@oclif/core';
+import { ResultAsync } from 'neverthrow';
+import { batchAnswer, type BatchAnswer } from '../../core/answers.js';
+import { CallerCommand } from '../../core/CallerCommand.js';
+import { CommandFailure } from '../../core/CommandFailure.js';
+import { exitCodes } from '../../core/exitCodes.js';
+
+/** Result of `batch results --json`. */
+interface Results {
+  readonly id: string;
+  /** Lines of the file; absent when they were written to a file. */
+  readonly results?: readonly unknown[];
+  /** File that the lines were written to. */
+  readonly output?: string;
+}
+
+const cutFailure = (fault: unknown): CommandFailure =>
+  new CommandFailure(
+    {
+      code: 'results-cut',
+      message: `The results did not come whole: ${(fault as Error).message}`,
+      hint: 'Run the command again.',
+    },
+    exitCodes.unavailable,
+  );
+
+/** Waits for a transfer; a cut one ends the command. */
+const finish = async <Value>(transfer: Promise<Value>): Promise<Value> => {
+  const result = await ResultAsync.fromPromise(transfer, cutFailure);
+  if (result.isErr()) throw result.error;
+  return result.value;
+};
+
+/** Writes to a file beside the wanted one first, so that a cut transfer leaves no partial file. */
+const save = async (stream: Readable, file: string): Promise<void> => {
+  const partial = `${file}.partial`;
+  try {
+    await finish(pipeline(stream, createWriteStream(partial)));
+    await rename(partial, file);
+  } finally {
+    await rm(partial, { force: true });
+  }
+};
+
+const fileIdOf = (batch: BatchAnswer, wantsErrors: boolean): string => {
+  const id = wantsErrors ? batch.error_file_id : batch.output_file_id;
+  if (id) return id;
+  const content = wantsErrors ? 'errors' : 'results';
+  const report = {
+    code: 'no-results',
+    message: `The job is ${batch.status} and has no ${content}.`,
+    hint: 'See "batch status" for its progress.',
+  };
+  throw new CommandFailure(report, exitCodes.notReady);
+};
+
+/** Reads the results of a batch job. */
+export class BatchResults extends CallerCommand {
+  static override summary = 'Read the results of a batch job.';
+
+  static override description =
+    'Writes one JSON line for each item to the standard output or to a file.';
+
+  static override examples = [
+    '<%= config.bin %> <%= command.id %> batch_abc > results.jsonl',
+    '<%= config.bin %> <%= command.id %> batch_abc --output results.jsonl --timeout 600',
+    '<%= config.bin %> <%= command.id %> batch_abc --errors',
+  ];
+
+  static override args = { id: Args.string({ description: 'id of the job', required: true }) };
+
+  static override flags = {
+    errors: Flags.boolean({ description: 'the items that failed, in place of the results' }),
+    output: Flags.string({ description: 'file to write; it appears only when it is whole' }),
+  };
+
+  override async run(): Promise<Results> {
+    const { args, flags } = await this.parse(BatchResults);
+    const { id } = args;
+    const { errors, output } = flags;
+    const host = CallerCommand.openHost(flags);
+    const batch = await host.read(`/v1/batches/${encodeURIComponent(id)}`, batchAnswer);
+    const fileId = fileIdOf(batch, errors);
+    const stream = await host.open(`/v1/files/${encodeURIComponent(fileId)}/content`);
+    if (output !== undefined) {
+      await save(stream, output);
+      this.log(`Written to ${output}`);
+      return { id, output };
+    }
+    if (!this.jsonEnabled()) {
+      await finish(pipeline(stream, process.stdout, { end: false }));
+      return { id };
+    }
+    const lines = (await finish(text(stream))).split('\n').filter(Boolean);
+    return { id, results: lines.map((line) => JSON.parse(line) as unknown) };
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/config/ConfigGet.ts
@@ -0,0 +1,30 @@
+/** `jacinthlug config get`. */
+import type { Configuration } from '@jacinthlug/settings/tree/configuration';
+import { configurationAnswer } from '../../core/answers.js';
+import { formatColumns, formatPath } from '../../core/formatText.js';
+import { OperatorCommand } from '../../core/OperatorCommand.js';
+
+/** Shows the configuration in force. */
+export class ConfigGet extends OperatorCommand {
+  static override summary = 'Show the configuration in force.';
+
+  static override examples = [
+    '<%= config.bin %> <%= command.id %>',
+    {
+      description: 'Keep the whole version as JSON:',
+      command: '<%= config.bin %> <%= command.id %> --json > version.json',
+    },
+  ];
+
+  override async run(): Promise<Configuration> {
+    const { flags } = await this.parse(ConfigGet);
+    const host = OperatorCommand.openHost(flags);
+    const current = await host.read('/operator/v1/configuration', configurationAnswer);
+    const rows = Object.entries(current.content.declarations.nodes)
+      .sort(([left], [right]) => (left < right ? -1 : 1))
+      .map(([path, { kind, ...rest }]) => [formatPath(path), kind, JSON.stringify(rest)]);
+    this.log(`Version ${current.version}`);
+    this.log(formatColumns([['PATH', 'KIND', 'VALUES'], ...rows]));
+    return current;
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/config/ConfigHistory.ts
@@ -0,0 +1,26 @@
+/** `jacinthlug config history`. */
+import type { z } from 'zod';
+import { historyAnswer } from '../../core/answers.js';
+import { formatColumns, formatTime } from '../../core/formatText.js';
+import { OperatorCommand } from '../../core/OperatorCommand.js';
+
+/** Lists the accepted versions. */
+export class ConfigHistory extends OperatorCommand {
+  static override summary = 'List the accepted versions of the configuration.';
+
+  static override examples = ['<%= config.bin %> <%= command.id %>'];
+
+  override async run(): Promise<z.infer<typeof historyAnswer>> {
+    const { flags } = await this.parse(ConfigHistory);
+    const host = OperatorCommand.openHost(flags);
+    const history = await host.read('/operator/v1/configuration/history', historyAnswer);
+    const rows = history.versions.map(({ version, acceptedAt, author, note }) => [
+      String(version),
+      formatTime(acceptedAt),
+      author ?? '',
+      note ?? '',
+    ]);
+    this.log(formatColumns([['VERSION', 'ACCEPTED', 'AUTHOR', 'NOTE'], ...rows]));
+    return history;
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/config/ConfigPlan.ts
@@ -0,0 +1,41 @@
+/** `jacinthlug config plan`. */
+import { diffDeclarations, type NodeChange } from '@jacinthlug/settings/tree/diffDeclarations';
+import { Args } from '@oclif/core';
+import { configurationAnswer } from '../../core/answers.js';
+import { formatChanges } from '../../core/formatText.js';
+import { OperatorCommand } from '../../core/OperatorCommand.js';
+import { readDeclarations } from '../../core/readDeclarations.js';
+
+/** Result of `config plan --json`. */
+interface Plan {
+  readonly baseVersion: number;
+  readonly changes: readonly NodeChange[];
+}
+
+/** Shows what a folder of declarations would change. */
+export class ConfigPlan extends OperatorCommand {
+  static override summary = 'Show what a folder of declarations would change.';
+
+  static override description =
+    'Checks the folder and compares it with the configuration in force, node by node. Nothing is changed.';
+
+  static override examples = [
+    '<%= config.bin %> <%= command.id %> deployments/norte',
+    '<%= config.bin %> <%= command.id %> deployments/norte --json',
+  ];
+
+  static override args = {
+    folder: Args.string({ description: 'folder of declarations', required: true }),
+  };
+
+  override async run(): Promise<Plan> {
+    const { args, flags } = await this.parse(ConfigPlan);
+    const tree = await readDeclarations(args.folder);
+    const host = OperatorCommand.openHost(flags);
+    const { version, content } = await host.read('/operator/v1/configuration', configurationAnswer);
+    const changes = diffDeclarations(content.declarations, tree);
+    this.log(`Base version ${version}`);
+    this.log(formatChanges(changes));
+    return { baseVersion: version, changes };
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/host/HostList.ts
@@ -0,0 +1,29 @@
+/** `jacinthlug host list`. */
+import type { z } from 'zod';
+import { hostsAnswer } from '../../core/answers.js';
+import { formatColumns } from '../../core/formatText.js';
+import { OperatorCommand } from '../../core/OperatorCommand.js';
+
+/** Lists the hosts of the fleet. */
+export class HostList extends OperatorCommand {
+  static override summary = 'List the hosts of the fleet.';
+
+  static override examples = ['<%= config.bin %> <%= command.id %>'];
+
+  override async run(): Promise<z.infer<typeof hostsAnswer>> {
+    const { flags } = await this.parse(HostList);
+    const answer = await OperatorCommand.openHost(flags).read('/operator/v1/hosts', hostsAnswer);
+    const rows = answer.hosts.map((host) => [
+      host.name,
+      host.role,
+      host.state,
+      host.region,
+      host.failureDomain,
+      host.address,
+      host.target === undefined ? '' : `${host.service ?? ''}/${host.target}`,
+    ]);
+    const heading = ['NAME', 'ROLE', 'STATE', 'REGION', 'FAILURE DOMAIN', 'ADDRESS', 'TARGET'];
+    this.log(formatColumns([heading, ...rows]));
+    return answer;
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/key/KeyGrant.ts
@@ -0,0 +1,40 @@
+/** `jacinthlug key grant`. */
+import { randomUUID } from 'node:crypto';
+import { Args } from '@oclif/core';
+import type { z } from 'zod';
+import { grantAnswer } from '../../core/answers.js';
+import { OperatorCommand } from '../../core/OperatorCommand.js';
+import { tokenFlag } from '../../core/writeFlags.js';
+
+/** Grants a key to a client account. */
+export class KeyGrant extends OperatorCommand {
+  static override summary = 'Grant a key to a client account.';
+
+  static override description =
+    'The secret is shown once and cannot be read again. It is valid on every host within 3 s.';
+
+  static override examples = [
+    '<%= config.bin %> <%= command.id %> web',
+    '<%= config.bin %> <%= command.id %> web --json',
+  ];
+
+  static override args = {
+    account: Args.string({ description: 'name of the client account', required: true }),
+  };
+
+  static override flags = { token: tokenFlag };
+
+  override async run(): Promise<z.infer<typeof grantAnswer>> {
+    const { args, flags } = await this.parse(KeyGrant);
+    const { token = randomUUID() } = flags;
+    const granted = await OperatorCommand.openHost(flags).write({
+      path: '/operator/v1/keys',
+      body: { account: args.account, token },
+      schema: grantAnswer,
+      repeatFlags: `--token ${token}`,
+    });
+    this.log(`Key ${granted.id} of ${granted.account}, version ${granted.version}`);
+    this.log(granted.secret);
+    return granted;
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/key/KeyList.ts
@@ -0,0 +1,36 @@
+/** `jacinthlug key list`. */
+import { Flags } from '@oclif/core';
+import type { z } from 'zod';
+import { keysAnswer } from '../../core/answers.js';
+import { formatColumns, formatTime } from '../../core/formatText.js';
+import { OperatorCommand } from '../../core/OperatorCommand.js';
+
+/** Lists the keys. */
+export class KeyList extends OperatorCommand {
+  static override summary = 'List the keys, withdrawn ones included.';
+
+  static override examples = [
+    '<%= config.bin %> <%= command.id %>',
+    '<%= config.bin %> <%= command.id %> --account web',
+  ];
+
+  static override flags = {
+    account: Flags.string({ description: 'only the keys of this client account' }),
+  };
+
+  override async run(): Promise<z.infer<typeof keysAnswer>> {
+    const { flags } = await this.parse(KeyList);
+    const answer = await OperatorCommand.openHost(flags).read('/operator/v1/keys', keysAnswer);
+    const keys = answer.keys.filter(
+      ({ account }) => flags.account === undefined || account === flags.account,
+    );
+    const rows = keys.map(({ id, account, state, changedAt }) => [
+      id,
+      account,
+      state,
+      formatTime(changedAt),
+    ]);
+    this.log(formatColumns([['ID', 'ACCOUNT', 'STATE', 'CHANGED'], ...rows]));
+    return { keys };
+  }
+}
--- /dev/null
+++ b/packages/cli/src/core/answers.ts
@@ -0,0 +1,81 @@
+/** Schemas of the answers of an entry host. */
+import { configuration } from '@jacinthlug/settings/tree/configuration';
+import { z } from 'zod';
+
+/** Answer of `GET /operator/v1/configuration`. */
+export const configurationAnswer = configuration;
+
+/** Answer of calls that lead to a new version of the configuration. */
+export const versionAnswer = z.object({ version: z.int() });
+
+/** Answer of `GET /operator/v1/configuration/history`. */
+export const historyAnswer = z.object({
+  versions: z.array(
+    z.object({
+      version: z.int(),
+      /** Wall-clock time. Unit: ms since 1970. */
+      acceptedAt: z.number(),
+      author: z.string().nullish(),
+      note: z.string().nullish(),
+    }),
+  ),
+});
+
+/** Answer of `POST /operator/v1/keys`; the secret is told only here. */
+export const grantAnswer = z.object({
+  id: z.string(),
+  secret: z.string(),
+  account: z.string(),
+  version: z.int(),
+});
+
+/** Answer of `GET /operator/v1/keys`. */
+export const keysAnswer = z.object({
+  keys: z.array(
+    z.object({
+      id: z.string(),
+      account: z.string(),
+      state: z.enum(['granted', 'withdrawn']),
+      /** Wall-clock time. Unit: ms since 1970. */
+      changedAt: z.number(),
+    }),
+  ),
+});
+
+/** Answer of `GET /operator/v1/hosts`; the members of `@jacinthlug/protocol/members`. */
+export const hostsAnswer = z.object({
+  hosts: z.array(
+    z.looseObject({
+      name: z.string(),
+      role: z.string(),
+      address: z.string(),
+      failureDomain: z.string(),
+      region: z.string(),
+      state: z.string(),
+      service: z.string().optional(),
+      target: z.string().optional(),
+    }),
+  ),
+});
+
+/** Answer of `GET /operator/v1/status`; further members are printed as they come. */
+export const statusAnswer = z.looseObject({
+  name: z.string(),
+  mode: z.string(),
+  version: z.int(),
+});
+
+/** A file as `/v1/files` answers it. */
+export const fileAnswer = z.looseObject({ id: z.string() });
+
+/** A batch job as `/v1/batches` answers it. */
+export const batchAnswer = z.looseObject({
+  id: z.string(),
+  status: z.string(),
+  request_counts: z.looseObject({ total: z.int(), completed: z.int(), failed: z.int() }).nullish(),
+  output_file_id: z.string().nullish(),
+  error_file_id: z.string().nullish(),
+});
+
+/** A batch job. */
+export type BatchAnswer = z.infer<typeof batchAnswer>;
--- /dev/null
+++ b/packages/cli/src/core/formatText.ts
@@ -0,0 +1,75 @@
+/** Text output of the commands. */
+import type { NodeChange } from '@jacinthlug/settings/tree/diffDeclarations';
+import type { BatchAnswer } from './answers.js';
+
+/**
+ * Formats rows as aligned columns.
+ *
+ * @param rows - cells of each row, the heading first
+ * @returns lines of text
+ */
+export const formatColumns = (rows: readonly (readonly string[])[]): string => {
+  const widths = (rows[0] ?? []).map((_cell, column) =>
+    Math.max(...rows.map((row) => row[column]?.length ?? 0)),
+  );
+  return rows
+    .map((row) =>
+      row
+        .map((cell, column) => cell.padEnd(widths[column] ?? 0))
+        .join('  ')
+        .trimEnd(),
+    )
+    .join('\n');
+};
+
+/**
+ * Formats a wall-clock time.
+ *
+ * @param time - ms since 1970
+ * @returns the time in UTC as ISO 8601
+ */
+export const formatTime = (time: number): string => new Date(time).toISOString();
+
+/**
+ * Formats the path of a node.
+ *
+ * @param path - the path; empty for the root
+ * @returns the path as people read it
+ */
+export const formatPath = (path: string): string => path || '(root)';
+
+const signs = { added: '+', removed: '-', changed: '~' } as const;
+
+/**
+ * Formats the changes of a plan.
+ *
+ * @param changes - nodes that differ
+ * @returns one line for each added or removed node and for each changed field, then a summary
+ */
+export const formatChanges = (changes: readonly NodeChange[]): string => {
+  const lines = changes.flatMap(({ path, change, kind, fields }) => {
+    const node = `${signs[change]} ${formatPath(path)}`;
+    if (change !== 'changed') return [`${node} (${kind})`];
+    return fields.map(
+      ({ field, before, after }) =>
+        `${node}: ${field}: ${JSON.stringify(before) ?? 'unset'} -> ${JSON.stringify(after) ?? 'unset'}`,
+    );
+  });
+  const count = (wanted: NodeChange['change']): number =>
+    changes.filter(({ change }) => change === wanted).length;
+  const summary = `${count('added')} added, ${count('removed')} removed, ${count('changed')} changed`;
+  return [...lines, changes.length === 0 ? 'No changes.' : summary].join('\n');
+};
+
+/**
+ * Formats a batch job.
+ *
+ * @param batch - the job
+ * @returns lines of text
+ */
+export const formatBatch = ({ id, status, request_counts: counts }: BatchAnswer): string => {
+  const progress = counts
+    ? ` (${counts.completed} completed, ${counts.failed} failed of ${counts.total})`
+    : '';
+  return `${id}: ${status}${progress}`;
+};
--- /dev/null
+++ b/packages/cli/src/core/readDeclarations.ts
@@ -0,0 +1,23 @@
+/** Reads the folder of declarations that a command is given. */
+import { resultCodes } from '@jacinthlug/catalog/resultCodes';
+import { formatMistakes } from '@jacinthlug/settings/file/parseJsonc';
+import type { Declarations } from '@jacinthlug/settings/tree/declarations';
+import { readFolder } from '@jacinthlug/settings/tree/readFolder';
+import { CommandFailure } from './CommandFailure.js';
+import { exitCodes } from './exitCodes.js';
+
+/**
+ * Reads and checks a folder of declarations.
+ *
+ * @param folder - folder kept in version control
+ * @returns the tree
+ * @throws CommandFailure that lists every mistake with its file and line
+ */
+export const readDeclarations = async (folder: string): Promise<Declarations> => {
+  const result = await readFolder(folder);
+  if (result.isOk()) return result.value;
+  const code = 'configuration-invalid';
+  const { number, message, hint } = resultCodes[code];
+  const facts = { mistakes: formatMistakes(result.error).split('\n') };
+  throw new CommandFailure({ code, number, message, hint, facts }, exitCodes.invalid);
+};
--- /dev/null
+++ b/packages/cli/test/steps/cli.steps.ts
@@ -0,0 +1,194 @@
+import assert from 'node:assert/strict';
+import { execFile } from 'node:child_process';
+import { mkdir, mkdtemp, readdir, readFile, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import {
+  After,
+  Before,
+  Given,
+  setDefaultTimeout,
+  Then,
+  When,
+  type DataTable,
+} from '@cucumber/cucumber';
+import { COMMANDS } from '../../src/commands.js';
+import { exitCodes } from '../../src/core/exitCodes.js';
+import { FakeEntryHost, type FakeRequest } from './FakeEntryHost.js';
+
+interface Scenario {
+  host: FakeEntryHost;
+  folder: string;
+  variables: Record<string, string>;
+  exitCode: number;
+  output: string;
+  errors: string;
+}
+
+const EDIT = 'POST /operator/v1/configuration';
+const PROGRAM = fileURLToPath(new URL('../../../bin/jacinthlug.js', import.meta.url));
+const EXIT_CODES_PAGE = new URL('../../../../../docs/exit-codes.md', import.meta.url);
+
+const run = async (scenario: Scenario, line: string, variables = scenario.variables) => {
+  const args = [PROGRAM, ...line.split(' ')];
+  const options = { cwd: scenario.folder, env: variables };
+  await new Promise<void>((resolve) => {
+    execFile(process.execPath, args, options, (error, output, errors) => {
+      Object.assign(scenario, { exitCode: error?.code ?? 0, output, errors });
+      resolve();
+    });
+  });
+};
+
+const requestsOf = ({ host }: Scenario, call: string): FakeRequest[] =>
+  host.requests.filter((request) => request.call === call);
+
+const onlyOne = (values: readonly unknown[], count: number): void => {
+  assert.equal(values.length, count);
+  assert.equal(new Set(values).size, 1);
+};
+
+// Starting the program on a busy machine can take longer than the default of 5 s.
+setDefaultTimeout(60_000);
+
+Before(async function (this: Scenario) {
+  this.host = new FakeEntryHost();
+  this.folder = await mkdtemp(join(tmpdir(), 'jacinthlug-'));
+  this.variables = {
+    JACINTHLUG_URL: await this.host.start(),
+    JACINTHLUG_CREDENTIAL: 'operator',
+    JACINTHLUG_KEY: 'jl_k1_s',
+  };
+});
+
+After(async function (this: Scenario) {
+  this.host.close();
+  await rm(this.folder, { recursive: true });
+});
+
+Given('the entry host answers', function (this: Scenario, table: DataTable) {
+  table.raw().forEach(([call = '', status = '', body = '']) => {
+    this.host.script(call, { status, body });
+  });
+});
+
+Given('the declarations', async function (this: Scenario, table: DataTable) {
+  const tree = join(this.folder, 'tree');
+  await rm(tree, { recursive: true, force: true });
+  await mkdir(tree);
+  const files = table
+    .raw()
+    .map(([path, node = '']) => writeFile(join(tree, `${path}.jsonc`), node));
+  await Promise.all(files);
+});
+
+Given('the file {string}', async function (this: Scenario, name: string, content: string) {
+  await writeFile(join(this.folder, name), content);
+});
+
+When('{string} is run', async function (this: Scenario, line: string) {
+  await run(this, line);
+});
+
+When('{string} is run without variables', async function (this: Scenario, line: string) {
+  await run(this, line, {});
+});
+
+When('{string} is run on the folder', async function (this: Scenario, line: string) {
+  await run(this, `${line} tree --timeout 20`);
+});
+
+When(
+  '{string} is run on the folder with the flags of the hint',
+  async function (this: Scenario, line: string) {
+    const flags = /--base \d+ --token [\w-]+/.exec(this.output)?.[0];
+    assert.ok(flags);
+    await run(this, `${line} tree ${flags}`);
+  },
+);
+
+Then('it exits with {int} and prints', function (this: Scenario, exitCode: number, output: string) {
+  assert.equal(this.output.trim(), output, this.errors);
+  assert.equal(this.exitCode, exitCode);
+});
+
+Then(
+  /^it exits with (\d+) and its (output|error) has "(.*)"$/,
+  function (this: Scenario, exitCode: string, stream: string, part: string) {
+    const printed = stream === 'output' ? this.output : this.errors;
+    // oclif wraps the text of its own errors to the width of the terminal.
+    const flat = printed.replace(/\n ›\s+/g, ' ');
+    assert.ok(flat.includes(part), this.output + this.errors);
+    assert.equal(this.exitCode, Number(exitCode));
+  },
+);
+
+Then(
+  /^it exits with (\d+) and its output has ({.*})$/,
+  function (this: Scenario, exitCode: string, json: string) {
+    const printed = JSON.parse(this.output) as { error?: object };
+    const wanted = JSON.parse(json) as { error?: object };
+    // Messages of the system differ between machines, so errors are compared by the wanted members.
+    const members = Object.keys(wanted.error ?? {});
+    const shown = Object.entries(printed.error ?? {}).filter(([name]) => members.includes(name));
+    assert.deepEqual(wanted.error ? { error: Object.fromEntries(shown) } : printed, wanted);
+    assert.equal(this.exitCode, Number(exitCode));
+  },
+);
+
+Then('no edit was sent', function (this: Scenario) {
+  assert.deepEqual(requestsOf(this, EDIT), []);
+});
+
+Then('{int} equal edits were sent', function (this: Scenario, count: number) {
+  onlyOne(
+    requestsOf(this, EDIT).map(({ body }) => body),
+    count,
+  );
+});
+
+Then(
+  /^(?:the edit has|"(.*)" was sent with) ({.*})$/,
+  function (this: Scenario, call: string | undefined, json: string) {
+    const [request] = requestsOf(this, call ?? EDIT);
+    assert.ok(request);
+    const sent = JSON.parse(request.body || '{}') as object;
+    assert.deepEqual({ ...sent, ...(JSON.parse(json) as object) }, sent);
+    assert.match(request.headers.authorization ?? '', /^Bearer (operator|jl_k1_s)$/);
+  },
+);
+
+Then('the upload has the lines of {string}', async function (this: Scenario, name: string) {
+  const [upload] = requestsOf(this, 'POST /v1/files');
+  assert.ok(upload?.body.includes(await readFile(join(this.folder, name), 'utf8')));
+});
+
+Then(
+  '{int} submissions with one idempotency key were sent',
+  function (this: Scenario, count: number) {
+    const submissions = requestsOf(this, 'POST /v1/batches');
+    onlyOne(
+      submissions.map(({ headers, body }) => `${String(headers['idempotency-key'])} ${body}`),
+      count,
+    );
+    assert.ok(submissions[0]?.headers['idempotency-key']);
+  },
+);
+
+Then('the folder has the files {string}', async function (this: Scenario, names: string) {
+  assert.equal((await readdir(this.folder)).join(), names);
+});
+
+Then('every command has examples and JSON output', function () {
+  Object.entries(COMMANDS).forEach(([name, command]) => {
+    assert.ok(command.examples.length > 0, name);
+    assert.ok(command.enableJsonFlag, name);
+  });
+});
+
+Then('every exit code is documented', async function () {
+  const page = await readFile(EXIT_CODES_PAGE, 'utf8');
+  const documented = [...page.matchAll(/^\| (\d+) \|/gm)].map(([, number]) => Number(number));
+  assert.deepEqual(documented, Object.values(exitCodes));
+});
--- a/packages/platform/test/steps/shared.steps.ts
+++ b/packages/platform/test/steps/shared.steps.ts
@@ -1,7 +1,10 @@
 import assert from 'node:assert/strict';
-import { After, Given, Then } from '@cucumber/cucumber';
+import { After, Given, setDefaultTimeout, Then } from '@cucumber/cucumber';
 import { setFaults, type World } from './world.js';
 
+// Slow scenarios and a busy machine take longer than the default of 5 s.
+setDefaultTimeout(60_000);
+
 After(async function (this: World) {
   await Promise.all(this.closers.map((close) => close()));
 });
--- a/packages/standins/src/core/startStandinServer.ts
+++ b/packages/standins/src/core/startStandinServer.ts
@@ -71,6 +71,9 @@
   refuse(status: number | undefined): StandinReply;
 }
 
+/** Longer than clients idle, so that none meets a connection that is just being closed. */
+const KEEP_ALIVE_MS = 65_000;
+
 const CONTROL_PREFIX = '/_standin/';
 
 const readBody = async (request: IncomingMessage): Promise<Buffer> => {
@@ -181,6 +184,7 @@
     // A caller that leaves while it sends, or a close during a delay, ends this exchange only.
     serve(incoming, response).catch(() => response.destroy());
   });
+  server.keepAliveTimeout = KEEP_ALIVE_MS;
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
     server.listen(address.port, address.host, resolve);
