--- a/packages/platform/src/S3ObjectStore.ts
+++ b/packages/platform/src/S3ObjectStore.ts
@@ -65,7 +65,7 @@
   }
 
   put(name: string, body: Uint8Array | string): ResultAsync<void, ObjectFailure> {
-    const content = Buffer.from(body);
+    const content = typeof body === 'string' ? Buffer.from(body) : body;
     const command = new PutObjectCommand({ Bucket: this.bucket, Key: name, Body: content });
     const limitMs = this.callLimitMs + content.length / SLOWEST_TRANSFER;
     return this.call(
