Add the stand-ins of engines and plain services

The engine batches continuously in steps, so the time per token grows with the number of running requests; its content depends on prompt and seed alone.

The lint rule n/hashbang is switched off: it looks for bin entries under src, where none can be, and without a shebang npm's links to the binaries do not run.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -29,6 +29,8 @@
       // Every test lives beside the package it tests; development dependencies are at the root.
       'import-x/no-extraneous-dependencies': 'off',
       'n/no-unsupported-features/node-builtins': 'off',
+      // The rule expects bin entries under src; they are compiled to dist.
+      'n/hashbang': 'off',
       'no-void': ['error', { allowAsStatement: true }],
     },
   },
--- /dev/null
+++ b/packages/standins/src/engine/CompletionStream.ts
@@ -0,0 +1,112 @@
+/** One chat completion while it runs in the engine stand-in. */
+import type { Call, TargetServer } from '../target/TargetServer.js';
+import type { BatchedStream } from './ContinuousBatch.js';
+
+/** What a completion produces. */
+export interface CompletionPlan {
+  readonly id: string;
+  readonly model: string;
+  readonly isStreamed: boolean;
+  readonly tokens: readonly string[];
+  readonly promptTokens: number;
+  readonly cachedTokens: number;
+  /** Monotonic time at which the prompt has been read. Unit: ms. */
+  readonly firstTokenAt: number;
+}
+
+/** One chat completion. */
+export class CompletionStream implements BatchedStream {
+  isSuspended = false;
+
+  private produced = 0;
+
+  private readonly isLost: boolean;
+
+  private readonly created = Math.floor(Date.now() / 1000);
+
+  constructor(
+    readonly plan: CompletionPlan,
+    readonly call: Call,
+    private readonly server: TargetServer,
+  ) {
+    this.isLost = plan.isStreamed && server.takeFault('loseAnswers');
+  }
+
+  get firstTokenAt(): number {
+    return this.plan.firstTokenAt;
+  }
+
+  get requestId(): string | undefined {
+    const id = this.call.request.headers['x-request-id'];
+    return typeof id === 'string' ? id : undefined;
+  }
+
+  step(): boolean {
+    const { tokens } = this.plan;
+    if (this.produced >= (this.server.faults.cutAfterTokens ?? Infinity)) return this.cut('cut');
+    this.produced += 1;
+    if (this.plan.isStreamed && !this.isLost) this.writeToken(tokens[this.produced - 1] ?? '');
+    if (this.produced < tokens.length) return true;
+    if (this.isLost) return this.cut('lost');
+    this.finish();
+    return false;
+  }
+
+  /** Ends the completion for its caller without a clean end. */
+  cut(outcome: 'cut' | 'lost' | 'cancelled' | 'crashed'): false {
+    this.call.logged.conclude(outcome);
+    this.call.response.destroy();
+    return false;
+  }
+
+  private get usage() {
+    const { promptTokens, cachedTokens } = this.plan;
+    return {
+      prompt_tokens: promptTokens,
+      completion_tokens: this.produced,
+      total_tokens: promptTokens + this.produced,
+      prompt_tokens_details: { cached_tokens: cachedTokens },
+    };
+  }
+
+  private writeToken(token: string): void {
+    const { response } = this.call;
+    if (!response.headersSent) {
+      response.writeHead(200, {
+        ...this.server.idHeaders(this.call),
+        'content-type': 'text/event-stream',
+        'cache-control': 'no-cache',
+      });
+      this.writeChunk({ role: 'assistant', content: token }, null);
+    } else {
+      this.writeChunk({ content: token }, null);
+    }
+  }
+
+  private writeChunk(delta: object, finishReason: string | null): void {
+    const { id, model } = this.plan;
+    const choices = [{ index: 0, delta, finish_reason: finishReason }];
+    const usage = finishReason === null ? {} : { usage: this.usage };
+    const chunk = { id, object: 'chat.completion.chunk', created: this.created, model, choices };
+    this.call.response.write(`data: ${JSON.stringify({ ...chunk, ...usage })}\n\n`);
+  }
+
+  private finish(): void {
+    const { id, model, tokens, isStreamed } = this.plan;
+    if (isStreamed) {
+      this.writeChunk({}, 'stop');
+      this.call.logged.conclude('completed');
+      this.call.response.end('data: [DONE]\n\n');
+      return;
+    }
+    const message = { role: 'assistant', content: tokens.join('').trimEnd() };
+    this.server.answer(this.call, 200, {
+      id,
+      object: 'chat.completion',
+      created: this.created,
+      model,
+      choices: [{ index: 0, message, finish_reason: 'stop' }],
+      usage: this.usage,
+    });
+  }
+}
