--- a/packages/standins/src/standin-engine.ts
+++ b/packages/standins/src/standin-engine.ts
@@ -8,7 +8,7 @@
   options: {
     port: { type: 'string', default: '0' },
     host: { type: 'string', default: '127.0.0.1' },
-    models: { type: 'string', default: defaultEngineOptions.models.join(',') },
+    model: { type: 'string', multiple: true, default: [...defaultEngineOptions.models] },
     seed: { type: 'string', default: String(defaultEngineOptions.seed) },
     'token-ms': { type: 'string', default: String(defaultEngineOptions.tokenMs) },
     'token-ms-per-running': {
@@ -30,7 +30,7 @@
 const standin = await startEngineStandin({
   port: Number(values.port),
   host: values.host,
-  models: values.models.split(',').filter(Boolean),
+  models: values.model,
   seed: Number(values.seed),
   tokenMs: Number(values['token-ms']),
   tokenMsPerRunning: Number(values['token-ms-per-running']),
--- a/packages/standins/src/target/TargetServer.ts
+++ b/packages/standins/src/target/TargetServer.ts
@@ -34,6 +34,7 @@
 export type CallHandler = (call: Call) => void | Promise<void>;
 
 const FAULTS_PATH = '/_standin/faults';
+const HEALTH_PATH = '/_standin/health';
 const REQUESTS_PATH = '/_standin/requests';
 
 const readBody = async (request: IncomingMessage): Promise<string> => {
@@ -194,6 +195,7 @@
 
   private serveControl(operation: string, body: string, response: ServerResponse): void {
     const operations: Record<string, () => void> = {
+      [`GET ${HEALTH_PATH}`]: () => sendJson(response, 200, {}),
       [`GET ${REQUESTS_PATH}`]: () => sendJson(response, 200, this.log.all()),
       [`GET ${FAULTS_PATH}`]: () => sendJson(response, 200, this.faults),
       [`POST ${FAULTS_PATH}`]: () => {
