Add the online path of the agent

Forwarded requests pass the second check, the fair queue and the places of the target, and are sent at most once. A dropped connection is a crash only when the target refuses a new connection, when all requests in flight dropped together, or when a suspect that ran alone dropped: a single cut would otherwise make suspects of innocent requests. Answers that cannot be told from a cut answer (neither a length nor chunked) are not passed on.

--- /dev/null
+++ b/packages/agent/src/core/checks/GenerationCheck.ts
@@ -0,0 +1,43 @@
+/** Refuses requests that were counted against a rate share that is no longer in force. */
+
+/**
+ * Time after which no share of an earlier generation can be valid any more: 10 s of validity and 1 s
+ * for the answer that carried it. Unit: ms.
+ */
+const OLD_SHARE_MS = 11_000;
+
+interface ShardGenerations {
+  /** Lower ones are refused. */
+  lowestValid: number;
+  /** Generations seen in the last 11 s, rising, with the time at which each was first seen. */
+  recent: { readonly generation: number; readonly seenAt: number }[];
+}
+
+/** Highest generations seen, by shard. */
+export class GenerationCheck {
+  private readonly shards = new Map<number, ShardGenerations>();
+
+  /**
+   * @param now - monotonic clock. Unit: ms
+   */
+  constructor(private readonly now: () => number = () => performance.now()) {}
+
+  /**
+   * Notes the generation of a request and tells whether its share may still be valid.
+   *
+   * @param shard - shard of the client account
+   * @param generation - generation of the share
+   * @returns whether the request may run
+   */
+  accepts(shard: number, generation: number): boolean {
+    const state = this.shards.get(shard) ?? { lowestValid: 0, recent: [] };
+    this.shards.set(shard, state);
+    const now = this.now();
+    const highest = state.recent.at(-1)?.generation ?? state.lowestValid;
+    if (generation > highest) state.recent.push({ generation, seenAt: now });
+    while (state.recent[0] && now - state.recent[0].seenAt >= OLD_SHARE_MS) {
+      state.lowestValid = state.recent.shift()?.generation ?? state.lowestValid;
+    }
+    return generation >= state.lowestValid;
+  }
+}
--- /dev/null
+++ b/packages/agent/src/core/checks/SentOnce.ts
@@ -0,0 +1,36 @@
+/** Keeps a request that may run only once from reaching the target twice. */
+
+/** How long an id is remembered; longer than any deadline in use. Unit: ms. */
+const REMEMBERED_MS = 15 * 60_000;
+
+/** Ids of requests of once routes that were sent to the target. */
+export class SentOnce {
+  /** Time of sending by id, oldest first. */
+  private readonly sent = new Map<string, number>();
+
+  /**
+   * Notes that a request is about to be sent.
+   *
+   * @param id - request id
+   * @returns whether it may be sent: not when it was before
+   */
+  claim(id: string): boolean {
+    const now = performance.now();
+    for (const [oldest, sentAt] of this.sent) {
+      if (now - sentAt < REMEMBERED_MS) break;
+      this.sent.delete(oldest);
+    }
+    if (this.sent.has(id)) return false;
+    this.sent.set(id, now);
+    return true;
+  }
+
+  /**
+   * Forgets a request that provably did not reach the target.
+   *
+   * @param id - request id
+   */
+  release(id: string): void {
+    this.sent.delete(id);
+  }
+}
--- /dev/null
+++ b/packages/agent/src/core/http/InnerRequest.ts
@@ -0,0 +1,64 @@
+/** A forwarded request as the headers of the data path describe it. */
+import type { IncomingHttpHeaders } from 'node:http';
+import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
+import { innerHeaders } from '@jacinthlug/protocol/headers';
+import { err, ok, type Result } from 'neverthrow';
+import { z } from 'zod';
+
+const text = z.string().min(1);
+const whole = z.coerce.number().pipe(z.int().nonnegative());
+const flag = z.enum(['true', 'false']).default('false');
+
+const innerRequest = z.object({
+  id: text,
+  account: text.optional(),
+  key: text.optional(),
+  service: text,
+  route: text,
+  repeatable: flag.transform((value) => value === 'true'),
+  version: whole.default(0),
+  shard: whole.optional(),
+  generation: whole.optional(),
+  remainingMs: whole,
+  waitLimitMs: whole,
+  fingerprint: text,
+  suspect: flag.transform((value) => value === 'true'),
+  method: z.string().regex(/^[A-Z]+$/),
+  path: z.string().startsWith('/'),
+});
+
+/** A forwarded request, with deadlines by the monotonic clock of this process. */
+export interface InnerRequest extends Omit<
+  z.infer<typeof innerRequest>,
+  'remainingMs' | 'waitLimitMs'
+> {
+  /** Until when the answer must be whole. Unit: ms. */
+  readonly deadline: number;
+  /** Until when it may wait for the target. Unit: ms. */
+  readonly waitDeadline: number;
+}
+
+/**
+ * Reads the headers of a forwarded request.
+ *
+ * @param headers - headers as received
+ * @returns the request, or a refusal that names the header at fault
+ */
+export const readInnerRequest = (headers: IncomingHttpHeaders): Result<InnerRequest, Refusal> => {
+  const { request: id, ...names } = innerHeaders;
+  const fields = Object.entries({ id, ...names }).map(([field, name]) => [field, headers[name]]);
+  const parsed = innerRequest.safeParse(Object.fromEntries(fields));
+  if (!parsed.success) {
+    const field = parsed.error.issues[0]?.path.join('.');
+    return err(
+      refuse('internal-fault', { run: 'not run', detail: `Inner header at fault: ${field}.` }),
+    );
+  }
+  const { remainingMs, waitLimitMs, ...request } = parsed.data;
+  const now = performance.now();
+  return ok({
+    ...request,
+    deadline: now + remainingMs,
+    waitDeadline: now + Math.min(waitLimitMs, remainingMs),
+  });
+};
--- /dev/null
+++ b/packages/agent/src/core/http/InnerServer.ts
@@ -0,0 +1,59 @@
+/** HTTP server on the inner address. */
+import { createServer, type RequestListener, type Server } from 'node:http';
+import { App } from '@tinyhttp/app';
+import { CONTROL_PATH, RUN_PATH } from '@jacinthlug/protocol/headers';
+import type { Address } from '@jacinthlug/settings/process/hostSettings';
+import type { RunEndpoint } from './runEndpoint.js';
+
+/** What the server passes requests to. */
+export interface InnerServerParts {
+  readonly address: Address;
+  readonly runEndpoint: RunEndpoint;
+  readonly controlListener: RequestListener;
+  /** Tells whether new work is taken, for balancers and launchers. */
+  readonly isReady: () => boolean;
+}
+
+/** Longer than peers keep an idle connection, so that only they close one. Unit: ms. */
+const KEEP_ALIVE_MS = 30_000;
+
+const createApp = ({ runEndpoint, isReady }: InnerServerParts): App =>
+  new App({ settings: { xPoweredBy: false } })
+    .get('/healthz', (_request, response) => {
+      response.status(200).end();
+    })
+    .get('/readyz', (_request, response) => {
+      response.status(isReady() ? 200 : 503).end();
+    })
+    .post(RUN_PATH, runEndpoint);
+
+/** HTTP server on the inner address. */
+export class InnerServer {
+  private readonly server: Server;
+
+  constructor(private readonly parts: InnerServerParts) {
+    const app = createApp(parts);
+    this.server = createServer((request, response) => {
+      if (request.url?.startsWith(`${CONTROL_PATH}/`)) parts.controlListener(request, response);
+      else void app.handler(request as never, response as never);
+    });
+    this.server.keepAliveTimeout = KEEP_ALIVE_MS;
+  }
+
+  listen(): Promise<void> {
+    const { host, port } = this.parts.address;
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
+  }
+
+  /** Stops listening and closes the connections that are left. */
+  async close(): Promise<void> {
+    const closed = new Promise<void>((resolve) => {
+      this.server.close(() => resolve());
+    });
+    this.server.closeAllConnections();
+    await closed;
+  }
+}
--- /dev/null
+++ b/packages/agent/src/core/http/runEndpoint.ts
@@ -0,0 +1,103 @@
+/** The data path endpoint: turns HTTP into exchanges for the online path. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Journal } from '@jacinthlug/catalog/Journal';
+import type { Metrics } from '@jacinthlug/catalog/Metrics';
+import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
+import { isCredential } from '@jacinthlug/protocol/controlServer';
+import { innerHeaders } from '@jacinthlug/protocol/headers';
+import type { LoadReporter } from '../life/LoadReporter.js';
+import type { OnlinePath } from '../online/OnlinePath.js';
+import { RequestLife } from '../online/RequestLife.js';
+import type { RunningRequests } from '../online/RunningRequests.js';
+import { answerRefusal } from './answerRefusal.js';
+import { readInnerRequest } from './InnerRequest.js';
+import { readBody } from './readBody.js';
+
+/** What the data path endpoint needs. */
+export interface RunEndpointParts {
+  readonly fleetCredential: string;
+  readonly path: OnlinePath;
+  readonly running: RunningRequests;
+  readonly load: LoadReporter;
+  readonly journal: Journal;
+  readonly metrics: Metrics;
+}
+
+/** Handles one request of the data path. */
+export type RunEndpoint = (request: IncomingMessage, response: ServerResponse) => Promise<void>;
+
+/**
+ * Builds the data path endpoint.
+ *
+ * @param parts - what it needs
+ * @returns the handler; it never rejects
+ */
+export const createRunEndpoint = (parts: RunEndpointParts): RunEndpoint => {
+  const { path, running, load, journal, metrics } = parts;
+
+  const ownHeaders = (id?: string): Record<string, string> => ({
+    [innerHeaders.load]: JSON.stringify(load.report()),
+    ...(id === undefined ? {} : { [innerHeaders.request]: id }),
+  });
+
+  const answerWithRefusal = (response: ServerResponse, refusal: Refusal, id?: string): void => {
+    metrics.count('requests.refused', { code: refusal.code });
+    journal.record('request-refused', { request: id, code: refusal.code });
+    if (response.destroyed) return;
+    answerRefusal(response, refusal, ownHeaders(id), id);
+  };
+
+  const runLife = async (
+    life: RequestLife,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> => {
+    const { id } = life.request;
+    response.on('close', () => {
+      if (!response.writableFinished) life.end('caller-gone');
+    });
+    const body = await readBody(request);
+    if (body.isErr()) {
+      answerWithRefusal(response, body.error, id);
+      return;
+    }
+    const outcome = await path.run({
+      life,
+      headers: request.headers,
+      body: body.value,
+      response,
+      ownHeaders: () => ownHeaders(id),
+    });
+    if (outcome.isErr()) answerWithRefusal(response, outcome.error, id);
+  };
+
+  const failLife = (life: RequestLife, response: ServerResponse, fault: unknown): void => {
+    // A connection that breaks while its request is read is no fault of this process.
+    if (life.endReason === 'caller-gone') return;
+    journal.record('unhandled-fault', { request: life.request.id, err: fault });
+    if (response.headersSent) response.destroy();
+    else answerWithRefusal(response, refuse('internal-fault'), life.request.id);
+  };
+
+  return async (request, response) => {
+    if (!isCredential(request.headers[innerHeaders.fleet], parts.fleetCredential)) {
+      answerWithRefusal(response, refuse('fleet-credential-wrong'));
+      return;
+    }
+    const inner = readInnerRequest(request.headers);
+    if (inner.isErr()) {
+      answerWithRefusal(response, inner.error);
+      return;
+    }
+    const life = new RequestLife(inner.value);
+    running.add(life);
+    try {
+      await runLife(life, request, response);
+    } catch (fault) {
+      failLife(life, response, fault);
+    } finally {
+      life.close();
+      running.remove(life);
+    }
+  };
+};
--- /dev/null
+++ b/packages/agent/src/core/life/LoadReporter.ts
@@ -0,0 +1,35 @@
+/** Reports the load of the target. */
+import type { LoadReport } from '@jacinthlug/protocol/messages';
+import type { AgentSettings } from '@jacinthlug/settings/process/hostSettings';
+import type { TargetSlots } from '../admission/TargetSlots.js';
+import type { TargetMonitor } from '../target/TargetMonitor.js';
+import type { ServingState } from './ServingState.js';
+
+/** Reports the load of the target. */
+export class LoadReporter {
+  constructor(
+    private readonly target: AgentSettings['target'],
+    private readonly slots: TargetSlots,
+    private readonly monitor: TargetMonitor,
+    private readonly serving: ServingState,
+  ) {}
+
+  /**
+   * Reports the load at this moment.
+   *
+   * @returns the report
+   */
+  report(): LoadReport {
+    return {
+      target: this.target.name,
+      service: this.target.service,
+      state: this.serving.state(),
+      running: this.slots.online,
+      waiting: this.slots.waiting,
+      batch: this.slots.batch,
+      concurrency: this.serving.serviceSettings().concurrency,
+      expectedWaitMs: Math.round(this.slots.expectedWaitMs()),
+      models: [...this.monitor.models],
+    };
+  }
+}
--- /dev/null
+++ b/packages/agent/src/core/life/ServingState.ts
@@ -0,0 +1,84 @@
+/** Tells whether new work is taken. */
+import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
+import type { ConfigurationFollower } from '@jacinthlug/control/ConfigurationFollower';
+import type { Membership } from '@jacinthlug/control/Membership';
+import type { AgentSettings } from '@jacinthlug/settings/process/hostSettings';
+import { defaultSettings, type InheritedSettings } from '@jacinthlug/settings/tree/declarations';
+import type { TargetMonitor } from '../target/TargetMonitor.js';
+
+/** Whether new work is taken: state of the process, the target, the host list and the tree. */
+export class ServingState {
+  private stopRequestedAt: number | undefined;
+
+  private leavingSince: number | undefined;
+
+  constructor(
+    private readonly settings: AgentSettings,
+    private readonly follower: ConfigurationFollower,
+    private readonly membership: Membership,
+    private readonly monitor: TargetMonitor,
+  ) {}
+
+  /** Notes the first request to stop. */
+  requestStop(): void {
+    this.stopRequestedAt ??= performance.now();
+  }
+
+  get isStopping(): boolean {
+    return this.stopRequestedAt !== undefined;
+  }
+
+  /**
+   * Gives the settings of the target's service.
+   *
+   * @returns effective settings; the defaults before the first configuration
+   */
+  serviceSettings(): InheritedSettings {
+    const service = this.follower.latest()?.services.get(this.settings.target.service);
+    return service?.settings ?? defaultSettings;
+  }
+
+  /**
+   * Gives the state for load reports.
+   *
+   * @returns the state
+   */
+  state(): 'serving' | 'leaving' | 'down' {
+    if (this.isLeaving() || this.isStopping) return 'leaving';
+    return this.monitor.isUp ? 'serving' : 'down';
+  }
+
+  /**
+   * Tells why a new request is refused. A host that leaves goes on for the grace period, so that
+   * entry hosts learn of it before they are refused.
+   *
+   * @returns the refusal; nothing when the request is taken
+   */
+  refusal(): Refusal | undefined {
+    const { graceMs } = this.settings;
+    const now = performance.now();
+    const isLeaving = this.isLeaving();
+    if (this.stopRequestedAt !== undefined && now - this.stopRequestedAt >= graceMs) {
+      return refuse('stopping');
+    }
+    if (isLeaving && now - (this.leavingSince ?? now) >= graceMs) return refuse('target-leaving');
+    return this.monitor.isUp ? undefined : refuse('no-target');
+  }
+
+  private isLeaving(): boolean {
+    const isLeaving = this.isDrained() || this.isListedAsLeaving();
+    if (isLeaving) this.leavingSince ??= performance.now();
+    else this.leavingSince = undefined;
+    return isLeaving;
+  }
+
+  private isDrained(): boolean {
+    const domain = this.follower.latest()?.failureDomains.get(this.settings.failureDomain);
+    return this.serviceSettings().drained || domain?.settings.drained === true;
+  }
+
+  private isListedAsLeaving(): boolean {
+    const self = this.membership.all().find(({ name }) => name === this.settings.name);
+    return self?.state === 'leaving';
+  }
+}
--- /dev/null
+++ b/packages/agent/src/core/life/Shutdown.ts
@@ -0,0 +1,61 @@
+/** Graceful shutdown. */
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { Journal } from '@jacinthlug/catalog/Journal';
+import type { AgentSettings } from '@jacinthlug/settings/process/hostSettings';
+import type { BatchWorker } from '../BatchWorker.js';
+import type { RunningRequests } from '../online/RunningRequests.js';
+import type { ServingState } from './ServingState.js';
+
+/** What a shutdown works on. */
+export interface ShutdownParts {
+  readonly settings: Pick<AgentSettings, 'graceMs' | 'stopWithinMs'>;
+  readonly serving: ServingState;
+  readonly running: RunningRequests;
+  readonly batchWorker: BatchWorker;
+  readonly journal: Journal;
+  /** Closes what is left, once nothing runs any more. */
+  readonly closeRest: () => Promise<void>;
+}
+
+/** Graceful shutdown of the agent. */
+export class Shutdown {
+  private outcome: Promise<number> | undefined;
+
+  constructor(private readonly parts: ShutdownParts) {}
+
+  /**
+   * Stops the process gracefully; only the first call has an effect.
+   *
+   * @returns the exit code: 0 when all work ended, 1 when the deadline cut some
+   */
+  request(): Promise<number> {
+    this.outcome ??= this.run();
+    return this.outcome;
+  }
+
+  private async run(): Promise<number> {
+    const { settings, serving, running, journal, closeRest } = this.parts;
+    const stopBy = performance.now() + settings.stopWithinMs;
+    journal.record('stop-requested');
+    serving.requestStop();
+    const finished = await Promise.race([
+      this.endWork().then(() => true),
+      sleep(stopBy - performance.now(), false, { ref: false }),
+    ]);
+    if (!finished) {
+      journal.record('stop-cut', { requests: running.size });
+      running.endAll();
+    }
+    await Promise.race([closeRest(), sleep(settings.graceMs, undefined, { ref: false })]);
+    if (finished) journal.record('stop-complete');
+    return finished ? 0 : 1;
+  }
+
+  private async endWork(): Promise<void> {
+    const { settings, running, batchWorker } = this.parts;
+    const batchStopped = batchWorker.stop();
+    await sleep(settings.graceMs);
+    await running.whenIdle();
+    await batchStopped;
+  }
+}
--- /dev/null
+++ b/packages/agent/src/core/target/TargetClient.ts
@@ -0,0 +1,119 @@
+/** Sends requests to the target, each at most once. */
+import type { IncomingHttpHeaders } from 'node:http';
+import type { Readable } from 'node:stream';
+import type { Journal } from '@jacinthlug/catalog/Journal';
+import { err, ok, type Result } from 'neverthrow';
+import type { Dispatcher } from 'undici';
+import type { TargetFailure } from '../TargetAccess.js';
+import type { Crash, CrashWatch, InFlight } from './CrashWatch.js';
+
+/** A request to the target with what is needed to follow it. */
+export interface TargetCall {
+  readonly id: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Buffer | string;
+  /** Cancels the request at the target by closing its connection. */
+  readonly signal: AbortSignal;
+  /** Entry of the crash watch; the caller enters it before and lets it leave after. */
+  readonly inFlight: InFlight;
+}
+
+/** An answer whose headers have come and whose id is right. */
+export interface OpenAnswer {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: Readable;
+}
+
+/** Why there is no whole answer; a crash tells what else was in the target. */
+export type RunFailure =
+  | Exclude<TargetFailure, { kind: 'crashed' }>
+  | { readonly kind: 'crashed'; readonly message: string; readonly crash: Crash };
+
+/** The connection was not established, so no byte of the request was sent. */
+const NOT_SENT_CODES = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'EADDRNOTAVAIL',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+const REQUEST_ID_HEADER = 'x-request-id';
+
+const codeOf = (fault: unknown): string | undefined => (fault as { code?: string }).code;
+
+const messageOf = (fault: unknown): string =>
+  fault instanceof Error ? fault.message : String(fault);
+
+/** Sends requests to the target. */
+export class TargetClient {
+  private readonly origin: string;
+
+  private readonly basePath: string;
+
+  constructor(
+    url: string,
+    private readonly dispatcher: Dispatcher,
+    private readonly crashWatch: CrashWatch,
+    private readonly journal: Journal,
+    private readonly onRefusedConnection: () => void,
+  ) {
+    const { origin, pathname } = new URL(url);
+    this.origin = origin;
+    this.basePath = pathname.replace(/\/$/, '');
+  }
+
+  /**
+   * Sends a request and awaits the headers of its answer.
+   *
+   * @param call - the request
+   * @returns the answer with its body still to come, or why there is none
+   */
+  async send(call: TargetCall): Promise<Result<OpenAnswer, RunFailure>> {
+    if (call.signal.aborted) return err({ kind: 'cancelled' });
+    try {
+      const answer = await this.dispatcher.request({
+        origin: this.origin,
+        path: `${this.basePath}${call.path}`,
+        method: call.method,
+        headers: { ...call.headers, [REQUEST_ID_HEADER]: call.id },
+        body: call.body.length === 0 ? null : call.body,
+        signal: call.signal,
+      });
+      const { statusCode: status, headers, body } = answer;
+      return this.checkIdentity(call, { status, headers, body });
+    } catch (fault) {
+      return err(await this.explain(fault, call));
+    }
+  }
+
+  /**
+   * Explains a fault of a request or of the body of its answer.
+   *
+   * @param fault - what was thrown
+   * @param call - the request
+   * @returns the failure
+   */
+  async explain(fault: unknown, call: TargetCall): Promise<RunFailure> {
+    const message = messageOf(fault);
+    if (call.signal.aborted) return { kind: 'cancelled' };
+    if (NOT_SENT_CODES.has(codeOf(fault) ?? '')) {
+      this.onRefusedConnection();
+      return { kind: 'not-sent', message };
+    }
+    const crash = await this.crashWatch.judgeDrop(call.inFlight);
+    return crash ? { kind: 'crashed', message, crash } : { kind: 'failed', message };
+  }
+
+  private checkIdentity(call: TargetCall, answer: OpenAnswer): Result<OpenAnswer, RunFailure> {
+    const echoed = answer.headers[REQUEST_ID_HEADER];
+    // A target that echoes no id is tied to its request by the connection alone.
+    if (echoed === undefined || echoed === call.id) return ok(answer);
+    answer.body.on('error', () => undefined).destroy();
+    this.journal.record('answer-mismatched', { request: call.id, answered: echoed });
+    return err({ kind: 'failed', message: 'the answer belongs to another request' });
+  }
+}
--- /dev/null
+++ b/packages/agent/src/wiring/createAgent.ts
@@ -0,0 +1,265 @@
+/** Wires the agent. */
+import 'reflect-metadata';
+import { openPeerConnections } from '@jacinthlug/protocol/controlClient';
+import { createControlListener } from '@jacinthlug/protocol/controlServer';
+import type { Journal } from '@jacinthlug/catalog/Journal';
+import type { Metrics } from '@jacinthlug/catalog/Metrics';
+import { refuse } from '@jacinthlug/catalog/resultCodes';
+import type { AgentSettings } from '@jacinthlug/settings/process/hostSettings';
+import {
+  container as rootContainer,
+  instanceCachingFactory,
+  type DependencyContainer,
+  type InjectionToken,
+} from 'tsyringe';
+import { Agent as Connections } from 'undici';
+import { TargetSlots } from '../core/admission/TargetSlots.js';
+import { GenerationCheck } from '../core/checks/GenerationCheck.js';
+import { SentOnce } from '../core/checks/SentOnce.js';
+import { InnerServer } from '../core/http/InnerServer.js';
+import { createRunEndpoint } from '../core/http/runEndpoint.js';
+import { CrashReporter } from '../core/life/CrashReporter.js';
+import { LoadReporter } from '../core/life/LoadReporter.js';
+import { ServingState } from '../core/life/ServingState.js';
+import { Shutdown } from '../core/life/Shutdown.js';
+import { OnlinePath } from '../core/online/OnlinePath.js';
+import { RunningRequests } from '../core/online/RunningRequests.js';
+import { BatchAccess } from '../core/target/BatchAccess.js';
+import { CrashWatch } from '../core/target/CrashWatch.js';
+import { probeTarget } from '../core/target/probeTarget.js';
+import { TargetClient } from '../core/target/TargetClient.js';
+import { TargetMonitor } from '../core/target/TargetMonitor.js';
+import type { CollaboratorContext, Collaborators } from './Collaborators.js';
+import { tokens } from './tokens.js';
+
+/** A wired agent. */
+export interface Agent {
+  /** Listens, and follows the configuration and the target; resolves once the address is open. */
+  start(): Promise<void>;
+  /**
+   * Stops gracefully.
+   *
+   * @returns the exit code
+   */
+  stop(): Promise<number>;
+}
+
+/** What an agent is wired from. */
+export interface AgentParts {
+  readonly settings: AgentSettings;
+  readonly journal: Journal;
+  readonly metrics: Metrics;
+  openCollaborators(context: CollaboratorContext): Collaborators;
+}
+
+/** A connection that the target does not accept at once is given up. Unit: ms. */
+const CONNECT_LIMIT_MS = 500;
+
+const openTargetConnections = (): Connections =>
+  new Connections({
+    connect: { timeout: CONNECT_LIMIT_MS },
+    pipelining: 1,
+    // The deadline of each request ends it; an engine may be silent for long before.
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+
+const registerTarget = (container: DependencyContainer): void => {
+  const once = <Part>(token: InjectionToken<Part>, create: () => Part): void => {
+    container.register(token, { useFactory: instanceCachingFactory(create) });
+  };
+  const get = <Part>(token: InjectionToken<Part>): Part => container.resolve(token);
+  const settings = get(tokens.settings);
+  const { target } = settings;
+
+  once(
+    tokens.monitor,
+    () => new TargetMonitor(target, get(tokens.targetConnections), get(tokens.journal)),
+  );
+  once(
+    tokens.serving,
+    () =>
+      new ServingState(settings, get(tokens.follower), get(tokens.membership), get(tokens.monitor)),
+  );
+  once(tokens.slots, () => {
+    const serving = get(tokens.serving);
+    return new TargetSlots(
+      () => serving.serviceSettings(),
+      () => serving.state() === 'serving',
+      () => get(tokens.metrics).count('batch.preempted'),
+    );
+  });
+  once(
+    tokens.crashReporter,
+    () =>
+      new CrashReporter(
+        settings,
+        get(tokens.membership),
+        get(tokens.peerConnections),
+        get(tokens.journal),
+      ),
+  );
+  once(
+    tokens.crashWatch,
+    () =>
+      new CrashWatch(
+        () => probeTarget(new URL(target.url)),
+        (crash) => {
+          get(tokens.monitor).markDown();
+          void get(tokens.crashReporter).report(crash);
+        },
+      ),
+  );
+  once(
+    tokens.client,
+    () =>
+      new TargetClient(
+        target.url,
+        get(tokens.targetConnections),
+        get(tokens.crashWatch),
+        get(tokens.journal),
+        () => get(tokens.monitor).markDown(),
+      ),
+  );
+  once(
+    tokens.targetAccess,
+    () =>
+      new BatchAccess(
+        get(tokens.slots),
+        get(tokens.client),
+        get(tokens.crashWatch),
+        get(tokens.monitor),
+      ),
+  );
+};
+
+const registerServer = (container: DependencyContainer): void => {
+  const once = <Part>(token: InjectionToken<Part>, create: () => Part): void => {
+    container.register(token, { useFactory: instanceCachingFactory(create) });
+  };
+  const get = <Part>(token: InjectionToken<Part>): Part => container.resolve(token);
+  const settings = get(tokens.settings);
+
+  once(tokens.running, () => new RunningRequests());
+  once(
+    tokens.load,
+    () =>
+      new LoadReporter(
+        settings.target,
+        get(tokens.slots),
+        get(tokens.monitor),
+        get(tokens.serving),
+      ),
+  );
+  once(
+    tokens.onlinePath,
+    () =>
+      new OnlinePath({
+        target: settings.target,
+        follower: get(tokens.follower),
+        serving: get(tokens.serving),
+        slots: get(tokens.slots),
+        client: get(tokens.client),
+        crashWatch: get(tokens.crashWatch),
+        generations: new GenerationCheck(),
+        sentOnce: new SentOnce(),
+        journal: get(tokens.journal),
+        metrics: get(tokens.metrics),
+      }),
+  );
+  once(tokens.server, () => {
+    const follower = get(tokens.follower);
+    return new InnerServer({
+      address: settings.inner,
+      isReady: () => get(tokens.serving).state() === 'serving' && follower.inForce().isOk(),
+      runEndpoint: createRunEndpoint({
+        fleetCredential: settings.fleetCredential,
+        path: get(tokens.onlinePath),
+        running: get(tokens.running),
+        load: get(tokens.load),
+        journal: get(tokens.journal),
+        metrics: get(tokens.metrics),
+      }),
+      controlListener: createControlListener(
+        {
+          watchConfiguration: (question) => follower.answer(question),
+          reportLoad: () => Promise.resolve(get(tokens.load).report()),
+          cancelJob: (notice) => Promise.resolve(get(tokens.batchWorker).cancelJob(notice)),
+        },
+        settings.fleetCredential,
+      ),
+    });
+  });
+};
+
+/**
+ * Wires an agent.
+ *
+ * @param parts - settings, catalogued outputs and the parts of other packages
+ * @returns the agent, not started
+ */
+export const createAgent = (parts: AgentParts): Agent => {
+  const { settings, journal, metrics } = parts;
+  const container = rootContainer.createChildContainer();
+  const peers = openPeerConnections();
+  const collaborators = parts.openCollaborators({ settings, journal, metrics, peers });
+  const targetConnections = openTargetConnections();
+  container.register(tokens.settings, { useValue: settings });
+  container.register(tokens.journal, { useValue: journal });
+  container.register(tokens.metrics, { useValue: metrics });
+  container.register(tokens.peerConnections, { useValue: peers });
+  container.register(tokens.targetConnections, { useValue: targetConnections });
+  container.register(tokens.follower, { useValue: collaborators.follower });
+  container.register(tokens.membership, { useValue: collaborators.membership });
+  registerTarget(container);
+  registerServer(container);
+
+  const { follower } = collaborators;
+  const slots = container.resolve(tokens.slots);
+  const monitor = container.resolve(tokens.monitor);
+  const running = container.resolve(tokens.running);
+  const server = container.resolve(tokens.server);
+  const batchWorker = collaborators.createBatchWorker(container.resolve(tokens.targetAccess));
+  container.register(tokens.batchWorker, { useValue: batchWorker });
+  const started = new AbortController();
+
+  const closeRest = async (): Promise<void> => {
+    started.abort();
+    await monitor.stop();
+    await follower.stop();
+    await server.close();
+    await Promise.all([targetConnections.destroy(), peers.destroy(), collaborators.close()]);
+    metrics.close();
+  };
+  const shutdown = new Shutdown({
+    settings,
+    serving: container.resolve(tokens.serving),
+    running,
+    batchWorker,
+    journal,
+    closeRest,
+  });
+
+  follower.onAdopt((catalogue) => {
+    running.endWithdrawn(catalogue);
+    slots.schedule();
+  });
+  monitor.onChange(() => {
+    if (monitor.isUp) slots.schedule();
+    else slots.refuseWaiting(refuse('no-target'));
+  });
+
+  return {
+    async start() {
+      await monitor.start();
+      await server.listen();
+      journal.record('process-started', { address: settings.inner });
+      void follower.start(started.signal).then(() => {
+        if (started.signal.aborted) return;
+        batchWorker.start();
+        journal.record('process-ready');
+      });
+    },
+    stop: () => shutdown.request(),
+  };
+};
--- /dev/null
+++ b/packages/agent/test/support/AgentFixture.ts
@@ -0,0 +1,213 @@
+/** An agent with a stand-in as its target, driven through its inner address. */
+import { createServer, type AddressInfo } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { silentJournal } from '@jacinthlug/catalog/Journal';
+import { openMetrics } from '@jacinthlug/catalog/Metrics';
+import { innerHeaders, RUN_PATH } from '@jacinthlug/protocol/headers';
+import { loadReport, type LoadReport } from '@jacinthlug/protocol/messages';
+import { agentSettings } from '@jacinthlug/settings/process/hostSettings';
+import type { InheritedSettings } from '@jacinthlug/settings/tree/declarations';
+import type { LoggedRequest } from '@jacinthlug/standins/target/LoggedRequest';
+import { startEngineStandin } from '@jacinthlug/standins/engine/startEngineStandin';
+import type { TargetStandin } from '@jacinthlug/standins/target/TargetServer';
+import { createAgent, type Agent } from '../../src/wiring/createAgent.js';
+import { FakeBatchWorker } from './FakeBatchWorker.js';
+import {
+  buildConfiguration,
+  createFakeFollower,
+  keyOf,
+  type FakeFollower,
+} from './fakeFollower.js';
+
+const FLEET_CREDENTIAL = 'fleet-credential-of-tests';
+
+/** Long enough for any event of these tests on a busy machine; passing it fails the step. */
+const EVENT_LIMIT_MS = 20_000;
+
+const pickPort = (): Promise<number> =>
+  new Promise((resolve) => {
+    const server = createServer().listen(0, '127.0.0.1', () => {
+      const { port } = server.address() as AddressInfo;
+      server.close(() => resolve(port));
+    });
+  });
+
+/**
+ * Waits for an event that can only be seen by looking.
+ *
+ * @param look - tells whether the event has happened
+ */
+export const eventually = async (look: () => boolean | Promise<boolean>): Promise<void> => {
+  const deadline = performance.now() + EVENT_LIMIT_MS;
+  while (!(await look())) {
+    if (performance.now() > deadline) throw new Error(`did not happen: ${look.toString()}`);
+    await sleep(5);
+  }
+};
+
+/** One forwarded request. */
+export interface Forwarded {
+  readonly id: string;
+  readonly account?: string;
+  readonly prompt?: string;
+  readonly tokens?: number;
+  readonly isStreamed?: boolean;
+  readonly headers?: Readonly<Record<string, string>>;
+}
+
+/** What the target was asked to run. */
+export interface Run extends Omit<LoggedRequest, 'conclude'> {
+  readonly prompt: string;
+}
+
+/** What came back. */
+export interface Received {
+  readonly status: number;
+  readonly headers: Headers;
+  readonly text: string;
+  /** Whether the connection ended without a clean end. */
+  readonly isCut: boolean;
+}
+
+/** An agent with a stand-in as its target. */
+export class AgentFixture {
+  private version = 0;
+
+  private constructor(
+    readonly engine: TargetStandin,
+    readonly agent: Agent,
+    readonly worker: FakeBatchWorker,
+    private readonly url: string,
+    private readonly settings: Partial<InheritedSettings>,
+    readonly follower: FakeFollower,
+  ) {}
+
+  static async start(
+    settings: Partial<InheritedSettings>,
+    batchStreams = 0,
+  ): Promise<AgentFixture> {
+    const engine = await startEngineStandin({ tokenMs: 2, restartMs: 200 });
+    const port = await pickPort();
+    const follower = createFakeFollower();
+    let worker: FakeBatchWorker | undefined;
+    const agent = createAgent({
+      settings: agentSettings.parse({
+        name: 'agent-1',
+        failureDomain: 'quay',
+        region: 'coast',
+        inner: { host: '127.0.0.1', port },
+        fleetCredential: FLEET_CREDENTIAL,
+        platform: {
+          table: { url: engine.url },
+          objects: { url: engine.url },
+          hosts: { url: engine.url },
+        },
+        graceMs: 0,
+        target: { name: 'engine-1', service: 'engines', url: engine.url, kind: 'engine' },
+      }),
+      journal: silentJournal,
+      metrics: openMetrics('agent-1'),
+      openCollaborators: () => ({
+        follower,
+        membership: {
+          all: () => [],
+          liveEntries: () => [],
+          liveAgents: () => [],
+          update: () => undefined,
+        },
+        createBatchWorker: (target) => {
+          worker = new FakeBatchWorker(target);
+          worker.streams = batchStreams;
+          return worker;
+        },
+        close: () => Promise.resolve(),
+      }),
+    });
+    if (!worker) throw new Error('no batch worker was created');
+    const url = `http://127.0.0.1:${port}`;
+    const fixture = new AgentFixture(engine, agent, worker, url, settings, follower);
+    fixture.grant(['harbor', 'lantern']);
+    await agent.start();
+    return fixture;
+  }
+
+  /** Puts a version in force in which only the keys of these accounts are granted. */
+  grant(accounts: readonly string[]): void {
+    this.version += 1;
+    this.follower.adopt(buildConfiguration(this.version, accounts, this.settings));
+  }
+
+  /** Forwards a chat completion request as an entry host does. */
+  async forward(request: Forwarded, signal?: AbortSignal): Promise<Received> {
+    const { id, account = 'harbor', prompt = id, tokens = 3, isStreamed = true } = request;
+    const messages = [{ role: 'user', content: prompt }];
+    const response = await fetch(`${this.url}${RUN_PATH}`, {
+      method: 'POST',
+      headers: {
+        'content-type': 'application/json',
+        [innerHeaders.fleet]: FLEET_CREDENTIAL,
+        [innerHeaders.request]: id,
+        [innerHeaders.account]: account,
+        [innerHeaders.key]: keyOf(account),
+        [innerHeaders.service]: 'engines',
+        [innerHeaders.route]: 'openai',
+        [innerHeaders.repeatable]: 'true',
+        [innerHeaders.version]: String(this.version),
+        [innerHeaders.remainingMs]: '60000',
+        [innerHeaders.waitLimitMs]: '60000',
+        [innerHeaders.fingerprint]: `print-${id}`,
+        [innerHeaders.method]: 'POST',
+        [innerHeaders.path]: '/v1/chat/completions',
+        ...request.headers,
+      },
+      body: JSON.stringify({ model: 'atlas-7b', messages, stream: isStreamed, max_tokens: tokens }),
+      signal: signal ?? null,
+    });
+    const decoder = new TextDecoder();
+    let text = '';
+    try {
+      for await (const chunk of response.body ?? []) text += decoder.decode(chunk as Uint8Array);
+    } catch {
+      return { status: response.status, headers: response.headers, text, isCut: true };
+    }
+    return { status: response.status, headers: response.headers, text, isCut: false };
+  }
+
+  /** Reads what the target was asked to run; a request is known by its prompt. */
+  async runs(): Promise<Run[]> {
+    const response = await fetch(`${this.engine.url}/_standin/requests`);
+    const logged = (await response.json()) as Omit<LoggedRequest, 'conclude'>[];
+    return logged
+      .filter(({ path }) => path === '/v1/chat/completions')
+      .map((run) => {
+        const body = JSON.parse(run.body) as { messages: { content: string }[] };
+        return { ...run, prompt: body.messages[0]?.content ?? '' };
+      });
+  }
+
+  /** Waits until the target has been given requests with these prompts. */
+  async untilInTarget(...prompts: string[]): Promise<void> {
+    await eventually(async () => {
+      const given = (await this.runs()).map(({ prompt }) => prompt);
+      return prompts.every((prompt) => given.includes(prompt));
+    });
+  }
+
+  async load(): Promise<LoadReport> {
+    const response = await fetch(`${this.url}/inner/trpc/load.report`, {
+      headers: { [innerHeaders.fleet]: FLEET_CREDENTIAL },
+    });
+    const answer = (await response.json()) as { result: { data: unknown } };
+    return loadReport.parse(answer.result.data);
+  }
+
+  async setFaults(faults: object): Promise<void> {
+    const body = JSON.stringify(faults);
+    await fetch(`${this.engine.url}/_standin/faults`, { method: 'POST', body });
+  }
+
+  async stop(): Promise<void> {
+    await this.agent.stop();
+    await this.engine.close();
+  }
+}
