--- /dev/null
+++ b/packages/agent/test/features/checks.feature
@@ -0,0 +1,56 @@
+Feature: Second check at the agent
+  Guards against credentials at targets (P5), against withdrawn keys that go on working (P6), and
+  against work for a process that cannot tell whether its configuration is in force.
+
+  Background:
+    Given an agent whose target has 4 places
+
+  Scenario: No credential reaches the target
+    When "private" is forwarded with every kind of credential
+    Then "private" is answered whole
+    And the target saw no credential
+
+  Scenario: A withdrawn key is refused although the entry host let it pass
+    When the key of "harbor" is withdrawn
+    And "late" is forwarded
+    Then "late" is refused with "key-unknown" as "not run"
+    And the target was not given "late"
+
+  Scenario: A key of another account is refused
+    When "foreign" is forwarded for "harbor" with the key of "lantern"
+    Then "foreign" is refused with "account-mismatch" as "not run"
+
+  Scenario: A running stream ends when its key is withdrawn
+    Given "holder" runs without end
+    When the key of "harbor" is withdrawn
+    Then the connection of "holder" was cut without a final event
+    And the target ended "holder" as "cancelled"
+
+  Scenario: A key that the entry host knows first is waited for
+    Given the key of "harbor" is withdrawn
+    When "early" is forwarded with the next version
+    And the key of "harbor" is granted
+    Then "early" is answered whole
+
+  Scenario: Nothing runs without a confirmed configuration
+    Given the agent cannot confirm its configuration
+    When "unsure" is forwarded
+    Then "unsure" is refused with "configuration-unconfirmed" as "not run"
+    And the target was not given "unsure"
+
+  Scenario: A caller without the fleet credential is refused
+    When "stranger" is forwarded with another fleet credential
+    Then "stranger" is refused with "fleet-credential-wrong" as "not run"
+    And the target was not given "stranger"
+
+  Scenario Outline: A share of an earlier generation lapses 11 s after a later one was seen
+    Given generation 7 of a shard was seen
+    And generation 8 of the shard was seen
+    When <seconds> s pass
+    Then generation 7 is <verdict>
+    And generation 8 is accepted
+
+    Examples:
+      | seconds | verdict  |
+      | 10      | accepted |
+      | 11      | refused  |
--- /dev/null
+++ b/packages/agent/test/steps/agent.steps.ts
@@ -0,0 +1,397 @@
+import assert from 'node:assert/strict';
+import type { RefusalBody } from '@jacinthlug/catalog/refusalBody';
+import { innerHeaders } from '@jacinthlug/protocol/headers';
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import {
+  AgentFixture,
+  eventually,
+  type Forwarded,
+  type Received,
+} from '../support/AgentFixture.js';
+import { keyOf } from '../support/fakeFollower.js';
+
+interface Scenario {
+  fixture: AgentFixture;
+  /** The latest request of each id. */
+  answers: Map<string, Promise<Received>>;
+  callers: Map<string, AbortController>;
+  exitCode: Promise<number>;
+}
+
+const ENDLESS = 1_000_000;
+
+const CREDENTIAL = 'jl_k1_0123456789abcdef';
+
+const start = async (scenario: Scenario, ...options: Parameters<typeof AgentFixture.start>) => {
+  Object.assign(scenario, {
+    fixture: await AgentFixture.start(...options),
+    answers: new Map(),
+    callers: new Map(),
+  });
+};
+
+const forward = (scenario: Scenario, request: Forwarded): Promise<Received> => {
+  const caller = new AbortController();
+  const answer = scenario.fixture.forward(request, caller.signal);
+  // A caller that goes away gets no answer.
+  answer.catch(() => undefined);
+  scenario.answers.set(request.id, answer);
+  scenario.callers.set(request.id, caller);
+  return answer;
+};
+
+const answerOf = async (scenario: Scenario, id: string): Promise<Received> => {
+  const answer = await scenario.answers.get(id);
+  assert.ok(answer, `${id} was not forwarded`);
+  return answer;
+};
+
+const forwardAndWait = async (scenario: Scenario, request: Forwarded): Promise<void> => {
+  const { waiting } = await scenario.fixture.load();
+  void forward(scenario, request);
+  await eventually(async () => (await scenario.fixture.load()).waiting > waiting);
+};
+
+const errorOf = ({ text }: Received): RefusalBody['error'] =>
+  (JSON.parse(text) as RefusalBody).error;
+
+const isBatch = ({ prompt }: { prompt: string }): boolean => prompt.startsWith('batch item');
+
+After(async function (this: Scenario) {
+  if (!this.fixture) return;
+  this.callers.forEach((caller) => caller.abort());
+  await this.fixture.stop();
+});
+
+Given('an agent whose target has {int} place(s)', async function (this: Scenario, places: number) {
+  await start(this, { concurrency: places });
+});
+
+Given(
+  'an agent whose target has {int} places and that stops within {int} ms',
+  async function (this: Scenario, concurrency: number, stopWithinMs: number) {
+    await start(this, { concurrency }, { stopWithinMs });
+  },
+);
+
+Given(
+  'an agent whose target has {int} places, all held by batch streams',
+  async function (this: Scenario, places: number) {
+    const settings = { concurrency: places, batchConcurrency: places };
+    await start(this, settings, { batchStreams: places });
+    await eventually(async () => (await this.fixture.runs()).length === places);
+  },
+);
+
+Given('{string} runs without end', async function (this: Scenario, id: string) {
+  await new Promise<void>((resolve) => {
+    void forward(this, { id, tokens: ENDLESS, onFirstBytes: resolve });
+  });
+});
+
+Given(
+  '{string} waits for a whole answer of {int} tokens in the target',
+  async function (this: Scenario, id: string, tokens: number) {
+    void forward(this, { id, tokens, isStreamed: false });
+    await this.fixture.untilInTarget(id);
+  },
+);
+
+Given('a request of {int} tokens was answered', async function (this: Scenario, tokens: number) {
+  const { status } = await forward(this, { id: 'earlier', tokens });
+  assert.equal(status, 200);
+});
+
+Given('the target has the faults {string}', async function (this: Scenario, faults: string) {
+  await this.fixture.setFaults(JSON.parse(faults) as object);
+});
+
+Given('the agent cannot confirm its configuration', function (this: Scenario) {
+  this.fixture.follower.isConfirmed = false;
+});
+
+When('the key of {string} is withdrawn', function (this: Scenario, account: string) {
+  this.fixture.grant(['harbor', 'lantern'].filter((name) => name !== account));
+});
+
+When('the key of {string} is granted', function (this: Scenario, account: string) {
+  this.fixture.grant([account]);
+});
+
+When('the service is drained', function (this: Scenario) {
+  this.fixture.grant(['harbor', 'lantern'], { drained: true });
+});
+
+When('{string} is forwarded', async function (this: Scenario, id: string) {
+  await forward(this, { id });
+});
+
+When('{string} is forwarded for a whole answer', async function (this: Scenario, id: string) {
+  await forward(this, { id, isStreamed: false });
+});
+
+When('{int} endless requests are forwarded', function (this: Scenario, count: number) {
+  Array.from({ length: count }, (_, index) =>
+    forward(this, { id: `endless-${index}`, tokens: ENDLESS }),
+  );
+});
+
+When(
+  '{string} is forwarded with a wait limit of {int} ms',
+  async function (this: Scenario, id: string, limitMs: number) {
+    await forward(this, { id, headers: { [innerHeaders.waitLimitMs]: String(limitMs) } });
+  },
+);
+
+When(
+  '{string} is forwarded for {int} tokens with a deadline of {int} ms',
+  async function (this: Scenario, id: string, tokens: number, limitMs: number) {
+    await forward(this, { id, tokens, headers: { [innerHeaders.remainingMs]: String(limitMs) } });
+  },
+);
+
+When('{string} is forwarded by {string}', function (this: Scenario, id: string, account: string) {
+  void forward(this, { id, account });
+});
+
+When(
+  '{string} is forwarded by {string} and waits',
+  async function (this: Scenario, id: string, account: string) {
+    await forwardAndWait(this, { id, account });
+  },
+);
+
+When(
+  '{int} requests are forwarded by {string} and wait',
+  async function (this: Scenario, count: number, account: string) {
+    for (let index = 0; index < count; index += 1) {
+      await forwardAndWait(this, { id: `${account}-${index}`, account });
+    }
+  },
+);
+
+When('{string} is forwarded as a once request', async function (this: Scenario, id: string) {
+  await forward(this, { id, headers: { [innerHeaders.repeatable]: 'false' } });
+});
+
+When('{string} is forwarded as a suspect', async function (this: Scenario, id: string) {
+  await forward(this, { id, headers: { [innerHeaders.suspect]: 'true' } });
+});
+
+When(
+  '{string} is forwarded as a suspect without end and waits',
+  async function (this: Scenario, id: string) {
+    const headers = { [innerHeaders.suspect]: 'true' };
+    await forwardAndWait(this, { id, tokens: ENDLESS, headers });
+  },
+);
+
+When(
+  '{string} is forwarded with every kind of credential',
+  async function (this: Scenario, id: string) {
+    await forward(this, {
+      id,
+      headers: {
+        authorization: `Bearer ${CREDENTIAL}`,
+        'x-api-key': CREDENTIAL,
+        'api-key': CREDENTIAL,
+        cookie: `key=${CREDENTIAL}`,
+        'proxy-authorization': `Bearer ${CREDENTIAL}`,
+        traceparent: CREDENTIAL,
+        'x-anything': CREDENTIAL,
+      },
+    });
+  },
+);
+
+When(
+  '{string} is forwarded for {string} with the key of {string}',
+  async function (this: Scenario, id: string, account: string, keyAccount: string) {
+    await forward(this, { id, account, headers: { [innerHeaders.key]: keyOf(keyAccount) } });
+  },
+);
+
+When('{string} is forwarded with the next version', function (this: Scenario, id: string) {
+  void forward(this, { id, headers: { [innerHeaders.version]: String(this.fixture.version + 1) } });
+});
+
+When(
+  '{string} is forwarded with another fleet credential',
+  async function (this: Scenario, id: string) {
+    await forward(this, { id, headers: { [innerHeaders.fleet]: 'another-credential' } });
+  },
+);
+
+When('{string} is given up by its caller', function (this: Scenario, id: string) {
+  this.callers.get(id)?.abort();
+});
+
+When('the agent is asked to stop', function (this: Scenario) {
+  this.exitCode = this.fixture.agent.stop();
+});
+
+Then('{string} is answered whole', async function (this: Scenario, id: string) {
+  const answer = await answerOf(this, id);
+  assert.equal(answer.status, 200, answer.text);
+  assert.equal(answer.headers.get(innerHeaders.request), id);
+  const isStream = answer.headers.get('content-type') === 'text/event-stream';
+  assert.ok(isStream ? answer.text.endsWith('data: [DONE]\n\n') : JSON.parse(answer.text));
+  assert.ok(!answer.isCut);
+});
+
+Then(
+  '{string} is refused with {string} as {string}',
+  async function (this: Scenario, id: string, code: string, run: string) {
+    const error = errorOf(await answerOf(this, id));
+    assert.deepEqual([error.code, error.run], [code, run]);
+  },
+);
+
+Then(
+  '{string} is refused with {string} as {string} and a time to come back',
+  async function (this: Scenario, id: string, code: string, run: string) {
+    const answer = await answerOf(this, id);
+    const error = errorOf(answer);
+    assert.deepEqual([error.code, error.run], [code, run]);
+    assert.ok(Number(answer.headers.get('retry-after')) >= 1);
+  },
+);
+
+Then(
+  '{string} is refused with {string} naming {string} and {string}',
+  async function (this: Scenario, id: string, code: string, first: string, second: string) {
+    const error = errorOf(await answerOf(this, id));
+    assert.equal(error.code, code);
+    const named = error.facts?.fingerprints as string[];
+    assert.deepEqual(new Set(named), new Set([`print-${first}`, `print-${second}`]));
+  },
+);
+
+Then(
+  '{int} request of {string} is refused with {string}',
+  async function (this: Scenario, count: number, account: string, code: string) {
+    const refused: string[] = [];
+    this.answers.forEach((answer, id) => {
+      if (!id.startsWith(account)) return;
+      void answer.then(
+        (received) => refused.push(errorOf(received).code),
+        () => undefined,
+      );
+    });
+    await eventually(() => refused.length >= count);
+    assert.deepEqual(refused, Array<string>(count).fill(code));
+  },
+);
+
+Then('{string} still waits', async function (this: Scenario, id: string) {
+  const { waiting } = await this.fixture.load();
+  assert.equal(waiting, 8);
+  assert.ok((await this.fixture.runs()).every(({ prompt }) => prompt !== id));
+});
+
+Then('the target was not given {string}', async function (this: Scenario, id: string) {
+  assert.ok((await this.fixture.runs()).every(({ prompt }) => prompt !== id));
+});
+
+Then('the target was given {string} once', async function (this: Scenario, id: string) {
+  const runs = await this.fixture.runs();
+  assert.equal(runs.filter(({ prompt }) => prompt === id).length, 1);
+});
+
+Then(
+  'the target is given {string} and not {string}',
+  async function (this: Scenario, id: string, other: string) {
+    await this.fixture.untilInTarget(id);
+    assert.ok((await this.fixture.runs()).every(({ prompt }) => prompt !== other));
+    assert.equal((await this.fixture.load()).running, 1);
+  },
+);
+
+Then(
+  'the target ended {string} as {string}',
+  async function (this: Scenario, id: string, outcome: string) {
+    await eventually(async () =>
+      (await this.fixture.runs()).some((run) => run.prompt === id && run.outcome === outcome),
+    );
+  },
+);
+
+Then(
+  '{int} batch stream(s) was/were cancelled at the target for it/them',
+  async function (this: Scenario, count: number) {
+    const isCancelled = async () => {
+      const batch = (await this.fixture.runs()).filter(isBatch);
+      return batch.filter(({ outcome }) => outcome === 'cancelled').length >= count;
+    };
+    await eventually(isCancelled);
+    const batch = (await this.fixture.runs()).filter(isBatch);
+    assert.equal(batch.filter(({ outcome }) => outcome === 'cancelled').length, count);
+    assert.deepEqual(
+      this.fixture.worker.failures,
+      Array.from({ length: count }, () => ({ kind: 'cancelled' })),
+    );
+  },
+);
+
+Then('{int} batch streams are in the target again', async function (this: Scenario, count: number) {
+  await eventually(async () => (await this.fixture.load()).batch === count);
+});
+
+Then('no batch stream is in the target', async function (this: Scenario) {
+  assert.equal((await this.fixture.load()).batch, 0);
+  const batch = (await this.fixture.runs()).filter(isBatch);
+  assert.ok(batch.every(({ outcome }) => outcome === 'cancelled'));
+});
+
+Then(
+  '{string} is among the first {int} of those that waited',
+  async function (this: Scenario, id: string, count: number) {
+    await answerOf(this, id);
+    const waited = (await this.fixture.runs()).slice(1, 1 + count);
+    assert.ok(waited.some(({ prompt }) => prompt === id));
+  },
+);
+
+Then(
+  'the connection of {string} was cut without a final event',
+  async function (this: Scenario, id: string) {
+    const answer = await answerOf(this, id);
+    assert.ok(answer.isCut);
+    assert.ok(!answer.text.includes('[DONE]'));
+  },
+);
+
+Then('no whole answer came with {string}', async function (this: Scenario, id: string) {
+  const answer = await answerOf(this, id);
+  assert.ok(!answer.text.includes('[DONE]'));
+  assert.ok(answer.isCut || errorOf(answer).code === 'deadline-passed');
+});
+
+Then('nothing of an answer came with {string}', async function (this: Scenario, id: string) {
+  const { text } = await answerOf(this, id);
+  assert.ok(!text.includes('choices'));
+});
+
+Then('the agent serves again after the restart', async function (this: Scenario) {
+  await eventually(async () => (await this.fixture.load()).state === 'serving');
+  assert.equal((await forward(this, { id: 'after' })).status, 200);
+});
+
+Then('the target saw no credential', async function (this: Scenario) {
+  const seen = JSON.stringify(await this.fixture.runs());
+  assert.ok(!seen.includes(CREDENTIAL));
+  assert.ok(!seen.includes('fleet-credential'));
+  assert.ok(!seen.includes('jacinthlug-'));
+});
+
+Then('the load report says {string}', async function (this: Scenario, state: string) {
+  assert.equal((await this.fixture.load()).state, state);
+});
+
+Then('the load report expects a wait', async function (this: Scenario) {
+  assert.ok((await this.fixture.load()).expectedWaitMs > 0);
+});
+
+Then('the agent ends with exit code {int}', async function (this: Scenario, code: number) {
+  assert.equal(await this.exitCode, code);
+});
--- a/packages/agent/test/support/AgentFixture.ts
+++ b/packages/agent/test/support/AgentFixture.ts
@@ -53,6 +53,7 @@
   readonly tokens?: number;
   readonly isStreamed?: boolean;
   readonly headers?: Readonly<Record<string, string>>;
+  readonly onFirstBytes?: () => void;
 }
 
 /** What the target was asked to run. */
@@ -71,7 +72,7 @@
 
 /** An agent with a stand-in as its target. */
 export class AgentFixture {
-  private version = 0;
+  version = 0;
 
   private constructor(
     readonly engine: TargetStandin,
@@ -84,7 +85,7 @@
 
   static async start(
     settings: Partial<InheritedSettings>,
-    batchStreams = 0,
+    options: { readonly batchStreams?: number; readonly stopWithinMs?: number } = {},
   ): Promise<AgentFixture> {
     const engine = await startEngineStandin({ tokenMs: 2, restartMs: 200 });
     const port = await pickPort();
@@ -103,6 +104,7 @@
           hosts: { url: engine.url },
         },
         graceMs: 0,
+        stopWithinMs: options.stopWithinMs ?? EVENT_LIMIT_MS,
         target: { name: 'engine-1', service: 'engines', url: engine.url, kind: 'engine' },
       }),
       journal: silentJournal,
@@ -117,7 +119,7 @@
         },
         createBatchWorker: (target) => {
           worker = new FakeBatchWorker(target);
-          worker.streams = batchStreams;
+          worker.streams = options.batchStreams ?? 0;
           return worker;
         },
         close: () => Promise.resolve(),
@@ -132,9 +134,10 @@
   }
 
   /** Puts a version in force in which only the keys of these accounts are granted. */
-  grant(accounts: readonly string[]): void {
+  grant(accounts: readonly string[], changes: Partial<InheritedSettings> = {}): void {
     this.version += 1;
-    this.follower.adopt(buildConfiguration(this.version, accounts, this.settings));
+    const settings = { ...this.settings, ...changes };
+    this.follower.adopt(buildConfiguration(this.version, accounts, settings));
   }
 
   /** Forwards a chat completion request as an entry host does. */
@@ -166,7 +169,10 @@
     const decoder = new TextDecoder();
     let text = '';
     try {
-      for await (const chunk of response.body ?? []) text += decoder.decode(chunk as Uint8Array);
+      for await (const chunk of response.body ?? []) {
+        text += decoder.decode(chunk as Uint8Array);
+        request.onFirstBytes?.();
+      }
     } catch {
       return { status: response.status, headers: response.headers, text, isCut: true };
     }
--- a/packages/standins/src/engine/CompletionStream.ts
+++ b/packages/standins/src/engine/CompletionStream.ts
@@ -1,13 +1,16 @@
 /** One chat completion while it runs in the engine stand-in. */
 import type { Call, TargetServer } from '../target/TargetServer.js';
 import type { BatchedStream } from './ContinuousBatch.js';
+import type { TokenSource } from './openTokens.js';
 
 /** What a completion produces. */
 export interface CompletionPlan {
   readonly id: string;
   readonly model: string;
   readonly isStreamed: boolean;
-  readonly tokens: readonly string[];
+  readonly tokenAt: TokenSource;
+  /** Number of tokens. */
+  readonly length: number;
   readonly promptTokens: number;
   readonly cachedTokens: number;
   /** Monotonic time at which the prompt has been read. Unit: ms. */
@@ -42,11 +45,11 @@
   }
 
   step(): boolean {
-    const { tokens } = this.plan;
+    const { tokenAt, length, isStreamed } = this.plan;
     if (this.produced >= (this.server.faults.cutAfterTokens ?? Infinity)) return this.cut('cut');
     this.produced += 1;
-    if (this.plan.isStreamed && !this.isLost) this.writeToken(tokens[this.produced - 1] ?? '');
-    if (this.produced < tokens.length) return true;
+    if (isStreamed && !this.isLost) this.writeToken(tokenAt(this.produced - 1));
+    if (this.produced < length) return true;
     if (this.isLost) return this.cut('lost');
     this.finish();
     return false;
@@ -92,14 +95,15 @@
   }
 
   private finish(): void {
-    const { id, model, tokens, isStreamed } = this.plan;
+    const { id, model, tokenAt, length, isStreamed } = this.plan;
     if (isStreamed) {
       this.writeChunk({}, 'stop');
       this.call.logged.conclude('completed');
       this.call.response.end('data: [DONE]\n\n');
       return;
     }
-    const message = { role: 'assistant', content: tokens.join('').trimEnd() };
+    const content = Array.from({ length }, (_, index) => tokenAt(index)).join('');
+    const message = { role: 'assistant', content: content.trimEnd() };
     this.server.answer(this.call, 200, {
       id,
       object: 'chat.completion',
--- a/packages/standins/src/engine/generateTokens.ts
+++ b/packages/standins/src/engine/openTokens.ts
@@ -8,18 +8,20 @@
   .join(' ')
   .split(' ');
 
+/** Gives the token at a place of an answer: a word with a trailing space. */
+export type TokenSource = (index: number) => string;
+
 /**
- * Generates the tokens of an answer.
+ * Opens the content of an answer.
  *
  * @param prompt - whole prompt
  * @param seed - seed of the engine
- * @param count - number of tokens
- * @returns words, each with a trailing space
+ * @returns the source of its tokens
  */
-export const generateTokens = (prompt: string, seed: number, count: number): string[] => {
+export const openTokens = (prompt: string, seed: number): TokenSource => {
   const digest = createHash('sha256').update(`${seed}\0${prompt}`).digest();
-  return Array.from({ length: count }, (_, index) => {
+  return (index) => {
     const byte = digest[index % digest.length] ?? 0;
     return `${VOCABULARY[(byte + index * 7) % VOCABULARY.length]} `;
-  });
+  };
 };
--- a/packages/standins/src/engine/startEngineStandin.ts
+++ b/packages/standins/src/engine/startEngineStandin.ts
@@ -5,8 +5,8 @@
 import { CompletionStream } from './CompletionStream.js';
 import { ContinuousBatch } from './ContinuousBatch.js';
 import { defaultEngineOptions, type EngineOptions } from './engineOptions.js';
-import { generateTokens } from './generateTokens.js';
 import { modelOrder, ModelOrders } from './ModelOrders.js';
+import { openTokens } from './openTokens.js';
 import { PrefixCache } from './PrefixCache.js';
 
 /** A prompt that contains this crashes the engine. */
@@ -129,7 +129,8 @@
       id: `chatcmpl-${this.started}`,
       model: request.model,
       isStreamed: request.stream,
-      tokens: generateTokens(prompt, this.options.seed, answerLength(request)),
+      tokenAt: openTokens(prompt, this.options.seed),
+      length: answerLength(request),
       promptTokens: promptTokens.length,
       cachedTokens,
       firstTokenAt: performance.now() + prefillMs,
