Reconcile the models of a target with the tree by fenced orders

A model that is wanted but not loaded is out of service by itself: taking the whole target out would stop all targets of a service together whenever the tree gains a model. Requests for it are refused as not run, and the load report names only models that are wanted and loaded.

Towards a target that ignores fencing numbers the agent reads the number again before each order, and waits out the order limit after a takeover.

--- a/packages/agent/src/core/admission/TargetSlots.ts
+++ b/packages/agent/src/core/admission/TargetSlots.ts
@@ -203,8 +203,9 @@
 
   private waitBehind(entries: number): number {
     const { concurrency } = this.capacity();
+    const isClosed = this.isOnlineAlone || this.queue.first()?.item.alone === true;
     // Places of batch requests are released at once.
-    const free = concurrency - this.onlineHeld;
+    const free = isClosed ? 0 : concurrency - this.onlineHeld;
     return this.holdTimes.untilReleases(entries + 1 - free, concurrency);
   }
 
--- a/packages/agent/src/core/life/LoadReporter.ts
+++ b/packages/agent/src/core/life/LoadReporter.ts
@@ -2,7 +2,7 @@
 import type { LoadReport } from '@jacinthlug/protocol/messages';
 import type { AgentSettings } from '@jacinthlug/settings/process/hostSettings';
 import type { TargetSlots } from '../admission/TargetSlots.js';
-import type { TargetMonitor } from '../target/TargetMonitor.js';
+import type { ServedModels } from '../target/ServedModels.js';
 import type { ServingState } from './ServingState.js';
 
 /** Reports the load of the target. */
@@ -10,7 +10,7 @@
   constructor(
     private readonly target: AgentSettings['target'],
     private readonly slots: TargetSlots,
-    private readonly monitor: TargetMonitor,
+    private readonly models: ServedModels,
     private readonly serving: ServingState,
   ) {}
 
@@ -29,7 +29,7 @@
       batch: this.slots.batch,
       concurrency: this.serving.serviceSettings().concurrency,
       expectedWaitMs: Math.round(this.slots.expectedWaitMs()),
-      models: [...this.monitor.models],
+      models: [...this.models.inService()],
     };
   }
 }
--- a/packages/agent/src/core/life/Shutdown.ts
+++ b/packages/agent/src/core/life/Shutdown.ts
@@ -6,6 +6,9 @@
 import type { RunningRequests } from '../online/RunningRequests.js';
 import type { ServingState } from './ServingState.js';
 
+/** Connections that do not close in time are left to the end of the process. Unit: ms. */
+const CLOSE_LIMIT_MS = 2000;
+
 /** What a shutdown works on. */
 export interface ShutdownParts {
   readonly settings: Pick<AgentSettings, 'graceMs' | 'stopWithinMs'>;
@@ -46,7 +49,7 @@
       journal.record('stop-cut', { requests: running.size });
       running.endAll();
     }
-    await Promise.race([closeRest(), sleep(settings.graceMs, undefined, { ref: false })]);
+    await Promise.race([closeRest(), sleep(CLOSE_LIMIT_MS, undefined, { ref: false })]);
     if (finished) journal.record('stop-complete');
     return finished ? 0 : 1;
   }
--- a/packages/agent/src/core/online/OnlinePath.ts
+++ b/packages/agent/src/core/online/OnlinePath.ts
@@ -11,10 +11,10 @@
 import { checkInForce, type Grant } from '../checks/checkAgainstTree.js';
 import type { GenerationCheck } from '../checks/GenerationCheck.js';
 import type { SentOnce } from '../checks/SentOnce.js';
-import type { InnerRequest } from '../http/InnerRequest.js';
 import type { ServingState } from '../life/ServingState.js';
 import type { CrashWatch } from '../target/CrashWatch.js';
 import { headersToTarget } from '../target/forwardedHeaders.js';
+import type { ServedModels } from '../target/ServedModels.js';
 import type { OpenAnswer, RunFailure, TargetCall, TargetClient } from '../target/TargetClient.js';
 import { relayAnswer, type RelayTarget } from './relayAnswer.js';
 import type { EndReason, RequestLife } from './RequestLife.js';
@@ -47,6 +47,7 @@
   readonly target: AgentSettings['target'];
   readonly follower: ConfigurationFollower;
   readonly serving: ServingState;
+  readonly models: ServedModels;
   readonly slots: TargetSlots;
   readonly client: TargetClient;
   readonly crashWatch: CrashWatch;
@@ -69,7 +70,7 @@
   async run(exchange: InnerExchange): Promise<Result<void, Refusal>> {
     const { life } = exchange;
     const { request } = life;
-    const grant = await this.mayRun(request);
+    const grant = await this.mayRun(exchange);
     if (grant.isErr()) return err(grant.error);
     const slot = await this.parts.slots.acquireOnline({
       ...grant.value,
@@ -82,7 +83,7 @@
     if (slot.isErr()) return err(life.endReason ? endedBefore[life.endReason] : slot.error);
     try {
       // The key may have been withdrawn while the request waited.
-      const still = await this.mayRun(request);
+      const still = await this.mayRun(exchange);
       if (still.isErr()) return err(still.error);
       if (life.endReason) return err(endedBefore[life.endReason]);
       return await this.runInTarget(exchange);
@@ -91,11 +92,12 @@
     }
   }
 
-  private async mayRun(request: InnerRequest): Promise<Result<Grant, Refusal>> {
-    const { serving, target, generations, follower } = this.parts;
+  private async mayRun({ life, body }: InnerExchange): Promise<Result<Grant, Refusal>> {
+    const { request } = life;
+    const { serving, models, target, generations, follower } = this.parts;
     const grant = await checkInForce(request, follower);
     if (grant.isErr()) return grant;
-    const refusal = serving.refusal();
+    const refusal = serving.refusal() ?? models.refusal(body);
     if (refusal) return err(refusal);
     if (request.service !== target.service) return err(refuse('no-target'));
     const { shard, generation } = request;
--- /dev/null
+++ b/packages/agent/src/core/orders/FencingNumber.ts
@@ -0,0 +1,69 @@
+/** The fencing number for orders to one target, kept in the table row `order#<target>`. */
+import { randomUUID } from 'node:crypto';
+import type { Row, Table, TableFailure } from '@jacinthlug/platform/Table';
+import { err, ok, type Result } from 'neverthrow';
+
+/** A number that this process took. */
+export interface TakenNumber {
+  readonly number: number;
+  /** Whether another process held the number before; an order of it may still be on its way. */
+  readonly isTakeover: boolean;
+}
+
+/** Time until which a write with an unknown outcome is settled. Unit: ms. */
+const SETTLE_LIMIT_MS = 5000;
+
+const numberOf = (row: Row | undefined): number => Number(row?.attributes.number ?? 0);
+
+/** The fencing number for orders to one target. */
+export class FencingNumber {
+  private readonly key: { readonly pk: string; readonly sk: string };
+
+  /**
+   * @param table - the platform's table
+   * @param target - name of the target
+   * @param holder - names this process and start
+   */
+  constructor(
+    private readonly table: Table,
+    target: string,
+    private readonly holder: string,
+  ) {
+    this.key = { pk: `order#${target}`, sk: 'fencing' };
+  }
+
+  /**
+   * Takes the next number.
+   *
+   * @returns the number; `conflict` when another process took it at the same time
+   */
+  async take(): Promise<Result<TakenNumber, TableFailure>> {
+    const row = await this.table.get(this.key);
+    if (row.isErr()) return err(row.error);
+    const before = numberOf(row.value);
+    const number = before + 1;
+    const condition =
+      row.value === undefined
+        ? ({ kind: 'absent' } as const)
+        : ({ kind: 'equals', attribute: 'number', value: before } as const);
+    const attributes = { number, holder: this.holder };
+    const written = await this.table.settle(
+      [{ kind: 'put', key: this.key, attributes, conditions: [condition] }],
+      randomUUID(),
+      performance.now() + SETTLE_LIMIT_MS,
+    );
+    const isTakeover = row.value !== undefined && row.value.attributes.holder !== this.holder;
+    return written.isErr() ? err(written.error) : ok({ number, isTakeover });
+  }
+
+  /**
+   * Tells whether a number is still the highest, by a consistent read.
+   *
+   * @param number - number that this process took
+   * @returns whether no other process took a higher one
+   */
+  async isHighest(number: number): Promise<Result<boolean, TableFailure>> {
+    const row = await this.table.get(this.key);
+    return row.map((current) => numberOf(current) === number);
+  }
+}
--- /dev/null
+++ b/packages/agent/src/core/orders/sendOrder.ts
@@ -0,0 +1,48 @@
+/** Sends one order to the target. */
+import { request, type Dispatcher } from 'undici';
+import type { PlannedOrder } from './planOrders.js';
+
+/** What became of an order. Its effect shows in the models that the target reports. */
+export type OrderOutcome = 'followed' | 'old-number' | 'refused' | 'unknown';
+
+/** Loading a model may take this long; no order takes effect later. Unit: ms. */
+export const ORDER_LIMIT_MS = 30_000;
+
+const OLD_NUMBER_STATUS = 409;
+
+const outcomeOf = (status: number): OrderOutcome => {
+  if (status === OLD_NUMBER_STATUS) return 'old-number';
+  return status < 300 ? 'followed' : 'refused';
+};
+
+/**
+ * Sends one order to the target.
+ *
+ * @param url - base URL of the target
+ * @param dispatcher - connections to the target
+ * @param number - fencing number
+ * @param order - model and action
+ * @param signal - ends the waiting
+ * @returns what became of it
+ */
+export const sendOrder = async (
+  url: string,
+  dispatcher: Dispatcher,
+  number: number,
+  order: PlannedOrder,
+  signal: AbortSignal,
+): Promise<OrderOutcome> => {
+  try {
+    const answer = await request(new URL('/orders', url), {
+      dispatcher,
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify({ number, ...order }),
+      signal: AbortSignal.any([signal, AbortSignal.timeout(ORDER_LIMIT_MS)]),
+    });
+    await answer.body.dump();
+    return outcomeOf(answer.statusCode);
+  } catch {
+    return 'unknown';
+  }
+};
--- a/packages/agent/src/core/target/BatchAccess.ts
+++ b/packages/agent/src/core/target/BatchAccess.ts
@@ -13,8 +13,8 @@
 import { FinalEvent } from './FinalEvent.js';
 import { headersToCaller, headersToTarget } from './forwardedHeaders.js';
 import { isFramed, readWhole } from './readWhole.js';
+import type { ServedModels } from './ServedModels.js';
 import type { OpenAnswer, TargetCall, TargetClient } from './TargetClient.js';
-import type { TargetMonitor } from './TargetMonitor.js';
 
 const isEventStream = ({ headers }: OpenAnswer): boolean =>
   String(headers['content-type']).startsWith('text/event-stream');
@@ -34,7 +34,7 @@
     private readonly slots: TargetSlots,
     private readonly client: TargetClient,
     private readonly crashWatch: CrashWatch,
-    private readonly monitor: TargetMonitor,
+    private readonly served: ServedModels,
   ) {}
 
   acquireBatchSlot(signal: AbortSignal): Promise<BatchSlot | undefined> {
@@ -50,7 +50,7 @@
   }
 
   models(): readonly string[] {
-    return this.monitor.models;
+    return this.served.inService();
   }
 
   async run(
--- a/packages/agent/src/wiring/createAgent.ts
+++ b/packages/agent/src/wiring/createAgent.ts
@@ -1,5 +1,6 @@
 /** Wires the agent. */
 import 'reflect-metadata';
+import { randomUUID } from 'node:crypto';
 import { openPeerConnections } from '@jacinthlug/protocol/controlClient';
 import { createControlListener } from '@jacinthlug/protocol/controlServer';
 import type { Journal } from '@jacinthlug/catalog/Journal';
@@ -24,9 +25,13 @@
 import { Shutdown } from '../core/life/Shutdown.js';
 import { OnlinePath } from '../core/online/OnlinePath.js';
 import { RunningRequests } from '../core/online/RunningRequests.js';
+import { FencingNumber } from '../core/orders/FencingNumber.js';
+import { OrderReconciler } from '../core/orders/OrderReconciler.js';
+import { sendOrder } from '../core/orders/sendOrder.js';
 import { BatchAccess } from '../core/target/BatchAccess.js';
 import { CrashWatch } from '../core/target/CrashWatch.js';
 import { probeTarget } from '../core/target/probeTarget.js';
+import { ServedModels } from '../core/target/ServedModels.js';
 import { TargetClient } from '../core/target/TargetClient.js';
 import { TargetMonitor } from '../core/target/TargetMonitor.js';
 import type { CollaboratorContext, Collaborators } from './Collaborators.js';
@@ -76,6 +81,7 @@
     tokens.monitor,
     () => new TargetMonitor(target, get(tokens.targetConnections), get(tokens.journal)),
   );
+  once(tokens.models, () => new ServedModels(target, get(tokens.follower), get(tokens.monitor)));
   once(
     tokens.serving,
     () =>
@@ -128,11 +134,28 @@
         get(tokens.slots),
         get(tokens.client),
         get(tokens.crashWatch),
-        get(tokens.monitor),
+        get(tokens.models),
       ),
   );
 };
 
+const registerOrders = (container: DependencyContainer): void => {
+  const get = <Part>(token: InjectionToken<Part>): Part => container.resolve(token);
+  const { target, name } = get(tokens.settings);
+  const create = (): OrderReconciler =>
+    new OrderReconciler({
+      target,
+      monitor: get(tokens.monitor),
+      fencing: new FencingNumber(get(tokens.table), target.name, `${name}/${randomUUID()}`),
+      journal: get(tokens.journal),
+      metrics: get(tokens.metrics),
+      wanted: () => get(tokens.models).wanted(),
+      send: (number, order, signal) =>
+        sendOrder(target.url, get(tokens.targetConnections), number, order, signal),
+    });
+  container.register(tokens.orders, { useFactory: instanceCachingFactory(create) });
+};
+
 const registerServer = (container: DependencyContainer): void => {
   const once = <Part>(token: InjectionToken<Part>, create: () => Part): void => {
     container.register(token, { useFactory: instanceCachingFactory(create) });
@@ -144,12 +167,7 @@
   once(
     tokens.load,
     () =>
-      new LoadReporter(
-        settings.target,
-        get(tokens.slots),
-        get(tokens.monitor),
-        get(tokens.serving),
-      ),
+      new LoadReporter(settings.target, get(tokens.slots), get(tokens.models), get(tokens.serving)),
   );
   once(
     tokens.onlinePath,
@@ -158,6 +176,7 @@
         target: settings.target,
         follower: get(tokens.follower),
         serving: get(tokens.serving),
+        models: get(tokens.models),
         slots: get(tokens.slots),
         client: get(tokens.client),
         crashWatch: get(tokens.crashWatch),
@@ -211,7 +230,9 @@
   container.register(tokens.targetConnections, { useValue: targetConnections });
   container.register(tokens.follower, { useValue: collaborators.follower });
   container.register(tokens.membership, { useValue: collaborators.membership });
+  container.register(tokens.table, { useValue: collaborators.table });
   registerTarget(container);
+  registerOrders(container);
   registerServer(container);
 
   const { follower } = collaborators;
@@ -219,12 +240,14 @@
   const monitor = container.resolve(tokens.monitor);
   const running = container.resolve(tokens.running);
   const server = container.resolve(tokens.server);
+  const orders = container.resolve(tokens.orders);
   const batchWorker = collaborators.createBatchWorker(container.resolve(tokens.targetAccess));
   container.register(tokens.batchWorker, { useValue: batchWorker });
   const started = new AbortController();
 
   const closeRest = async (): Promise<void> => {
     started.abort();
+    await orders.stop();
     await monitor.stop();
     await follower.stop();
     await server.close();
@@ -243,8 +266,10 @@
   follower.onAdopt((catalogue) => {
     running.endWithdrawn(catalogue);
     slots.schedule();
+    orders.wake();
   });
   monitor.onChange(() => {
+    orders.wake();
     if (monitor.isUp) slots.schedule();
     else slots.refuseWaiting(refuse('no-target'));
   });
@@ -257,6 +282,7 @@
       void follower.start(started.signal).then(() => {
         if (started.signal.aborted) return;
         batchWorker.start();
+        if (settings.target.kind === 'engine') orders.start();
         journal.record('process-ready');
       });
     },
--- a/packages/agent/src/wiring/tokens.ts
+++ b/packages/agent/src/wiring/tokens.ts
@@ -3,6 +3,7 @@
 import type { Metrics } from '@jacinthlug/catalog/Metrics';
 import type { ConfigurationFollower } from '@jacinthlug/control/ConfigurationFollower';
 import type { Membership } from '@jacinthlug/control/Membership';
+import type { Table } from '@jacinthlug/platform/Table';
 import type { AgentSettings } from '@jacinthlug/settings/process/hostSettings';
 import type { InjectionToken } from 'tsyringe';
 import type { Agent as Connections } from 'undici';
@@ -15,7 +16,9 @@
 import type { Shutdown } from '../core/life/Shutdown.js';
 import type { OnlinePath } from '../core/online/OnlinePath.js';
 import type { RunningRequests } from '../core/online/RunningRequests.js';
+import type { OrderReconciler } from '../core/orders/OrderReconciler.js';
 import type { CrashWatch } from '../core/target/CrashWatch.js';
+import type { ServedModels } from '../core/target/ServedModels.js';
 import type { TargetClient } from '../core/target/TargetClient.js';
 import type { TargetMonitor } from '../core/target/TargetMonitor.js';
 import type { TargetAccess } from '../core/TargetAccess.js';
@@ -29,9 +32,11 @@
   metrics: token<Metrics>('metrics'),
   follower: token<ConfigurationFollower>('follower'),
   membership: token<Membership>('membership'),
+  table: token<Table>('table'),
   targetConnections: token<Connections>('targetConnections'),
   peerConnections: token<Connections>('peerConnections'),
   monitor: token<TargetMonitor>('monitor'),
+  models: token<ServedModels>('models'),
   serving: token<ServingState>('serving'),
   slots: token<TargetSlots>('slots'),
   crashReporter: token<CrashReporter>('crashReporter'),
@@ -39,6 +44,7 @@
   client: token<TargetClient>('client'),
   targetAccess: token<TargetAccess>('targetAccess'),
   batchWorker: token<BatchWorker>('batchWorker'),
+  orders: token<OrderReconciler>('orders'),
   load: token<LoadReporter>('load'),
   running: token<RunningRequests>('running'),
   onlinePath: token<OnlinePath>('onlinePath'),
--- a/packages/agent/test/steps/agent.steps.ts
+++ b/packages/agent/test/steps/agent.steps.ts
@@ -126,6 +126,13 @@
   await forward(this, { id });
 });
 
+When(
+  '{string} is forwarded for the model {string}',
+  async function (this: Scenario, id: string, model: string) {
+    await forward(this, { id, model });
+  },
+);
+
 When('{string} is forwarded for a whole answer', async function (this: Scenario, id: string) {
   await forward(this, { id, isStreamed: false });
 });
--- a/packages/agent/test/support/AgentFixture.ts
+++ b/packages/agent/test/support/AgentFixture.ts
@@ -11,6 +11,7 @@
 import { startEngineStandin } from '@jacinthlug/standins/engine/startEngineStandin';
 import type { TargetStandin } from '@jacinthlug/standins/target/TargetServer';
 import { createAgent, type Agent } from '../../src/wiring/createAgent.js';
+import { createFakeTable, type FakeTable } from './createFakeTable.js';
 import { FakeBatchWorker } from './FakeBatchWorker.js';
 import {
   buildConfiguration,
@@ -52,6 +53,7 @@
   readonly prompt?: string;
   readonly tokens?: number;
   readonly isStreamed?: boolean;
+  readonly model?: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly onFirstBytes?: () => void;
 }
@@ -81,6 +83,7 @@
     private readonly url: string,
     private readonly settings: Partial<InheritedSettings>,
     readonly follower: FakeFollower,
+    readonly table: FakeTable,
   ) {}
 
   static async start(
@@ -90,6 +93,7 @@
     const engine = await startEngineStandin({ tokenMs: 2, restartMs: 1000 });
     const port = await pickPort();
     const follower = createFakeFollower();
+    const table = createFakeTable();
     let worker: FakeBatchWorker | undefined;
     const agent = createAgent({
       settings: agentSettings.parse({
@@ -111,6 +115,7 @@
       metrics: openMetrics('agent-1'),
       openCollaborators: () => ({
         follower,
+        table,
         membership: {
           all: () => [],
           liveEntries: () => [],
@@ -127,22 +132,27 @@
     });
     if (!worker) throw new Error('no batch worker was created');
     const url = `http://127.0.0.1:${port}`;
-    const fixture = new AgentFixture(engine, agent, worker, url, settings, follower);
+    const fixture = new AgentFixture(engine, agent, worker, url, settings, follower, table);
     fixture.grant(['harbor', 'lantern']);
     await agent.start();
     return fixture;
   }
 
   /** Puts a version in force in which only the keys of these accounts are granted. */
-  grant(accounts: readonly string[], changes: Partial<InheritedSettings> = {}): void {
+  grant(
+    accounts: readonly string[],
+    changes: Partial<InheritedSettings> = {},
+    models: readonly string[] = ['atlas-7b'],
+  ): void {
     this.version += 1;
     const settings = { ...this.settings, ...changes };
-    this.follower.adopt(buildConfiguration(this.version, accounts, settings));
+    this.follower.adopt(buildConfiguration(this.version, accounts, settings, models));
   }
 
   /** Forwards a chat completion request as an entry host does. */
   async forward(request: Forwarded, signal?: AbortSignal): Promise<Received> {
     const { id, account = 'harbor', prompt = id, tokens = 3, isStreamed = true } = request;
+    const { model = 'atlas-7b' } = request;
     const messages = [{ role: 'user', content: prompt }];
     const response = await fetch(`${this.url}${RUN_PATH}`, {
       method: 'POST',
@@ -163,7 +173,7 @@
         [innerHeaders.path]: '/v1/chat/completions',
         ...request.headers,
       },
-      body: JSON.stringify({ model: 'atlas-7b', messages, stream: isStreamed, max_tokens: tokens }),
+      body: JSON.stringify({ model, messages, stream: isStreamed, max_tokens: tokens }),
       signal: signal ?? null,
     });
     const decoder = new TextDecoder();
@@ -179,10 +189,15 @@
     return { status: response.status, headers: response.headers, text, isCut: false };
   }
 
+  /** Reads what the target was given. */
+  async logged(): Promise<Omit<LoggedRequest, 'conclude'>[]> {
+    const response = await fetch(`${this.engine.url}/_standin/requests`);
+    return (await response.json()) as Omit<LoggedRequest, 'conclude'>[];
+  }
+
   /** Reads what the target was asked to run; a request is known by its prompt. */
   async runs(): Promise<Run[]> {
-    const response = await fetch(`${this.engine.url}/_standin/requests`);
-    const logged = (await response.json()) as Omit<LoggedRequest, 'conclude'>[];
+    const logged = await this.logged();
     return logged
       .filter(({ path }) => path === '/v1/chat/completions')
       .map((run) => {
--- /dev/null
+++ b/packages/agent/test/support/createFakeTable.ts
@@ -0,0 +1,44 @@
+/** Fake of the table for rows that are put with a condition on their number. */
+import type { Row, RowKey, Table, Write } from '@jacinthlug/platform/Table';
+import { errAsync, okAsync } from 'neverthrow';
+
+const unused = () => errAsync({ kind: 'unavailable' as const, message: 'not served by the fake' });
+
+const nameOf = ({ pk, sk }: RowKey): string => `${pk}/${sk}`;
+
+/** Fake of the table; a test may write its rows directly. */
+export interface FakeTable extends Table {
+  readonly rows: Map<string, Row>;
+  reads: number;
+}
+
+export const createFakeTable = (): FakeTable => {
+  const rows = new Map<string, Row>();
+  const holds = ({ key, conditions = [] }: Write): boolean =>
+    conditions.every((condition) => {
+      const row = rows.get(nameOf(key));
+      if (condition.kind === 'absent') return row === undefined;
+      return (
+        condition.kind === 'equals' && row?.attributes[condition.attribute] === condition.value
+      );
+    });
+  const table: FakeTable = {
+    rows,
+    reads: 0,
+    get(key) {
+      table.reads += 1;
+      return okAsync(rows.get(nameOf(key)));
+    },
+    settle(writes) {
+      if (!writes.every(holds)) return errAsync({ kind: 'conflict', failed: [0] });
+      writes.forEach((write) => {
+        if (write.kind === 'put') rows.set(nameOf(write.key), { ...write.key, ...write });
+      });
+      return okAsync(undefined);
+    },
+    query: unused,
+    transact: unused,
+    close: () => undefined,
+  };
+  return table;
+};
--- a/packages/agent/test/support/fakeFollower.ts
+++ b/packages/agent/test/support/fakeFollower.ts
@@ -16,6 +16,7 @@
   version: number,
   granted: readonly string[],
   settings: Partial<InheritedSettings>,
+  models: readonly string[],
 ): Configuration => ({
   version,
   content: configurationContent.parse({
@@ -23,7 +24,7 @@
       nodes: {
         '': { kind: 'root', settings },
         ...Object.fromEntries(accounts.map((name) => [name, { kind: 'account' }])),
-        engines: { kind: 'service', protocol: 'openai', models: ['atlas-7b'] },
+        engines: { kind: 'service', protocol: 'openai', models },
       },
     },
     keys: Object.fromEntries(
--- a/packages/standins/test/steps/targets.steps.ts
+++ b/packages/standins/test/steps/targets.steps.ts
@@ -58,7 +58,12 @@
   (await (await fetch(`${urlOf(scenario)}/_standin/requests`)).json()) as LoggedRequest[];
 
 const addEngine = async (scenario: Scenario, options: Partial<EngineOptions>): Promise<void> => {
-  const engine = await startEngineStandin({ tokenMs: 1, loadLagMs: 10, restartMs: 500, ...options });
+  const engine = await startEngineStandin({
+    tokenMs: 1,
+    loadLagMs: 10,
+    restartMs: 500,
+    ...options,
+  });
   scenario.targets.push(engine);
 };
 
