--- /dev/null
+++ b/packages/standins/src/engine/openTokens.ts
@@ -0,0 +1,27 @@
+/** Content of answers: the same prompt and seed always give the same tokens. */
+import { createHash } from 'node:crypto';
+
+const VOCABULARY = [
+  'alder basin cable delta ember fjord gravel harbor inlet juniper kelp lantern meadow north',
+  'orchard pier quarry ridge slate timber upland valley willow yarrow zinc amber birch cedar',
+]
+  .join(' ')
+  .split(' ');
+
+/** Gives the token at a place of an answer: a word with a trailing space. */
+export type TokenSource = (index: number) => string;
+
+/**
+ * Opens the content of an answer.
+ *
+ * @param prompt - whole prompt
+ * @param seed - seed of the engine
+ * @returns the source of its tokens
+ */
+export const openTokens = (prompt: string, seed: number): TokenSource => {
+  const digest = createHash('sha256').update(`${seed}\0${prompt}`).digest();
+  return (index) => {
+    const byte = digest[index % digest.length] ?? 0;
+    return `${VOCABULARY[(byte + index * 7) % VOCABULARY.length]} `;
+  };
+};
