--- /dev/null
+++ b/packages/agent/src/core/batch/ChunkDependencies.ts
@@ -0,0 +1,17 @@
+/** What the run of a chunk works on. */
+import type { ChunkStore } from '@jacinthlug/batch/ChunkStore';
+import type { Clock } from '@jacinthlug/batch/Clock';
+import type { JobStore } from '@jacinthlug/batch/JobStore';
+import type { Journal } from '@jacinthlug/catalog/Journal';
+import type { Metrics } from '@jacinthlug/catalog/Metrics';
+import type { TargetAccess } from '../TargetAccess.js';
+
+/** What the run of a chunk works on. */
+export interface ChunkDependencies {
+  readonly target: TargetAccess;
+  readonly chunks: ChunkStore;
+  readonly jobs: JobStore;
+  readonly clock: Clock;
+  readonly journal: Journal;
+  readonly metrics: Metrics;
+}
--- /dev/null
+++ b/packages/agent/src/core/batch/keepLease.ts
@@ -0,0 +1,77 @@
+/** Renews the lease of a claimed chunk and notices its loss. */
+import type { Claim, ChunkStore } from '@jacinthlug/batch/ChunkStore';
+import type { Clock } from '@jacinthlug/batch/Clock';
+
+/** Time between renewals. Unit: ms. */
+export const RENEW_EVERY_MS = 20_000;
+
+/** Pause after a renewal that the table did not answer. Unit: ms. */
+const RETRY_MS = 2000;
+
+/** Why a chunk is not held any more. */
+export type LeaseEnd = 'lost' | 'ended';
+
+/** The lease of a claimed chunk. */
+export interface Lease {
+  /**
+   * Tells whether the chunk is held at this moment. A process that was paused past its lease finds
+   * out here, before any timer has run.
+   *
+   * @returns whether work on the chunk may go on
+   */
+  isHeld(): boolean;
+
+  /** Stops renewing. */
+  stop(): void;
+}
+
+/**
+ * Starts renewing a lease.
+ *
+ * @param tools - store of claims and clock
+ * @param claim - the claim
+ * @param onEnd - called once when the chunk is not held any more
+ * @returns the lease
+ */
+export const keepLease = (
+  { chunks, clock }: { readonly chunks: ChunkStore; readonly clock: Clock },
+  claim: Claim,
+  onEnd: (end: LeaseEnd) => void,
+): Lease => {
+  const stopping = new AbortController();
+  let { heldUntil } = claim;
+
+  const isHeld = (): boolean => !stopping.signal.aborted && clock.monotonic() < heldUntil;
+
+  const end = (reason: LeaseEnd): void => {
+    if (stopping.signal.aborted) return;
+    stopping.abort();
+    onEnd(reason);
+  };
+
+  const expire = async (): Promise<void> => {
+    while (isHeld()) await clock.waitUntil(heldUntil, stopping.signal);
+    end('lost');
+  };
+
+  const renew = async (): Promise<void> => {
+    let renewAt = clock.monotonic() + RENEW_EVERY_MS;
+    while (!stopping.signal.aborted) {
+      await clock.waitUntil(renewAt, stopping.signal);
+      if (!isHeld()) return;
+      const renewed = await chunks.renew(claim);
+      if (renewed.isOk()) {
+        heldUntil = Math.max(heldUntil, renewed.value);
+        renewAt = clock.monotonic() + RENEW_EVERY_MS;
+      } else if (renewed.error.kind === 'lost' || renewed.error.kind === 'ended') {
+        end(renewed.error.kind);
+      } else {
+        renewAt = clock.monotonic() + RETRY_MS;
+      }
+    }
+  };
+
+  void expire();
+  void renew();
+  return { isHeld, stop: () => stopping.abort() };
+};
--- /dev/null
+++ b/packages/batch/src/JobStore.ts
@@ -0,0 +1,421 @@
+/** Jobs: acceptance, look-up, progress, completion and cancellation. */
+import { createHash, randomUUID } from 'node:crypto';
+import type { ObjectStore } from '@jacinthlug/platform/ObjectStore';
+import type { Row, Table, TableFailure, Write } from '@jacinthlug/platform/Table';
+import { err, ok, type Result } from 'neverthrow';
+import {
+  objectUnavailable,
+  unreadable,
+  type ReadFailure,
+  type WriteFailure,
+} from './BatchFailure.js';
+import type { Clock } from './Clock.js';
+import {
+  checkInput,
+  type CheckedInput,
+  type InputMistake,
+  type InputRules,
+} from './input/checkInput.js';
+import { manifestObject, type Manifest } from './manifest.js';
+import {
+  ACCOUNT_JOB_PREFIX,
+  CHUNK_PREFIX,
+  accountJobKey,
+  accountPartition,
+  fileKey,
+  jobKey,
+  jobPartition,
+  queueKey,
+  resendKey,
+} from './rows/rowKeys.js';
+import {
+  accountJobRow,
+  chunkRow,
+  jobRow,
+  parseRow,
+  resendRow,
+  toAttributes,
+  type ChunkRow,
+  type FileRecord,
+  type Job,
+  type Tally,
+} from './rows/rows.js';
+import { settleWrites } from './settleWrites.js';
+
+/** How long a submission without an idempotency key is recognised when it is sent again. Unit: ms. */
+export const RESEND_WINDOW_MS = 24 * 3_600_000;
+
+/** Expiry of rows that never stop matching. */
+const NEVER = Number.MAX_SAFE_INTEGER;
+
+/** Jobs of an account that a listing covers, newest first. */
+export const MAX_LISTED = 1000;
+
+/** What a caller submits. */
+export interface Submission {
+  readonly account: string;
+  readonly file: FileRecord;
+  readonly window: string;
+  /** How long after acceptance the job is due. Unit: ms. */
+  readonly dueInMs: number;
+  readonly metadata: Readonly<Record<string, string>> | null;
+  readonly idempotencyKey?: string;
+}
+
+/** Why a job was not accepted. */
+export type AcceptFailure =
+  | WriteFailure
+  | { readonly kind: 'invalid'; readonly mistakes: readonly InputMistake[] }
+  /** The idempotency key was used with another submission. */
+  | { readonly kind: 'identity-reused' };
+
+/** An accepted job. */
+export interface Acceptance {
+  readonly job: Job;
+  /** Whether an earlier submission had made the job. */
+  readonly resent: boolean;
+}
+
+/** A chunk row with its index. */
+export interface Chunk extends ChunkRow {
+  readonly index: number;
+}
+
+/** A job with what its chunks have come to. */
+export interface JobReport {
+  readonly job: Job;
+  /** Rows of the chunks that were ever claimed, in order. */
+  readonly chunks: readonly Chunk[];
+  /** Sum over the finished chunks. */
+  readonly tally: Tally;
+}
+
+/** Jobs. */
+export interface JobStore {
+  /**
+   * Checks the input and accepts a job; a resent submission gets the job of the first.
+   *
+   * @param submission - what the caller submits
+   * @param rules - what the items must obey
+   * @param deadline - monotonic time after which it gives up. Unit: ms
+   * @returns the job, once it is durable, or why there is none
+   */
+  accept(
+    submission: Submission,
+    rules: InputRules,
+    deadline: number,
+  ): Promise<Result<Acceptance, AcceptFailure>>;
+
+  /**
+   * Reads a job row.
+   *
+   * @param id - job id
+   * @returns the job, whoever owns it
+   */
+  get(id: string): Promise<Result<Job, ReadFailure>>;
+
+  /**
+   * Reads a job and its chunks; records the completion when nobody has.
+   *
+   * @param id - job id
+   * @returns the job, whoever owns it
+   */
+  report(id: string): Promise<Result<JobReport, ReadFailure>>;
+
+  /**
+   * Lists the newest jobs of an account, newest first; at most {@link MAX_LISTED}.
+   *
+   * @param account - client account
+   * @returns job ids
+   */
+  list(account: string): Promise<Result<string[], ReadFailure>>;
+
+  /**
+   * Cancels a job. A commit that comes later is refused. Cancelling twice does nothing; a completed
+   * job stays completed.
+   *
+   * @param id - job id
+   * @param deadline - monotonic time after which it gives up. Unit: ms
+   * @returns the job as it is now
+   */
+  cancel(id: string, deadline: number): Promise<Result<JobReport, WriteFailure>>;
+}
+
+/** What the job store works on. */
+export interface JobStoreDependencies {
+  readonly table: Table;
+  readonly objects: ObjectStore;
+  readonly clock: Clock;
+}
+
+/** Sum over no chunks. */
+export const EMPTY_TALLY: Tally = { succeeded: 0, failed: 0, outputBytes: 0, errorBytes: 0 };
+
+/** Longest wait for recording a completion, which anyone can do later. Unit: ms. */
+const COMPLETE_LIMIT_MS = 2000;
+
+const addTallies = (left: Tally, right: Tally): Tally => ({
+  succeeded: left.succeeded + right.succeeded,
+  failed: left.failed + right.failed,
+  outputBytes: left.outputBytes + right.outputBytes,
+  errorBytes: left.errorBytes + right.errorBytes,
+});
+
+const hash = (...parts: readonly string[]): string =>
+  createHash('sha256').update(JSON.stringify(parts)).digest('hex');
+
+const sortedEntries = (metadata: Submission['metadata']): string =>
+  JSON.stringify(Object.entries(metadata ?? {}).sort(([left], [right]) => (left < right ? -1 : 1)));
+
+/** Hash of what is submitted: the content of the file counts, so that a second upload matches. */
+const contentOf = ({ file, window, metadata }: Submission): string =>
+  hash(file.sha256, window, sortedEntries(metadata));
+
+const identityOf = (submission: Submission): string =>
+  submission.idempotencyKey === undefined
+    ? hash('content', contentOf(submission))
+    : hash('key', submission.idempotencyKey);
+
+/** The stream of the input was cut. */
+class InputCut extends Error {}
+
+const reportCut = async function* reportCut(
+  stream: AsyncIterable<Uint8Array>,
+): AsyncGenerator<Uint8Array> {
+  try {
+    yield* stream;
+  } catch (fault) {
+    throw new InputCut(fault instanceof Error ? fault.message : String(fault));
+  }
+};
+
+/**
+ * Opens the store of jobs.
+ *
+ * @param dependencies - table, object store and clock
+ * @returns the store
+ */
+export const openJobStore = ({ table, objects, clock }: JobStoreDependencies): JobStore => {
+  const get: JobStore['get'] = async (id) => {
+    const found = await table.get(jobKey(id));
+    if (found.isErr()) return err(unreadable(found.error));
+    if (found.value === undefined) return err({ kind: 'not-found' });
+    return parseRow(jobRow, found.value).map((row) => ({ ...row, id }));
+  };
+
+  const readChunks = async (id: string): Promise<Result<Chunk[], ReadFailure>> => {
+    const found = await table.query({ pk: jobPartition(id), prefix: CHUNK_PREFIX });
+    if (found.isErr()) return err(unreadable(found.error));
+    const chunks: Chunk[] = [];
+    for (const row of found.value) {
+      const parsed = parseRow(chunkRow, row);
+      if (parsed.isErr()) return err(parsed.error);
+      chunks.push({ ...parsed.value, index: Number(row.sk.slice(CHUNK_PREFIX.length)) });
+    }
+    return ok(chunks);
+  };
+
+  /** Ends an open job: no commit is possible afterwards, and agents find it no more. */
+  const endJob = (
+    job: Job,
+    change: Pick<Job, 'state' | 'endedAt' | 'tally'>,
+    deadline: number,
+  ): Promise<Result<void, TableFailure>> =>
+    settleWrites(table, {
+      writes: [
+        {
+          kind: 'update',
+          key: jobKey(job.id),
+          set: toAttributes(change),
+          conditions: [{ kind: 'equals', attribute: 'state', value: 'open' }],
+        },
+        { kind: 'delete', key: queueKey(job.model, job.dueAt, job.id) },
+      ],
+      deadline,
+      readBack: async () => {
+        const now = await get(job.id);
+        return now.isOk() && now.value.state !== 'open';
+      },
+    });
+
+  const report: JobStore['report'] = async (id) => {
+    // The job is read before its chunks: once it has ended no chunk changes, so the chunks of an
+    // ended job are complete. The other order could miss a commit right before a cancel.
+    const found = await get(id);
+    if (found.isErr()) return err(found.error);
+    const chunks = await readChunks(id);
+    if (chunks.isErr()) return err(chunks.error);
+    const done = chunks.value.filter(({ state }) => state === 'done');
+    const tally = done.reduce(
+      (sum, chunk) => addTallies(sum, chunk.tally ?? EMPTY_TALLY),
+      EMPTY_TALLY,
+    );
+    const job = found.value;
+    if (job.state !== 'open' || done.length < job.chunks) {
+      return ok({ job, chunks: chunks.value, tally });
+    }
+    const change = { state: 'completed' as const, endedAt: clock.wall(), tally };
+    await endJob(job, change, clock.monotonic() + COMPLETE_LIMIT_MS);
+    const ended = await get(id);
+    return ended.map((now) => ({ job: now, chunks: chunks.value, tally }));
+  };
+
+  const findResend = async (
+    submission: Submission,
+  ): Promise<Result<{ row?: Row; job?: string }, AcceptFailure>> => {
+    const found = await table.get(resendKey(submission.account, identityOf(submission)));
+    if (found.isErr()) return err(unreadable(found.error));
+    if (found.value === undefined) return ok({});
+    const parsed = parseRow(resendRow, found.value);
+    if (parsed.isErr()) return err(parsed.error);
+    const { job, content, expiresAt } = parsed.value;
+    if (expiresAt <= clock.wall()) return ok({ row: found.value });
+    if (content !== contentOf(submission)) return err({ kind: 'identity-reused' });
+    return ok({ row: found.value, job });
+  };
+
+  const findEarlier = async (
+    submission: Submission,
+  ): Promise<Result<Acceptance, AcceptFailure>> => {
+    const resend = await findResend(submission);
+    if (resend.isErr()) return err(resend.error);
+    if (resend.value.job === undefined) return err({ kind: 'not-found' });
+    const job = await get(resend.value.job);
+    return job.map((earlier) => ({ job: earlier, resent: true }));
+  };
+
+  const checkFile = async (
+    file: FileRecord,
+    rules: InputRules,
+  ): Promise<Result<CheckedInput, AcceptFailure>> => {
+    const opened = await objects.open(file.object);
+    if (opened.isErr()) return err(objectUnavailable(opened.error));
+    try {
+      const checked = await checkInput(reportCut(opened.value), rules);
+      if (checked.isErr()) return err({ kind: 'invalid', mistakes: checked.error });
+      if (checked.value.bytes === file.bytes) return ok(checked.value);
+      return err({ kind: 'unavailable', message: 'the input was read incompletely' });
+    } catch (fault) {
+      if (!(fault instanceof InputCut)) throw fault;
+      return err({ kind: 'unavailable', message: fault.message });
+    }
+  };
+
+  const describeJob = (
+    { account, file, window, dueInMs, metadata }: Submission,
+    rules: InputRules,
+    { model, items, chunks }: CheckedInput,
+  ): Job => {
+    const createdAt = clock.wall();
+    return {
+      id: `batch_${randomUUID().replaceAll('-', '')}`,
+      account,
+      model,
+      state: 'open',
+      chunks: chunks.length,
+      items,
+      input: file.object,
+      inputFile: file.id,
+      endpoint: rules.endpoint,
+      window,
+      metadata,
+      dueAt: createdAt + dueInMs,
+      createdAt,
+    };
+  };
+
+  const acceptWrites = (submission: Submission, job: Job, earlier?: Row): Write[] => {
+    const { id, ...row } = job;
+    const { account, createdAt } = row;
+    const resend = {
+      job: id,
+      content: contentOf(submission),
+      expiresAt: submission.idempotencyKey === undefined ? createdAt + RESEND_WINDOW_MS : NEVER,
+    };
+    return [
+      {
+        kind: 'put',
+        key: jobKey(id),
+        attributes: toAttributes(row),
+        conditions: [{ kind: 'absent' }],
+      },
+      {
+        kind: 'put',
+        key: queueKey(row.model, row.dueAt, id),
+        attributes: { account, job: id },
+      },
+      { kind: 'put', key: accountJobKey(account, createdAt, id), attributes: { job: id } },
+      {
+        kind: 'put',
+        key: resendKey(account, identityOf(submission)),
+        attributes: resend,
+        conditions: [
+          earlier === undefined
+            ? { kind: 'absent' }
+            : { kind: 'equals', attribute: 'job', value: String(earlier.attributes.job) },
+        ],
+      },
+      // A file that is deleted meanwhile must not become the input of a job.
+      { kind: 'check', key: fileKey(submission.file.id), conditions: [{ kind: 'present' }] },
+    ];
+  };
+
+  const commitJob = async (
+    submission: Submission,
+    job: Job,
+    earlier: Row | undefined,
+    deadline: number,
+  ): Promise<Result<Acceptance, AcceptFailure>> => {
+    const written = await settleWrites(table, {
+      writes: acceptWrites(submission, job, earlier),
+      deadline,
+      readBack: async () => (await get(job.id)).isOk(),
+    });
+    if (written.isOk()) return ok({ job, resent: false });
+    if (written.error.kind === 'conflict') return findEarlier(submission);
+    return err(written.error);
+  };
+
+  const accept: JobStore['accept'] = async (submission, rules, deadline) => {
+    const resend = await findResend(submission);
+    if (resend.isErr()) return err(resend.error);
+    if (resend.value.job !== undefined) return findEarlier(submission);
+    const checked = await checkFile(submission.file, rules);
+    if (checked.isErr()) return err(checked.error);
+    const job = describeJob(submission, rules, checked.value);
+    const manifest: Manifest = { chunks: [...checked.value.chunks] };
+    const stored = await objects.put(manifestObject(job.id), JSON.stringify(manifest));
+    if (stored.isErr()) return err(objectUnavailable(stored.error));
+    return commitJob(submission, job, resend.value.row, deadline);
+  };
+
+  const list: JobStore['list'] = async (account) => {
+    const found = await table.query({
+      pk: accountPartition(account),
+      prefix: ACCOUNT_JOB_PREFIX,
+      descending: true,
+      limit: MAX_LISTED,
+    });
+    if (found.isErr()) return err(unreadable(found.error));
+    const ids: string[] = [];
+    for (const row of found.value) {
+      const parsed = parseRow(accountJobRow, row);
+      if (parsed.isErr()) return err(parsed.error);
+      ids.push(parsed.value.job);
+    }
+    return ok(ids);
+  };
+
+  const cancel: JobStore['cancel'] = async (id, deadline) => {
+    const before = await report(id);
+    if (before.isErr() || before.value.job.state !== 'open') return before;
+    const change = { state: 'cancelled' as const, endedAt: clock.wall() };
+    const written = await endJob(before.value.job, change, deadline);
+    const after = await report(id);
+    if (after.isOk() && after.value.job.state !== 'open') return after;
+    if (written.isErr() && written.error.kind === 'unavailable') return err(written.error);
+    return err({ kind: 'unknown', message: 'the cancel could not be settled' });
+  };
+
+  return { accept, get, report, list, cancel };
+};
--- /dev/null
+++ b/packages/batch/src/rows/rowKeys.ts
@@ -0,0 +1,69 @@
+/** Keys of the rows that the job store owns. */
+import type { RowKey } from '@jacinthlug/platform/Table';
+
+const TIME_DIGITS = 14;
+const CHUNK_DIGITS = 6;
+
+/** Prefix of the sort keys of chunk rows. */
+export const CHUNK_PREFIX = 'chunk#';
+
+/** Prefix of the sort keys of an account's list of jobs. */
+export const ACCOUNT_JOB_PREFIX = 'job#';
+
+/** Prefix of the sort keys of an account's list of files. */
+export const ACCOUNT_FILE_PREFIX = 'file#';
+
+const timeDigits = (time: number): string => String(Math.floor(time)).padStart(TIME_DIGITS, '0');
+
+/**
+ * Writes a chunk index in digits that sort like the numbers.
+ *
+ * @param index - index of the chunk, from 0
+ * @returns six digits
+ */
+export const chunkDigits = (index: number): string => String(index).padStart(CHUNK_DIGITS, '0');
+
+/** Partition of a job: its own row and its chunk rows. */
+export const jobPartition = (job: string): string => `job#${job}`;
+
+/** Partition of the queue of a model. */
+export const queuePartition = (model: string): string => `queue#${model}`;
+
+/** Partition of the lists of an account. */
+export const accountPartition = (account: string): string => `account#${account}`;
+
+/** Key of a job row. */
+export const jobKey = (job: string): RowKey => ({ pk: jobPartition(job), sk: 'job' });
+
+/** Key of a chunk row. */
+export const chunkKey = (job: string, index: number): RowKey => ({
+  pk: jobPartition(job),
+  sk: `${CHUNK_PREFIX}${chunkDigits(index)}`,
+});
+
+/** Key of the row that queues a job for agents. */
+export const queueKey = (model: string, dueAt: number, job: string): RowKey => ({
+  pk: queuePartition(model),
+  sk: `${timeDigits(dueAt)}#${job}`,
+});
+
+/** Key of a job in the list of its account. */
+export const accountJobKey = (account: string, createdAt: number, job: string): RowKey => ({
+  pk: accountPartition(account),
+  sk: `${ACCOUNT_JOB_PREFIX}${timeDigits(createdAt)}#${job}`,
+});
+
+/** Key of the row that maps a resent submission to its job. */
+export const resendKey = (account: string, identity: string): RowKey => ({
+  pk: accountPartition(account),
+  sk: `resend#${identity}`,
+});
+
+/** Key of a file row. */
+export const fileKey = (file: string): RowKey => ({ pk: `file#${file}`, sk: 'file' });
+
+/** Key of a file in the list of its account. */
+export const accountFileKey = (account: string, createdAt: number, file: string): RowKey => ({
+  pk: accountPartition(account),
+  sk: `${ACCOUNT_FILE_PREFIX}${timeDigits(createdAt)}#${file}`,
+});
--- /dev/null
+++ b/packages/entry/src/core/batches/BatchDependencies.ts
@@ -0,0 +1,25 @@
+/** What the file and batch endpoints work on. */
+import type { Clock } from '@jacinthlug/batch/Clock';
+import type { FileStore } from '@jacinthlug/batch/FileStore';
+import type { JobStore } from '@jacinthlug/batch/JobStore';
+import type { Journal } from '@jacinthlug/catalog/Journal';
+import type { ObjectStore } from '@jacinthlug/platform/ObjectStore';
+import type { CancelNotice } from '@jacinthlug/protocol/messages';
+
+/** What the file and batch endpoints work on. */
+export interface BatchDependencies {
+  readonly jobs: JobStore;
+  readonly files: FileStore;
+  readonly objects: ObjectStore;
+  readonly clock: Clock;
+  readonly journal: Journal;
+
+  /**
+   * Tells agents that a job was cancelled. It is not awaited and must not reject: agents also read
+   * the job row.
+   *
+   * @param notice - the cancelled job
+   * @param addresses - inner addresses of the agents that hold chunks of the job
+   */
+  readonly notifyCancelled: (notice: CancelNotice, addresses: readonly string[]) => void;
+}
--- /dev/null
+++ b/packages/entry/src/core/batches/batchRequest.ts
@@ -0,0 +1,42 @@
+/** Schema of the body of `POST /v1/batches`. */
+import { batchEndpoint } from '@jacinthlug/batch/input/item';
+import { z } from 'zod';
+
+const MAX_METADATA = 16;
+const MAX_METADATA_KEY = 64;
+const MAX_METADATA_VALUE = 512;
+
+const MS_PER_MINUTE = 60_000;
+
+const unitMs: Readonly<Record<string, number>> = {
+  m: MS_PER_MINUTE,
+  h: 60 * MS_PER_MINUTE,
+  d: 24 * 60 * MS_PER_MINUTE,
+};
+
+/** Schema of the body. Unknown fields are ignored, as newer clients may send them. */
+export const batchRequest = z.object({
+  input_file_id: z.string().min(1),
+  endpoint: batchEndpoint,
+  /** When the job is due: `24h`, or another number of minutes, hours or days. */
+  completion_window: z.string().regex(/^[1-9]\d{0,3}[mhd]$/, 'must be like "24h"'),
+  metadata: z
+    .record(z.string().max(MAX_METADATA_KEY), z.string().max(MAX_METADATA_VALUE))
+    .refine(
+      (entries) => Object.keys(entries).length <= MAX_METADATA,
+      `over ${MAX_METADATA} entries`,
+    )
+    .nullish(),
+});
+
+/** Body of `POST /v1/batches`. */
+export type BatchRequest = z.infer<typeof batchRequest>;
+
+/**
+ * Computes how long after acceptance a job is due.
+ *
+ * @param window - completion window that matches the schema
+ * @returns ms
+ */
+export const windowMs = (window: string): number =>
+  Number(window.slice(0, -1)) * (unitMs[window.slice(-1)] ?? 0);
--- /dev/null
+++ b/packages/entry/src/core/batches/jobEndpoints.ts
@@ -0,0 +1,136 @@
+/** The endpoints under `/v1/batches`. */
+import type { InputRules } from '@jacinthlug/batch/input/checkInput';
+import { EMPTY_TALLY, type JobReport, type Submission } from '@jacinthlug/batch/JobStore';
+import { RELEASED } from '@jacinthlug/batch/rows/rows';
+import type { Refusal } from '@jacinthlug/catalog/resultCodes';
+import { err, ok, type Result } from 'neverthrow';
+import type { Caller, CallerHandler, Endpoint, Exchange } from '../http/Exchange.js';
+import type { BatchDependencies } from './BatchDependencies.js';
+import { batchRequest, windowMs, type BatchRequest } from './batchRequest.js';
+import { containsGrantedKey } from './findKeys.js';
+import { cutPage, readPageQuery, renderPage } from './listPage.js';
+import { readJsonBody } from './readRequestBody.js';
+import { refuseFailure } from './refuseFailure.js';
+import { renderBatch } from './renderBatch.js';
+import { sendJson } from './sendAnswer.js';
+
+const DEFAULT_LIMIT = 20;
+
+const IDEMPOTENCY_HEADER = 'idempotency-key';
+
+const accountOf = ({ key }: Caller): string => key.account.name;
+
+const rulesOf = ({ catalogue }: Caller, { endpoint }: BatchRequest): InputRules => ({
+  endpoint,
+  servesModel: (model) => catalogue.serviceOfModel(model)?.protocol === 'openai',
+  containsKey: (text) => containsGrantedKey(catalogue, text),
+});
+
+const holdersOf = ({ chunks }: JobReport): string[] => [
+  ...new Set(
+    chunks
+      .filter(({ state, holder }) => state === 'claimed' && holder !== RELEASED)
+      .map(({ address }) => address),
+  ),
+];
+
+/**
+ * Creates the endpoints under `/v1/batches`.
+ *
+ * @param dependencies - stores and the way to tell agents of a cancelled job
+ * @returns the endpoints
+ */
+export const createJobEndpoints = ({
+  files,
+  jobs,
+  journal,
+  notifyCancelled,
+}: BatchDependencies): Endpoint<CallerHandler>[] => {
+  const findOwn = async (
+    { request }: Exchange,
+    caller: Caller,
+  ): Promise<Result<JobReport, Refusal>> => {
+    const report = await jobs.report(request.params.id ?? '');
+    if (report.isErr()) return err(refuseFailure(report.error));
+    const isOwn = report.value.job.account === accountOf(caller);
+    return isOwn ? ok(report.value) : err(refuseFailure({ kind: 'not-found' }));
+  };
+
+  const describeSubmission = async (
+    { request }: Exchange,
+    caller: Caller,
+    body: BatchRequest,
+  ): Promise<Result<Submission, Refusal>> => {
+    const file = await files.get(accountOf(caller), body.input_file_id);
+    if (file.isErr()) return err(refuseFailure(file.error));
+    const idempotencyKey = request.headers[IDEMPOTENCY_HEADER];
+    return ok({
+      account: accountOf(caller),
+      file: file.value,
+      window: body.completion_window,
+      dueInMs: windowMs(body.completion_window),
+      metadata: body.metadata ?? null,
+      ...(typeof idempotencyKey === 'string' ? { idempotencyKey } : {}),
+    });
+  };
+
+  const create: CallerHandler = async (exchange, caller) => {
+    const body = await readJsonBody(exchange.request, batchRequest);
+    if (body.isErr()) return err(body.error);
+    const submission = await describeSubmission(exchange, caller, body.value);
+    if (submission.isErr()) return err(submission.error);
+    const rules = rulesOf(caller, body.value);
+    const accepted = await jobs.accept(submission.value, rules, exchange.deadline);
+    if (accepted.isErr()) return err(refuseFailure(accepted.error));
+    const { job, resent } = accepted.value;
+    journal.record('job-accepted', { job: job.id, account: job.account, resent });
+    // A new job needs no read, which could fail after the acceptance.
+    const report = resent ? await jobs.report(job.id) : ok({ job, chunks: [], tally: EMPTY_TALLY });
+    if (report.isErr()) return err({ ...refuseFailure(report.error), run: 'outcome unknown' });
+    sendJson(exchange, renderBatch(report.value));
+    return ok(undefined);
+  };
+
+  const get: CallerHandler = async (exchange, caller) => {
+    const report = await findOwn(exchange, caller);
+    if (report.isErr()) return err(report.error);
+    sendJson(exchange, renderBatch(report.value));
+    return ok(undefined);
+  };
+
+  const list: CallerHandler = async (exchange, caller) => {
+    const query = readPageQuery(exchange, DEFAULT_LIMIT);
+    const ids = await jobs.list(accountOf(caller));
+    if (ids.isErr()) return err(refuseFailure(ids.error));
+    const page = cutPage(ids.value, query, (id) => id);
+    const data: { readonly id: string }[] = [];
+    for (const id of page.items) {
+      const report = await jobs.report(id);
+      if (report.isErr()) return err(refuseFailure(report.error));
+      data.push(renderBatch(report.value));
+    }
+    sendJson(exchange, renderPage(data, page.hasMore));
+    return ok(undefined);
+  };
+
+  const cancel: CallerHandler = async (exchange, caller) => {
+    const own = await findOwn(exchange, caller);
+    if (own.isErr()) return err(own.error);
+    const { id } = own.value.job;
+    const cancelled = await jobs.cancel(id, exchange.deadline);
+    if (cancelled.isErr()) return err(refuseFailure(cancelled.error));
+    if (cancelled.value.job.state === 'cancelled') {
+      journal.record('job-cancelled', { job: id });
+      notifyCancelled({ job: id }, holdersOf(cancelled.value));
+    }
+    sendJson(exchange, renderBatch(cancelled.value));
+    return ok(undefined);
+  };
+
+  return [
+    { method: 'POST', path: '/v1/batches', handle: create },
+    { method: 'GET', path: '/v1/batches', handle: list },
+    { method: 'GET', path: '/v1/batches/:id', handle: get },
+    { method: 'POST', path: '/v1/batches/:id/cancel', handle: cancel },
+  ];
+};
