--- /dev/null
+++ b/packages/batch/test/fakes/SimulatedTime.ts
@@ -0,0 +1,44 @@
+/** Time that tests move, with a clock for each simulated process. */
+import { setImmediate as nextTurn } from 'node:timers/promises';
+import { SimulatedClock, type Waiter } from './SimulatedClock.js';
+
+/** Turns of the event loop that work gets before time moves on. */
+const TURNS = 20;
+
+export class SimulatedTime {
+  now = 0;
+
+  private readonly clocks: SimulatedClock[] = [];
+
+  openClock(): SimulatedClock {
+    const clock = new SimulatedClock(this);
+    this.clocks.push(clock);
+    return clock;
+  }
+
+  /** Lets pending work run without moving time. */
+  static async settle(): Promise<void> {
+    for (let turn = 0; turn < TURNS; turn += 1) await nextTurn();
+  }
+
+  /** Moves time, firing the timers of clocks that are not paused in order. */
+  async advance(ms: number): Promise<void> {
+    const end = this.now + ms;
+    await SimulatedTime.settle();
+    for (let next = this.earliest(end); next; next = this.earliest(end)) {
+      this.now = Math.max(this.now, next.waiter.deadline);
+      next.clock.waiters.delete(next.waiter);
+      next.waiter.wake();
+      await SimulatedTime.settle();
+    }
+    this.now = end;
+  }
+
+  private earliest(end: number): { clock: SimulatedClock; waiter: Waiter } | undefined {
+    return this.clocks
+      .filter(({ paused }) => !paused)
+      .flatMap((clock) => [...clock.waiters].map((waiter) => ({ clock, waiter })))
+      .filter(({ waiter }) => waiter.deadline <= end)
+      .sort((left, right) => left.waiter.deadline - right.waiter.deadline)[0];
+  }
+}
