--- /dev/null
+++ b/packages/entry/src/core/access/checkBody.ts
@@ -0,0 +1,59 @@
+/** Checks that a body carries no key and names no other client account. */
+import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
+import type { Account, Catalogue } from '@jacinthlug/settings/tree/Catalogue';
+import { err, ok, type Result } from 'neverthrow';
+import { decodeLeniently } from './credentials.js';
+
+/** Top-level fields of a JSON body in which callers name an account. */
+const accountFields = ['account', 'client_account', 'organization', 'project'];
+
+/** Each form in which a target could read the body: as sent, without JSON and percent escapes. */
+const readings = (body: Buffer, json: unknown): string[] => {
+  const text = body.toString('latin1');
+  return [
+    text,
+    ...(text.includes('\\') && json !== undefined ? [JSON.stringify(json)] : []),
+    ...(text.includes('%') ? [decodeLeniently(text)] : []),
+  ];
+};
+
+/**
+ * Refuses a body that contains a credential of its request.
+ *
+ * @param body - the body
+ * @param json - the parsed body; undefined when it is not JSON
+ * @param secrets - credentials of the request
+ * @returns nothing, or `key-in-body`
+ */
+export const checkNoKey = (
+  body: Buffer,
+  json: unknown,
+  secrets: readonly string[],
+): Result<void, Refusal> => {
+  if (secrets.length === 0 || body.length === 0) return ok(undefined);
+  const found = readings(body, json).some((text) => secrets.some((each) => text.includes(each)));
+  return found ? err(refuse('key-in-body')) : ok(undefined);
+};
+
+/**
+ * Refuses a body that names another declared account. Other values are left to the target, as plain
+ * services have fields of these names too.
+ *
+ * @param json - the parsed body; undefined when it is not JSON
+ * @param account - account of the key
+ * @param catalogue - configuration in force
+ * @returns nothing, or `account-mismatch`
+ */
+export const checkBodyAccount = (
+  json: unknown,
+  account: Account,
+  catalogue: Catalogue,
+): Result<void, Refusal> => {
+  if (typeof json !== 'object' || json === null) return ok(undefined);
+  const fields = json as Record<string, unknown>;
+  const named = accountFields.map((field) => fields[field]);
+  const other = named.some(
+    (value) => typeof value === 'string' && value !== account.name && catalogue.accounts.has(value),
+  );
+  return other ? err(refuse('account-mismatch')) : ok(undefined);
+};
--- /dev/null
+++ b/packages/entry/src/core/access/checkHeaderAccount.ts
@@ -0,0 +1,24 @@
+/** Checks that the headers of a request name no other client account. */
+import type { IncomingHttpHeaders } from 'node:http';
+import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
+import { innerHeaders } from '@jacinthlug/protocol/headers';
+import type { Account } from '@jacinthlug/settings/tree/Catalogue';
+import { err, ok, type Result } from 'neverthrow';
+
+const accountHeaders = ['openai-organization', 'openai-project', innerHeaders.account];
+
+/**
+ * Refuses a request whose headers name an account other than that of its key.
+ *
+ * @param headers - headers as the caller sent them
+ * @param account - account of the key
+ * @returns nothing, or `account-mismatch`
+ */
+export const checkHeaderAccount = (
+  headers: IncomingHttpHeaders,
+  account: Account,
+): Result<void, Refusal> => {
+  const named = accountHeaders.flatMap((name) => [headers[name]].flat());
+  const other = named.some((value) => value !== undefined && value !== account.name);
+  return other ? err(refuse('account-mismatch')) : ok(undefined);
+};
--- /dev/null
+++ b/packages/entry/src/core/claims/ClaimStore.ts
@@ -0,0 +1,181 @@
+/** At-most-once claims: one row for each identity, written before a request is forwarded. */
+import { randomUUID } from 'node:crypto';
+import type { Journal } from '@jacinthlug/catalog/Journal';
+import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
+import type { Row, RowKey, Table, TableFailure, Write } from '@jacinthlug/platform/Table';
+import type { Identity } from '../online/OnlineRequest.js';
+import type { BackgroundWrites } from './BackgroundWrites.js';
+import { fromRow, toAttributes, type RecordedAnswer } from './RecordedAnswer.js';
+
+/** Time for which claims are kept. Unit: ms. */
+const KEPT_MS = 7 * 24 * 3600 * 1000;
+
+/** Longest time that an answer waits for its record. Unit: ms. */
+const RECORD_WAIT_MS = 1000;
+
+/** Claims that were released between a conflict and the read are tried again this often. */
+const MAX_TRIES = 3;
+
+/** The right to forward one request. */
+export interface Claim {
+  readonly keys: readonly RowKey[];
+  /** Names the attempt that owns the rows. */
+  readonly attempt: string;
+}
+
+/** What became of the wish to claim. */
+export type Claiming =
+  | { readonly kind: 'claimed'; readonly claim: Claim }
+  | { readonly kind: 'replay'; readonly answer: RecordedAnswer }
+  | { readonly kind: 'refused'; readonly refusal: Refusal }
+  /** The table does not tell; the claim may appear later and is released then. */
+  | { readonly kind: 'unavailable' };
+
+const keyOf = ({ hash }: Identity): RowKey => ({ pk: `claim#${hash}`, sk: 'claim' });
+
+const putOf = (key: RowKey, attempt: string, fingerprint: string): Write => ({
+  kind: 'put',
+  key,
+  attributes: { state: 'claimed', attempt, fingerprint, expiresAt: Date.now() + KEPT_MS },
+  conditions: [{ kind: 'absent' }],
+});
+
+/** Only the attempt that owns a row in state `claimed` may change or delete it. */
+const ownedBy = (attempt: string) =>
+  [
+    { kind: 'equals', attribute: 'attempt', value: attempt },
+    { kind: 'equals', attribute: 'state', value: 'claimed' },
+  ] as const;
+
+const releaseOf = ({ keys, attempt }: Claim): Write[] =>
+  keys.map((key) => ({ kind: 'delete', key, conditions: ownedBy(attempt) }));
+
+const recordOf = async ({ keys, attempt }: Claim, answer: RecordedAnswer): Promise<Write[]> => {
+  const set = { state: 'done', ...(await toAttributes(answer)) };
+  return keys.map((key) => ({ kind: 'update', key, set, conditions: ownedBy(attempt) }));
+};
+
+const outcomeUnknown = (detail: string): Claiming => ({
+  kind: 'refused',
+  refusal: refuse('outcome-unknown', { detail }),
+});
+
+type RowReader = (row: Row) => Promise<Claiming>;
+
+const readState: Readonly<Record<'claimed' | 'done', RowReader>> = {
+  claimed: () => Promise.resolve(outcomeUnknown('It may still be running.')),
+  done: async (row) => {
+    const answer = await fromRow(row);
+    return answer
+      ? { kind: 'replay', answer }
+      : outcomeUnknown('It ran, and its answer was too large to be recorded.');
+  },
+};
+
+const readRow = async (row: Row, fingerprint: string): Promise<Claiming> => {
+  if (row.attributes.fingerprint !== fingerprint) {
+    return { kind: 'refused', refusal: refuse('identity-reused') };
+  }
+  return row.attributes.state === 'done' ? readState.done(row) : readState.claimed(row);
+};
+
+/** Refusals outrank a replay: one of two identities may belong to another request. */
+const strictest = (claimings: readonly Claiming[]): Claiming | undefined =>
+  claimings.find(({ kind }) => kind === 'refused') ?? claimings[0];
+
+/** Writes, records and releases claims. */
+export class ClaimStore {
+  constructor(
+    private readonly table: Table,
+    private readonly background: BackgroundWrites,
+    private readonly journal: Journal,
+  ) {}
+
+  /**
+   * Claims the identities of a request, all or none.
+   *
+   * @param identities - at least one
+   * @param fingerprint - fingerprint of the request
+   * @param deadline - monotonic time until which the outcome must be known. Unit: ms
+   * @returns the claim, the recorded answer, a refusal, or that the table does not tell
+   */
+  async claim(
+    identities: readonly Identity[],
+    fingerprint: string,
+    deadline: number,
+  ): Promise<Claiming> {
+    const keys = identities.map(keyOf);
+    for (let tries = 0; tries < MAX_TRIES; tries += 1) {
+      const claim: Claim = { keys, attempt: randomUUID() };
+      const writes = keys.map((key) => putOf(key, claim.attempt, fingerprint));
+      const written = await this.table.settle(writes, claim.attempt, deadline);
+      if (written.isOk()) return { kind: 'claimed', claim };
+      const found = await this.examine(claim, written.error, fingerprint);
+      if (found.kind !== 'claimed') this.releaseUnsettled(claim, writes, written.error);
+      if (found.kind !== 'absent') return found;
+      if (performance.now() >= deadline) break;
+    }
+    return { kind: 'unavailable' };
+  }
+
+  /**
+   * Records the answer of a claimed request, so that resends get it. Waits for the record for a short while
+   * and goes on in the background.
+   *
+   * @param claim - the claim
+   * @param answer - whole answer of the target
+   */
+  async record(claim: Claim, answer: RecordedAnswer): Promise<void> {
+    const writes = await recordOf(claim, answer);
+    const token = randomUUID();
+    const deadline = performance.now() + RECORD_WAIT_MS;
+    const recorded = await this.table.settle(writes, token, deadline);
+    if (recorded.isOk() || recorded.error.kind === 'conflict') return;
+    this.journal.record('claim-unrecorded', { attempt: claim.attempt });
+    this.background.keep(this.background.settle(writes, token).then(() => undefined));
+  }
+
+  /**
+   * Releases the claim of a request that provably did not run. The caller must not forward it afterwards.
+   *
+   * @param claim - the claim
+   */
+  async release(claim: Claim): Promise<void> {
+    const writes = releaseOf(claim);
+    const token = randomUUID();
+    const deadline = performance.now() + RECORD_WAIT_MS;
+    const released = await this.table.settle(writes, token, deadline);
+    if (released.isOk() || released.error.kind === 'conflict') return;
+    this.background.keep(this.background.settle(writes, token).then(() => undefined));
+  }
+
+  /** Finds out by a consistent read who owns the rows. */
+  private async examine(
+    claim: Claim,
+    failure: TableFailure,
+    fingerprint: string,
+  ): Promise<Claiming | { readonly kind: 'absent' }> {
+    if (failure.kind === 'unavailable') return { kind: 'unavailable' };
+    const reads = await Promise.all(claim.keys.map((key) => this.table.get(key)));
+    const rows = reads.flatMap((read) => (read.isOk() && read.value ? [read.value] : []));
+    if (rows.some(({ attributes }) => attributes.attempt === claim.attempt)) {
+      return { kind: 'claimed', claim };
+    }
+    const claiming = strictest(await Promise.all(rows.map((row) => readRow(row, fingerprint))));
+    const unread = reads.some((read) => read.isErr());
+    if (claiming && !(unread && claiming.kind === 'replay')) return claiming;
+    if (failure.kind === 'unknown') return { kind: 'unavailable' };
+    // The conflict proves that a request with this identity was started before.
+    return unread ? outcomeUnknown('Its record cannot be read now.') : { kind: 'absent' };
+  }
+
+  /** Removes a claim whose write was not settled in time, whenever it takes effect. */
+  private releaseUnsettled(claim: Claim, writes: readonly Write[], failure: TableFailure): void {
+    if (failure.kind !== 'unknown') return;
+    const task = async () => {
+      await this.background.settle(writes, claim.attempt);
+      await this.background.settle(releaseOf(claim), randomUUID());
+    };
+    this.background.keep(task());
+  }
+}
--- /dev/null
+++ b/packages/entry/src/core/forwarding/Attempt.ts
@@ -0,0 +1,74 @@
+/** What becomes of one attempt to have a request run by an agent. */
+import type { ResultName, RunState } from '@jacinthlug/catalog/resultCodes';
+
+/** How a stream of events ended. */
+export type StreamEnding = 'complete' | 'cut';
+
+/** A whole answer of a target. */
+export interface WholeAnswer {
+  readonly kind: 'whole';
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[]>>;
+  readonly body: Buffer;
+}
+
+/** A stream whose first event has come. */
+export interface StreamedAnswer {
+  readonly kind: 'stream';
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[]>>;
+  /** Gives whole events, and at the end tells whether the final event came. */
+  readonly events: AsyncGenerator<Buffer, StreamEnding>;
+  readonly first: Buffer;
+}
+
+/** A refusal by the agent. */
+export interface AgentRefusal {
+  readonly kind: 'refused';
+  readonly code: ResultName;
+  readonly run: RunState;
+  readonly retryAfterSeconds?: number;
+}
+
+/** An attempt that got neither an answer nor a refusal. */
+export interface FailedAttempt {
+  readonly kind:
+    /** No connection; the agent provably did not get the request. */
+    | 'not-sent'
+    /** The answer was cut, or never began. */
+    | 'cut'
+    /** The answer belongs to another request. */
+    | 'mismatched'
+    /** The answer is larger than what is buffered. */
+    | 'oversized';
+  readonly message: string;
+}
+
+/** An attempt that this host gave up. */
+export interface AbandonedAttempt {
+  readonly kind: 'abandoned';
+  readonly cause: AbandonCause;
+  /** Whether the agent may have got the request. */
+  readonly sent: boolean;
+}
+
+/** Why this host gives up a request. */
+export type AbandonCause =
+  | { readonly kind: 'deadline' }
+  | { readonly kind: 'caller-gone' }
+  /** The agent is silent; its host may be lost. */
+  | { readonly kind: 'agent-silent' }
+  /** The key is no longer granted, or the configuration is not confirmed. */
+  | { readonly kind: 'not-allowed'; readonly code: ResultName };
+
+/** What becomes of one attempt. */
+export type Attempt =
+  WholeAnswer | StreamedAnswer | AgentRefusal | FailedAttempt | AbandonedAttempt;
+
+/** Carries an abandon cause as the reason of an aborted signal. */
+export class Abandoned extends Error {
+  constructor(readonly abandonCause: AbandonCause) {
+    super(abandonCause.kind);
+    this.name = 'Abandoned';
+  }
+}
--- /dev/null
+++ b/packages/entry/src/core/forwarding/Sending.ts
@@ -0,0 +1,35 @@
+/** Proves whether any byte of an attempt can have left this host. */
+import type { Dispatcher } from 'undici';
+import { isInTime, type OnlineRequest } from '../online/OnlineRequest.js';
+import { Abandoned } from './Attempt.js';
+
+/** Keeps what is known about the sending of one attempt; passed through undici as `opaque`. */
+export class Sending {
+  /** Whether any byte may have left this host. */
+  sent = false;
+
+  /** @param request - the request that is sent */
+  constructor(readonly request: OnlineRequest) {}
+}
+
+/**
+ * Marks attempts as sent right before undici writes to a connection. The deadline is checked there for the
+ * last time: the host may have been paused while it waited for the connection.
+ */
+export const watchSending: Dispatcher.DispatcherComposeInterceptor =
+  (dispatch) => (options, handler) => {
+    const { opaque: sending } = options as Dispatcher.RequestOptions<Sending>;
+    if (!sending) return dispatch(options, handler);
+    return dispatch(options, {
+      onRequestStart: (controller, context) => {
+        if (!isInTime(sending.request)) controller.abort(new Abandoned({ kind: 'deadline' }));
+        handler.onRequestStart?.(controller, context);
+        if (!controller.aborted) sending.sent = true;
+      },
+      onRequestUpgrade: (...facts) => handler.onRequestUpgrade?.(...facts),
+      onResponseStart: (...facts) => handler.onResponseStart?.(...facts),
+      onResponseData: (...facts) => handler.onResponseData?.(...facts),
+      onResponseEnd: (...facts) => handler.onResponseEnd?.(...facts),
+      onResponseError: (...facts) => handler.onResponseError?.(...facts),
+    });
+  };
--- /dev/null
+++ b/packages/entry/src/core/lifecycle/EntryProcess.ts
@@ -0,0 +1,124 @@
+/** Starts and stops the parts of an entry host in order. */
+import type { Server } from 'node:http';
+import type { Journal } from '@jacinthlug/catalog/Journal';
+import type { Metrics } from '@jacinthlug/catalog/Metrics';
+import type { ConfigurationFollower } from '@jacinthlug/control/ConfigurationFollower';
+import type { RateShares } from '@jacinthlug/control/RateShares';
+import type { EntrySettings } from '@jacinthlug/settings/process/hostSettings';
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { BackgroundWrites } from '../claims/BackgroundWrites.js';
+import type { DataPath } from '../forwarding/DataPath.js';
+import type { AgentTable } from '../routing/AgentTable.js';
+import type { Lifecycle } from './Lifecycle.js';
+
+/** A part that only has to be closed at the end. */
+export interface Closable {
+  close(): unknown;
+}
+
+/** Parts of an entry host. */
+export interface EntryParts {
+  readonly settings: EntrySettings;
+  readonly journal: Journal;
+  readonly metrics: Metrics;
+  readonly lifecycle: Lifecycle;
+  readonly inner: Server;
+  readonly outer: Server;
+  readonly follower: ConfigurationFollower;
+  readonly rates: RateShares;
+  readonly agents: AgentTable;
+  readonly background: BackgroundWrites;
+  readonly dataPath: DataPath;
+  /** Parts that have no order among themselves. */
+  readonly closables: readonly Closable[];
+}
+
+const listen = (server: Server, { host, port }: EntrySettings['outer']): Promise<void> =>
+  new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      server.off('error', reject);
+      resolve();
+    });
+  });
+
+const closeServer = (server: Server): Promise<void> =>
+  new Promise((resolve) => {
+    server.close(() => resolve());
+    server.closeIdleConnections();
+  });
+
+/** An entry host. */
+export class EntryProcess {
+  private readonly starting = new AbortController();
+
+  private stopped: Promise<number> | undefined;
+
+  constructor(private readonly parts: EntryParts) {}
+
+  /** Starts all parts; resolves when a configuration is in force. Until then requests are refused. */
+  async start(): Promise<void> {
+    const { settings, journal, inner, outer, follower, rates, agents } = this.parts;
+    await listen(inner, settings.inner);
+    await listen(outer, settings.outer);
+    journal.record('process-started', { inner: settings.inner, outer: settings.outer });
+    agents.start();
+    await follower.start(this.starting.signal);
+    rates.start();
+    journal.record('process-ready');
+  }
+
+  /**
+   * Stops gracefully: peers notice, running work ends, shares and leases are given back. A second call joins
+   * the first.
+   *
+   * @returns the exit code: 0, or 1 when work was cut at the deadline
+   */
+  stop(): Promise<number> {
+    this.stopped ??= this.stopOnce();
+    return this.stopped;
+  }
+
+  private async stopOnce(): Promise<number> {
+    const { settings, journal, lifecycle } = this.parts;
+    const stopBy = performance.now() + settings.stopWithinMs;
+    journal.record('stop-requested', { stopWithinMs: settings.stopWithinMs });
+    this.starting.abort();
+    const remainingMs = () => Math.max(0, stopBy - performance.now());
+    const late = new AbortController();
+    const outcome = await Promise.race([
+      this.drain().then(() => 'complete' as const),
+      sleep(remainingMs(), 'cut' as const, { signal: late.signal, ref: true }),
+    ]);
+    late.abort();
+    this.closeRest();
+    if (outcome === 'complete') journal.record('stop-complete');
+    else journal.record('stop-cut', { running: lifecycle.countRunning() });
+    return outcome === 'complete' ? 0 : 1;
+  }
+
+  private async drain(): Promise<void> {
+    const { settings, lifecycle, outer, inner, rates, background, follower } = this.parts;
+    lifecycle.announceStop();
+    await sleep(settings.graceMs);
+    lifecycle.refuseWork();
+    await lifecycle.idle();
+    await background.idle();
+    await rates.stop();
+    await follower.stop();
+    await Promise.all([closeServer(outer), closeServer(inner)]);
+  }
+
+  private closeRest(): void {
+    const { outer, inner, agents, background, dataPath, metrics, closables } = this.parts;
+    background.abandon();
+    agents.stop();
+    [outer, inner].forEach((server) => {
+      server.close();
+      server.closeAllConnections();
+    });
+    void dataPath.close();
+    closables.forEach((part) => part.close());
+    metrics.close();
+  }
+}
--- /dev/null
+++ b/packages/entry/src/core/online/chatCompletions.ts
@@ -0,0 +1,67 @@
+/** `POST /v1/chat/completions`. */
+import { refuse } from '@jacinthlug/catalog/resultCodes';
+import type { ConfigurationFollower } from '@jacinthlug/control/ConfigurationFollower';
+import type { Catalogue } from '@jacinthlug/settings/tree/Catalogue';
+import { err, ok } from 'neverthrow';
+import { z } from 'zod';
+import type { CallerHandler, Endpoint } from '../http/Exchange.js';
+import { hashParts } from './OnlineRequest.js';
+import type { OnlineRunner } from './OnlineRunner.js';
+import { readRequest, type FindDestination, type StillServed } from './readRequest.js';
+
+/** Name of the OpenAI-compatible paths as a route. */
+const ROUTE = 'openai';
+
+/** Part of the prompt by which requests are kept together. Unit: characters. */
+const PREFIX_CHARACTERS = 1024;
+
+/** Only what routing needs; the engine checks the rest. */
+const chatBody = z.looseObject({
+  model: z.string(),
+  messages: z.array(z.unknown()).min(1),
+});
+
+const destinationIn =
+  (catalogue: Catalogue): FindDestination =>
+  (json) => {
+    const body = chatBody.safeParse(json);
+    if (!body.success) {
+      const detail = z.prettifyError(body.error);
+      return err(refuse('body-invalid', { detail }));
+    }
+    const { model, messages } = body.data;
+    const service = catalogue.serviceOfModel(model);
+    if (service?.protocol !== 'openai') return err(refuse('model-unknown'));
+    const prompt = JSON.stringify(messages).slice(0, PREFIX_CHARACTERS);
+    return ok({ service: service.name, model, promptPrefix: hashParts(model, prompt) });
+  };
+
+const stillServed: StillServed = (catalogue, { service, model = '' }) =>
+  catalogue.serviceOfModel(model)?.name === service;
+
+/**
+ * Builds the endpoint.
+ *
+ * @param follower - configuration
+ * @param runner - runs checked requests
+ * @returns the endpoint
+ */
+export const createChatEndpoint = (
+  follower: ConfigurationFollower,
+  runner: OnlineRunner,
+): Endpoint<CallerHandler> => ({
+  method: 'POST',
+  path: '/v1/chat/completions',
+  handle: async (exchange, { key, catalogue }) => {
+    const { maxBodyBytes, timeLimitMs, waitLimitMs } = key.settings;
+    const terms = { route: ROUTE, repeatable: true, maxBodyBytes, timeLimitMs, waitLimitMs, key };
+    const read = await readRequest(
+      exchange,
+      follower,
+      terms,
+      destinationIn(catalogue),
+      stillServed,
+    );
+    return read.isErr() ? err(read.error) : runner.run(exchange, read.value);
+  },
+});
--- /dev/null
+++ b/packages/entry/src/core/online/modelEndpoints.ts
@@ -0,0 +1,39 @@
+/** `GET /v1/models` and `GET /v1/models/:id`. */
+import { refuse } from '@jacinthlug/catalog/resultCodes';
+import type { Catalogue } from '@jacinthlug/settings/tree/Catalogue';
+import { err, ok } from 'neverthrow';
+import type { CallerHandler, Endpoint } from '../http/Exchange.js';
+import { writeJson } from '../http/writeJson.js';
+
+/** A model as OpenAI-compatible clients expect it. */
+interface Model {
+  readonly id: string;
+  readonly object: 'model';
+  readonly created: number;
+  readonly owned_by: string;
+}
+
+const modelsIn = (catalogue: Catalogue): Model[] =>
+  [...catalogue.services.values()]
+    .filter(({ protocol }) => protocol === 'openai')
+    .flatMap(({ name, models }) =>
+      models.map((id): Model => ({ id, object: 'model', created: 0, owned_by: name })),
+    );
+
+const listModels: CallerHandler = ({ response }, { catalogue }) => {
+  writeJson(response, 200, { object: 'list', data: modelsIn(catalogue) });
+  return Promise.resolve(ok(undefined));
+};
+
+const showModel: CallerHandler = ({ request, response }, { catalogue }) => {
+  const model = modelsIn(catalogue).find(({ id }) => id === request.params.id);
+  if (!model) return Promise.resolve(err(refuse('model-unknown')));
+  writeJson(response, 200, model);
+  return Promise.resolve(ok(undefined));
+};
+
+/** The endpoints. */
+export const modelEndpoints: readonly Endpoint<CallerHandler>[] = [
+  { method: 'GET', path: '/v1/models', handle: listModels },
+  { method: 'GET', path: '/v1/models/:id', handle: showModel },
+];
--- /dev/null
+++ b/packages/entry/src/core/wiring.ts
@@ -0,0 +1,219 @@
+/** Wires the parts of an entry host. */
+import type { Server } from 'node:http';
+import type { Journal } from '@jacinthlug/catalog/Journal';
+import type { Metrics } from '@jacinthlug/catalog/Metrics';
+import type { ConfigurationFollower } from '@jacinthlug/control/ConfigurationFollower';
+import type { Membership } from '@jacinthlug/control/Membership';
+import type { RateShares } from '@jacinthlug/control/RateShares';
+import type { SuspectList } from '@jacinthlug/control/SuspectList';
+import type { Table } from '@jacinthlug/platform/Table';
+import { callPeer, openControlClient } from '@jacinthlug/protocol/controlClient';
+import type { ControlHandlers } from '@jacinthlug/protocol/controlRouter';
+import type { EntrySettings } from '@jacinthlug/settings/process/hostSettings';
+import { instanceCachingFactory, type DependencyContainer, type InjectionToken } from 'tsyringe';
+import type { Agent } from 'undici';
+import { BackgroundWrites } from './claims/BackgroundWrites.js';
+import { ClaimStore } from './claims/ClaimStore.js';
+import { CrashRecorder } from './forwarding/CrashRecorder.js';
+import { DataPath } from './forwarding/DataPath.js';
+import { Forwarder } from './forwarding/Forwarder.js';
+import { RetryBudget } from './forwarding/RetryBudget.js';
+import type { CallerHandler, Endpoint, OperatorHandler } from './http/Exchange.js';
+import { createInnerServer } from './http/innerServer.js';
+import { createOuterServer } from './http/OuterServer.js';
+import { EntryProcess, type Closable } from './lifecycle/EntryProcess.js';
+import { Lifecycle } from './lifecycle/Lifecycle.js';
+import { createChatEndpoint } from './online/chatCompletions.js';
+import { DeclaredRoutes } from './online/DeclaredRoutes.js';
+import { modelEndpoints } from './online/modelEndpoints.js';
+import { OnlineRunner } from './online/OnlineRunner.js';
+import { AgentTable, type LoadQuestion } from './routing/AgentTable.js';
+import type { Random } from './routing/chooseAgent.js';
+
+/** Time limit of a question for load. Unit: ms. */
+const LOAD_LIMIT_MS = 500;
+
+/** Tokens of what the parts are wired from; each is registered with the interface beside it. */
+export const tokens = {
+  /** `EntrySettings` */
+  settings: Symbol('settings'),
+  /** `Journal` */
+  journal: Symbol('journal'),
+  /** `Metrics` */
+  metrics: Symbol('metrics'),
+  /** `Table` */
+  table: Symbol('table'),
+  /** `ConfigurationFollower` */
+  follower: Symbol('follower'),
+  /** `Membership` */
+  membership: Symbol('membership'),
+  /** `RateShares` */
+  rates: Symbol('rates'),
+  /** `SuspectList` */
+  suspects: Symbol('suspects'),
+  /** undici `Agent` for control messages */
+  peers: Symbol('peers'),
+  /** `Random` */
+  random: Symbol('random'),
+  /** `Endpoint<CallerHandler>[]` beyond the online path */
+  callerEndpoints: Symbol('callerEndpoints'),
+  /** `Endpoint<OperatorHandler>[]` */
+  operatorEndpoints: Symbol('operatorEndpoints'),
+  /** `Closable[]` */
+  closables: Symbol('closables'),
+  lifecycle: Symbol('lifecycle'),
+  background: Symbol('background'),
+  claims: Symbol('claims'),
+  agents: Symbol('agents'),
+  dataPath: Symbol('dataPath'),
+  crashes: Symbol('crashes'),
+  forwarder: Symbol('forwarder'),
+  runner: Symbol('runner'),
+  routes: Symbol('routes'),
+  innerServer: Symbol('innerServer'),
+  outerServer: Symbol('outerServer'),
+  process: Symbol('process'),
+} as const satisfies Record<string, InjectionToken>;
+
+type Build<Part> = (container: DependencyContainer) => Part;
+
+const askLoad =
+  (container: DependencyContainer): LoadQuestion =>
+  (address) => {
+    const { fleetCredential } = container.resolve<EntrySettings>(tokens.settings);
+    const client = openControlClient(address, fleetCredential, container.resolve(tokens.peers));
+    return callPeer(LOAD_LIMIT_MS, (signal) => client.load.report.query(undefined, { signal }));
+  };
+
+const buildAgents: Build<AgentTable> = (container) => {
+  const settings = container.resolve<EntrySettings>(tokens.settings);
+  return new AgentTable({
+    name: settings.name,
+    failureDomain: settings.failureDomain,
+    subsetSize: settings.agentSubset,
+    membership: container.resolve<Membership>(tokens.membership),
+    journal: container.resolve<Journal>(tokens.journal),
+    askLoad: askLoad(container),
+    random: container.resolve<Random>(tokens.random),
+  });
+};
+
+const buildForwarder: Build<Forwarder> = (container) =>
+  new Forwarder({
+    agents: container.resolve<AgentTable>(tokens.agents),
+    dataPath: container.resolve<DataPath>(tokens.dataPath),
+    budget: new RetryBudget(),
+    suspects: container.resolve<SuspectList>(tokens.suspects),
+    crashes: container.resolve<CrashRecorder>(tokens.crashes),
+    journal: container.resolve<Journal>(tokens.journal),
+    metrics: container.resolve<Metrics>(tokens.metrics),
+  });
+
+const buildRunner: Build<OnlineRunner> = (container) =>
+  new OnlineRunner({
+    claims: container.resolve<ClaimStore>(tokens.claims),
+    rates: container.resolve<RateShares>(tokens.rates),
+    forwarder: container.resolve<Forwarder>(tokens.forwarder),
+    journal: container.resolve<Journal>(tokens.journal),
+    metrics: container.resolve<Metrics>(tokens.metrics),
+  });
+
+const buildInnerServer: Build<Server> = (container) => {
+  const follower = container.resolve<ConfigurationFollower>(tokens.follower);
+  const rates = container.resolve<RateShares>(tokens.rates);
+  const crashes = container.resolve<CrashRecorder>(tokens.crashes);
+  const handlers: ControlHandlers = {
+    watchConfiguration: (question) => follower.answer(question),
+    shareRates: (question) => rates.answer(question),
+    addSuspects: (report) => crashes.record(report),
+  };
+  const { fleetCredential } = container.resolve<EntrySettings>(tokens.settings);
+  return createInnerServer(handlers, fleetCredential);
+};
+
+const buildOuterServer: Build<Server> = (container) => {
+  const follower = container.resolve<ConfigurationFollower>(tokens.follower);
+  const runner = container.resolve<OnlineRunner>(tokens.runner);
+  return createOuterServer({
+    follower,
+    lifecycle: container.resolve<Lifecycle>(tokens.lifecycle),
+    routes: container.resolve<DeclaredRoutes>(tokens.routes),
+    callerEndpoints: [
+      createChatEndpoint(follower, runner),
+      ...modelEndpoints,
+      ...container.resolve<Endpoint<CallerHandler>[]>(tokens.callerEndpoints),
+    ],
+    operatorEndpoints: container.resolve<Endpoint<OperatorHandler>[]>(tokens.operatorEndpoints),
+    operatorCredentialSha256: container.resolve<EntrySettings>(tokens.settings)
+      .operatorCredentialSha256,
+    journal: container.resolve<Journal>(tokens.journal),
+    metrics: container.resolve<Metrics>(tokens.metrics),
+  });
+};
+
+const buildProcess: Build<EntryProcess> = (container) =>
+  new EntryProcess({
+    settings: container.resolve<EntrySettings>(tokens.settings),
+    journal: container.resolve<Journal>(tokens.journal),
+    metrics: container.resolve<Metrics>(tokens.metrics),
+    lifecycle: container.resolve<Lifecycle>(tokens.lifecycle),
+    inner: container.resolve<Server>(tokens.innerServer),
+    outer: container.resolve<Server>(tokens.outerServer),
+    follower: container.resolve<ConfigurationFollower>(tokens.follower),
+    rates: container.resolve<RateShares>(tokens.rates),
+    agents: container.resolve<AgentTable>(tokens.agents),
+    background: container.resolve<BackgroundWrites>(tokens.background),
+    dataPath: container.resolve<DataPath>(tokens.dataPath),
+    closables: [
+      { close: () => container.resolve<Agent>(tokens.peers).destroy() },
+      ...container.resolve<Closable[]>(tokens.closables),
+    ],
+  });
+
+/**
+ * Registers the parts of the online path. What they are built from (settings, journal, metrics, table,
+ * follower, membership, rates, suspects, peers, random, endpoint lists, closables) must be registered too.
+ *
+ * @param container - container of the process
+ */
+export const registerOnlinePath = (container: DependencyContainer): void => {
+  const register = <Part>(token: symbol, build: Build<Part>) =>
+    container.register(token, { useFactory: instanceCachingFactory(build) });
+  register(tokens.lifecycle, () => new Lifecycle());
+  register(tokens.background, (c) => new BackgroundWrites(c.resolve<Table>(tokens.table)));
+  register(
+    tokens.claims,
+    (c) =>
+      new ClaimStore(
+        c.resolve<Table>(tokens.table),
+        c.resolve<BackgroundWrites>(tokens.background),
+        c.resolve<Journal>(tokens.journal),
+      ),
+  );
+  register(tokens.agents, buildAgents);
+  register(
+    tokens.dataPath,
+    (c) => new DataPath(c.resolve<EntrySettings>(tokens.settings).fleetCredential),
+  );
+  register(
+    tokens.crashes,
+    (c) =>
+      new CrashRecorder(
+        c.resolve<SuspectList>(tokens.suspects),
+        c.resolve<Journal>(tokens.journal),
+      ),
+  );
+  register(tokens.forwarder, buildForwarder);
+  register(tokens.runner, buildRunner);
+  register(
+    tokens.routes,
+    (c) =>
+      new DeclaredRoutes(
+        c.resolve<ConfigurationFollower>(tokens.follower),
+        c.resolve<OnlineRunner>(tokens.runner),
+      ),
+  );
+  register(tokens.innerServer, buildInnerServer);
+  register(tokens.outerServer, buildOuterServer);
+  register(tokens.process, buildProcess);
+};
--- /dev/null
+++ b/packages/entry/test/fakes/FakeAgent.ts
@@ -0,0 +1,189 @@
+/** An agent that speaks the data path and counts what its target ran. */
+import { EventEmitter } from 'node:events';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { renderRefusal } from '@jacinthlug/catalog/refusalBody';
+import { refuse, type ResultName } from '@jacinthlug/catalog/resultCodes';
+import { createControlListener } from '@jacinthlug/protocol/controlServer';
+import { innerHeaders } from '@jacinthlug/protocol/headers';
+import type { Member } from '@jacinthlug/protocol/members';
+import type { LoadReport } from '@jacinthlug/protocol/messages';
+
+/** A request as the agent got it. */
+export interface SeenRequest {
+  readonly headers: IncomingMessage['headers'];
+  readonly rawHeaders: readonly string[];
+  readonly body: string;
+}
+
+/** Answers one request; the target counts as having run it when the behaviour says so. */
+export type Behaviour = (agent: FakeAgent, seen: SeenRequest, response: ServerResponse) => void;
+
+const headersFor = (agent: FakeAgent, { headers }: SeenRequest): Record<string, string> => ({
+  [innerHeaders.request]: String(headers[innerHeaders.request]),
+  [innerHeaders.load]: JSON.stringify(agent.load),
+});
+
+const answerWhole: Behaviour = (agent, seen, response) => {
+  agent.countRun(seen);
+  const body = JSON.stringify({ ran: agent.runs.length, by: agent.member.name, echo: seen.body });
+  response.writeHead(200, {
+    ...headersFor(agent, seen),
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(body),
+  });
+  response.end(body);
+};
+
+const beginEvents = (agent: FakeAgent, seen: SeenRequest, response: ServerResponse): void => {
+  agent.countRun(seen);
+  response.writeHead(200, { ...headersFor(agent, seen), 'content-type': 'text/event-stream' });
+  response.write('data: {"choices":[{"index":0,"delta":{"content":"salt"}}]}\n\n');
+};
+
+/** Refuses as an agent does. */
+export const refuseWith =
+  (code: ResultName): Behaviour =>
+  (agent, seen, response) => {
+    if (code === 'target-crashed' || code === 'target-failed') agent.countRun(seen);
+    const { status, headers, body } = renderRefusal(refuse(code));
+    response.writeHead(status, { ...headersFor(agent, seen), ...headers });
+    response.end(JSON.stringify(body));
+  };
+
+/** Behaviours by the name that features use. */
+export const behaviours: Readonly<Record<string, Behaviour>> = {
+  answers: answerWhole,
+  'streams an answer': (agent, seen, response) => {
+    beginEvents(agent, seen, response);
+    response.end('data: [DONE]\n\n');
+  },
+  'ends a stream without its final event': (agent, seen, response) => {
+    beginEvents(agent, seen, response);
+    response.end();
+  },
+  'cuts a stream within an event': (agent, seen, response) => {
+    beginEvents(agent, seen, response);
+    response.write('data: {"choices":[{"ind', () => response.destroy());
+  },
+  'holds a stream open': beginEvents,
+  'cuts a whole answer': (agent, seen, response) => {
+    agent.countRun(seen);
+    response.writeHead(200, { ...headersFor(agent, seen), 'content-length': 100 });
+    response.write('{"ran":', () => response.destroy());
+  },
+  'drops the connection': (agent, seen, response) => {
+    agent.countRun(seen);
+    response.destroy();
+  },
+  'answers with the answer of another request': (agent, seen, response) => {
+    agent.countRun(seen);
+    response.writeHead(200, { ...headersFor(agent, seen), [innerHeaders.request]: 'another' });
+    response.end('{"secret of":"another"}');
+  },
+  'holds its answer': (agent, seen, response) => {
+    agent.held.push(() => answerWhole(agent, seen, response));
+  },
+  'runs without an answer': (agent, seen) => agent.countRun(seen),
+  'answers too much': (agent, seen, response) => {
+    agent.countRun(seen);
+    response.writeHead(200, headersFor(agent, seen));
+    response.end(Buffer.alloc(8 * 1024 * 1024 + 1, 'x'));
+  },
+};
+
+/** An agent with its target. */
+export class FakeAgent {
+  readonly seen: SeenRequest[] = [];
+
+  /** Requests that the target ran. */
+  readonly runs: SeenRequest[] = [];
+
+  /** Behaviours of the next requests; then `fallback`. */
+  readonly next: Behaviour[] = [];
+
+  fallback: Behaviour = answerWhole;
+
+  /** Answers held back until a scenario gives them. */
+  readonly held: (() => void)[] = [];
+
+  /** Tells scenarios of requests (`seen`) and of connections closed by the entry host (`cancelled`). */
+  readonly events = new EventEmitter();
+
+  /** Requests whose connection the entry host closed before the answer was whole. */
+  cancelled = 0;
+
+  private readonly server: Server;
+
+  private constructor(
+    readonly member: Member,
+    readonly load: LoadReport,
+    server: Server,
+  ) {
+    this.server = server;
+  }
+
+  /** Starts an agent for a service. */
+  static async start(
+    name: string,
+    service: string,
+    failureDomain: string,
+    models: readonly string[],
+    fleetCredential: string,
+  ): Promise<FakeAgent> {
+    const server = createServer();
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = server.address() as AddressInfo;
+    const place = { failureDomain, region: 'coast', state: 'live', service, target: name } as const;
+    const member: Member = { name, role: 'agent', address: `127.0.0.1:${port}`, ...place };
+    const counts = { running: 0, waiting: 0, batch: 0, concurrency: 8, expectedWaitMs: 0 };
+    const load: LoadReport = {
+      target: name,
+      service,
+      state: 'serving',
+      ...counts,
+      models: [...models],
+    };
+    const agent = new FakeAgent(member, load, server);
+    const control = createControlListener(
+      {
+        watchConfiguration: () => Promise.reject(new Error('not served')),
+        reportLoad: () => Promise.resolve(load),
+      },
+      fleetCredential,
+    );
+    server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+      if (request.url === '/inner/run') void agent.run(request, response);
+      else control(request, response);
+    });
+    return agent;
+  }
+
+  countRun(seen: SeenRequest): void {
+    this.runs.push(seen);
+  }
+
+  async stop(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.server.close(() => resolve());
+      this.server.closeAllConnections();
+    });
+  }
+
+  private async run(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) chunks.push(chunk as Buffer);
+    const { headers, rawHeaders } = request;
+    const seen = { headers, rawHeaders, body: Buffer.concat(chunks).toString('utf8') };
+    this.seen.push(seen);
+    this.events.emit('seen');
+    response.on('close', () => {
+      if (response.writableFinished) return;
+      this.cancelled += 1;
+      this.events.emit('cancelled');
+    });
+    (this.next.shift() ?? this.fallback)(this, seen, response);
+  }
+}
--- /dev/null
+++ b/packages/entry/test/fakes/FakeFollower.ts
@@ -0,0 +1,59 @@
+/** A follower whose configuration a scenario edits. */
+import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
+import type { ConfigurationFollower } from '@jacinthlug/control/ConfigurationFollower';
+import { hashKey, openCatalogue, type Catalogue } from '@jacinthlug/settings/tree/Catalogue';
+import {
+  configurationContent,
+  type ConfigurationContent,
+} from '@jacinthlug/settings/tree/configuration';
+import { err, ok, type Result } from 'neverthrow';
+
+const notServed = () => Promise.reject(new Error('not served by the fake'));
+
+/** A configuration that the scenario edits. */
+export class FakeFollower {
+  isIsolated = false;
+
+  private catalogue: Catalogue;
+
+  constructor(private content: ConfigurationContent) {
+    this.catalogue = openCatalogue({ version: 1, content });
+  }
+
+  /** Edits the content as a new version. */
+  edit(change: (content: ConfigurationContent) => void): void {
+    const content = structuredClone(this.content);
+    change(content);
+    this.content = configurationContent.parse(content);
+    this.catalogue = openCatalogue({ version: this.catalogue.version + 1, content: this.content });
+  }
+
+  grant(id: string, secret: string, account: string): void {
+    this.edit(({ keys }) => {
+      Object.assign(keys, {
+        [id]: { account, sha256: hashKey(secret), state: 'granted', changedAt: 0 },
+      });
+    });
+  }
+
+  withdraw(id: string): void {
+    this.edit(({ keys }) => {
+      Object.assign(keys[id] ?? {}, { state: 'withdrawn' });
+    });
+  }
+
+  asFollower(): ConfigurationFollower {
+    return {
+      mode: () => (this.isIsolated ? 'isolated' : 'confirmed'),
+      inForce: (): Result<Catalogue, Refusal> =>
+        this.isIsolated ? err(refuse('configuration-unconfirmed')) : ok(this.catalogue),
+      latest: () => this.catalogue,
+      mayAcceptEdits: () => true,
+      adopt: () => undefined,
+      answer: notServed,
+      onAdopt: () => () => undefined,
+      start: () => Promise.resolve(),
+      stop: () => Promise.resolve(),
+    };
+  }
+}
--- /dev/null
+++ b/packages/entry/test/fakes/Scenario.ts
@@ -0,0 +1,145 @@
+/** State of one scenario. */
+import { request, type Dispatcher } from 'undici';
+import { configurationContent } from '@jacinthlug/settings/tree/configuration';
+import { FakeAgent } from './FakeAgent.js';
+import { FakeFollower } from './FakeFollower.js';
+import { FakeRates } from './FakeRates.js';
+import { FakeSuspects } from './FakeSuspects.js';
+import { FakeTable } from './FakeTable.js';
+import { FLEET_CREDENTIAL, startEntry, type RunningEntry } from './startEntry.js';
+
+/** Key of the account `harbor`. */
+export const HARBOR_KEY = 'jl_h1_saltmarsh';
+
+/** A refusal or answer as the caller sees it. */
+export interface SeenAnswer {
+  readonly status: number;
+  readonly headers: Dispatcher.ResponseData['headers'];
+  readonly text: string;
+  /** Whether the answer ended as HTTP says it should. */
+  readonly whole: boolean;
+}
+
+const models = ['tide-7b'];
+
+const route = (facts: Record<string, unknown>) => ({ kind: 'route', service: 'ledger', ...facts });
+
+const content = configurationContent.parse({
+  declarations: {
+    nodes: {
+      '': { kind: 'root', settings: { timeLimitMs: 20_000 } },
+      harbor: { kind: 'account' },
+      lighthouse: { kind: 'account' },
+      chat: { kind: 'service', protocol: 'openai', models },
+      ledger: { kind: 'service', protocol: 'plain' },
+      orders: route({ path: '/orders', methods: ['POST'], identityField: '/order/number' }),
+      quotes: route({ path: '/quotes', methods: ['POST'], repeatable: true }),
+      small: route({ path: '/small', methods: ['POST'], settings: { maxBodyBytes: 16 } }),
+      notices: route({ path: '/notices', methods: ['GET', 'POST'], open: true, repeatable: true }),
+    },
+  },
+  keys: {},
+});
+
+/** State of one scenario; cucumber makes one for each. */
+export class Scenario {
+  readonly table = new FakeTable();
+
+  readonly follower = new FakeFollower(content);
+
+  readonly rates = new FakeRates();
+
+  readonly suspects = new FakeSuspects();
+
+  readonly agents = new Map<string, FakeAgent>();
+
+  readonly entries: RunningEntry[] = [];
+
+  /** Headers of the next requests. */
+  headers: Record<string, string> = { authorization: `Bearer ${HARBOR_KEY}` };
+
+  /** Answers in order of arrival. */
+  readonly answers: SeenAnswer[] = [];
+
+  /** The request that was sent without waiting for its answer. */
+  pending: Promise<void> | undefined;
+
+  readonly callerGone = new AbortController();
+
+  constructor() {
+    this.follower.grant('h1', HARBOR_KEY, 'harbor');
+  }
+
+  async addAgent(name: string, service: string, failureDomain = 'quay'): Promise<void> {
+    const served = service === 'chat' ? models : [];
+    this.agents.set(
+      name,
+      await FakeAgent.start(name, service, failureDomain, served, FLEET_CREDENTIAL),
+    );
+  }
+
+  agent(name: string): FakeAgent {
+    const agent = this.agents.get(name);
+    if (!agent) throw new Error(`no agent ${name}`);
+    return agent;
+  }
+
+  async entry(): Promise<RunningEntry> {
+    const running = this.entries.at(-1);
+    return running ?? this.startEntry();
+  }
+
+  async startEntry(changes: Parameters<typeof startEntry>[2] = {}): Promise<RunningEntry> {
+    const entry = await startEntry(
+      {
+        table: this.table,
+        follower: this.follower,
+        rates: this.rates,
+        suspects: this.suspects,
+        members: () => [...this.agents.values()].map(({ member }) => member),
+      },
+      1,
+      changes,
+    );
+    this.entries.push(entry);
+    return entry;
+  }
+
+  async send(method: 'GET' | 'POST', path: string, body?: string): Promise<void> {
+    const { url } = await this.entry();
+    const response = await request(`${url}${path}`, {
+      method,
+      headers: this.headers,
+      signal: this.callerGone.signal,
+      ...(body !== undefined && { body }),
+    });
+    const chunks: Buffer[] = [];
+    let whole = true;
+    try {
+      for await (const chunk of response.body as AsyncIterable<Buffer>) chunks.push(chunk);
+    } catch {
+      whole = false;
+    }
+    const text = Buffer.concat(chunks).toString('utf8');
+    this.answers.push({ status: response.statusCode, headers: response.headers, text, whole });
+  }
+
+  lastAnswer(): SeenAnswer {
+    const answer = this.answers.at(-1);
+    if (!answer) throw new Error('no answer yet');
+    return answer;
+  }
+
+  runs(): number {
+    return [...this.agents.values()].reduce((sum, { runs }) => sum + runs.length, 0);
+  }
+
+  seen(): number {
+    return [...this.agents.values()].reduce((sum, { seen }) => sum + seen.length, 0);
+  }
+
+  async close(): Promise<void> {
+    await Promise.all([...this.agents.values()].map((agent) => agent.stop()));
+    await Promise.all(this.entries.map((entry) => entry.process.stop()));
+  }
+}
--- /dev/null
+++ b/packages/entry/test/fakes/startEntry.ts
@@ -0,0 +1,107 @@
+/** Starts an entry host on fakes. */
+import 'reflect-metadata';
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { silentJournal } from '@jacinthlug/catalog/Journal';
+import { openMetrics, type Metrics } from '@jacinthlug/catalog/Metrics';
+import type { Member } from '@jacinthlug/protocol/members';
+import { openPeerConnections } from '@jacinthlug/protocol/controlClient';
+import { hashKey } from '@jacinthlug/settings/tree/Catalogue';
+import type { EntrySettings } from '@jacinthlug/settings/process/hostSettings';
+import { container } from 'tsyringe';
+import type { EntryProcess } from '../../src/core/lifecycle/EntryProcess.js';
+import { registerOnlinePath, tokens } from '../../src/core/wiring.js';
+import type { FakeFollower } from './FakeFollower.js';
+import { fakeMembership } from './fakeMembership.js';
+import type { FakeRates } from './FakeRates.js';
+import type { FakeSuspects } from './FakeSuspects.js';
+import type { FakeTable } from './FakeTable.js';
+
+export const FLEET_CREDENTIAL = 'fleet-credential-of-the-tests';
+
+export const OPERATOR_CREDENTIAL = 'operator-credential-of-the-tests';
+
+/** What entry hosts of a scenario share. */
+export interface Surroundings {
+  readonly table: FakeTable;
+  readonly follower: FakeFollower;
+  readonly rates: FakeRates;
+  readonly suspects: FakeSuspects;
+  readonly members: () => readonly Member[];
+}
+
+/** A running entry host. */
+export interface RunningEntry {
+  readonly url: string;
+  readonly process: EntryProcess;
+  readonly metrics: Metrics;
+}
+
+const platform: EntrySettings['platform'] = {
+  table: { url: 'http://127.0.0.1:1', name: 'unused' },
+  objects: { url: 'http://127.0.0.1:1', bucket: 'unused' },
+  hosts: { url: 'http://127.0.0.1:1' },
+  region: 'local',
+  accessKeyId: 'unused',
+  secretAccessKey: 'unused',
+  callLimitMs: 1000,
+};
+
+const settings: EntrySettings = {
+  name: 'entry-1',
+  failureDomain: 'quay',
+  region: 'coast',
+  inner: { host: '127.0.0.1', port: 0 },
+  outer: { host: '127.0.0.1', port: 0 },
+  fleetCredential: FLEET_CREDENTIAL,
+  platform,
+  logLevel: 'error',
+  graceMs: 0,
+  stopWithinMs: 5000,
+  operatorCredentialSha256: hashKey(OPERATOR_CREDENTIAL),
+  agentSubset: 24,
+};
+
+/**
+ * Starts an entry host.
+ *
+ * @param around - fakes that it meets
+ * @param seed - seed of its random choices
+ * @param changes - settings that differ
+ * @returns the entry host
+ */
+export const startEntry = async (
+  around: Surroundings,
+  seed: number,
+  changes: Partial<EntrySettings> = {},
+): Promise<RunningEntry> => {
+  const child = container.createChildContainer();
+  const metrics = openMetrics('entry-1');
+  let state = seed;
+  const random = () => {
+    // Numbers of Numerical Recipes: enough for choices that a seed repeats.
+    state = (state * 1664525 + 1013904223) % 2 ** 32;
+    return state / 2 ** 32;
+  };
+  const values: [symbol, unknown][] = [
+    [tokens.settings, { ...settings, ...changes }],
+    [tokens.journal, silentJournal],
+    [tokens.metrics, metrics],
+    [tokens.table, around.table.asTable()],
+    [tokens.follower, around.follower.asFollower()],
+    [tokens.membership, fakeMembership(around.members)],
+    [tokens.rates, around.rates.asRates()],
+    [tokens.suspects, around.suspects],
+    [tokens.peers, openPeerConnections()],
+    [tokens.random, random],
+    [tokens.callerEndpoints, []],
+    [tokens.operatorEndpoints, []],
+    [tokens.closables, []],
+  ];
+  values.forEach(([token, value]) => child.register(token, { useValue: value }));
+  registerOnlinePath(child);
+  const process = child.resolve<EntryProcess>(tokens.process);
+  await process.start();
+  const { port } = child.resolve<Server>(tokens.outerServer).address() as AddressInfo;
+  return { url: `http://127.0.0.1:${port}`, process, metrics };
+};
--- /dev/null
+++ b/packages/entry/test/features/online.feature
@@ -0,0 +1,44 @@
+Feature: Online requests
+  Guards against requests that are lost, passed to the wrong target, or given a broken answer as whole.
+
+  Background:
+    Given the agents
+      | name     | service |
+      | engine-1 | chat    |
+      | ledger-1 | ledger  |
+
+  Scenario: A whole chat completion comes back from the target
+    When the caller sends a chat
+    Then the answer has status 200
+    And the answer ran at "engine-1"
+    And the agent saw the header "jacinthlug-account": "harbor"
+    And the agent saw the header "jacinthlug-key": "h1"
+    And the agent saw the header "jacinthlug-generation": "7"
+
+  Scenario: A streamed chat completion ends after its final event
+    Given "engine-1" next streams an answer
+    When the caller streams a chat
+    Then the answer has status 200
+    And the answer is whole
+
+  Scenario: A declared route reaches its plain service
+    When the caller posts "{}" to "/quotes?size=3"
+    Then the answer ran at "ledger-1"
+    And the agent saw the header "jacinthlug-path": "/quotes?size=3"
+
+  Scenario: An undeclared path is refused
+    When the caller posts "{}" to "/nowhere"
+    Then it is refused with "route-unknown", "not run"
+    And the agents saw 0 requests
+
+  Scenario: A model that no service has is refused
+    When the caller posts '{"model":"none","messages":[{}]}' to "/v1/chat/completions"
+    Then it is refused with "model-unknown", "not run"
+
+  Scenario: The models of the configuration are listed
+    When the caller gets "/v1/models"
+    Then the answer has status 200
+    When the caller gets "/v1/models/tide-7b"
+    Then the answer has status 200
+    When the caller gets "/v1/models/other"
+    Then it is refused with "model-unknown", "not run"
--- /dev/null
+++ b/packages/entry/test/steps/online.steps.ts
@@ -0,0 +1,217 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { After, Given, setWorldConstructor, Then, When, type DataTable } from '@cucumber/cucumber';
+import { resultCodes, type ResultName } from '@jacinthlug/catalog/resultCodes';
+import { behaviours, refuseWith, type Behaviour, type FakeAgent } from '../fakes/FakeAgent.js';
+import { HARBOR_KEY, Scenario } from '../fakes/Scenario.js';
+import { OPERATOR_CREDENTIAL } from '../fakes/startEntry.js';
+
+setWorldConstructor(Scenario);
+
+After(async function (this: Scenario) {
+  await this.close();
+});
+
+interface RefusalText {
+  readonly error: { readonly code: ResultName; readonly number: number; readonly run: string };
+}
+
+const behaviourOf = (text: string): Behaviour => {
+  const refusal = /^refuses with "(.+)"$/.exec(text)?.[1];
+  const behaviour = refusal ? refuseWith(refusal as ResultName) : behaviours[text];
+  assert.ok(behaviour, `unknown behaviour: ${text}`);
+  return behaviour;
+};
+
+const chatBody = (stream: boolean): string =>
+  JSON.stringify({ model: 'tide-7b', stream, messages: [{ role: 'user', content: 'Ebb?' }] });
+
+const orderBody = (number: string): string => JSON.stringify({ order: { number, ropes: 3 } });
+
+const refusalIn = (text: string): RefusalText['error'] => (JSON.parse(text) as RefusalText).error;
+
+const waitForRequests = async (agent: FakeAgent, count: number): Promise<void> => {
+  while (agent.seen.length < count) await once(agent.events, 'seen');
+};
+
+Given('the agents', async function (this: Scenario, table: DataTable) {
+  const rows = table.hashes() as { name: string; service: string; domain?: string }[];
+  await Promise.all(rows.map(({ name, service, domain }) => this.addAgent(name, service, domain)));
+});
+
+Given('{string} next {}', function (this: Scenario, name: string, text: string) {
+  this.agent(name).next.push(behaviourOf(text));
+});
+
+Given('each agent always {}', function (this: Scenario, text: string) {
+  this.agents.forEach((agent) => Object.assign(agent, { fallback: behaviourOf(text) }));
+});
+
+Given('whichever agent comes first {}', function (this: Scenario, text: string) {
+  const behaviour = behaviourOf(text);
+  let isFirst = true;
+  const fallback: Behaviour = (agent, seen, response) => {
+    const chosen = isFirst ? behaviour : behaviourOf('answers');
+    isFirst = false;
+    chosen(agent, seen, response);
+  };
+  this.agents.forEach((agent) => Object.assign(agent, { fallback }));
+});
+
+Given('{string} is gone from its address', async function (this: Scenario, name: string) {
+  await this.agent(name).stop();
+});
+
+Given('the caller sends the header {string}: {string}', function (this: Scenario, name, value) {
+  this.headers = { ...this.headers, [name as string]: value as string };
+});
+
+Given('the caller sends no key', function (this: Scenario) {
+  this.headers = {};
+});
+
+Given('the caller shows the operator credential', function (this: Scenario) {
+  this.headers = { authorization: `Bearer ${OPERATOR_CREDENTIAL}` };
+});
+
+Given('the rate of the account is used up', function (this: Scenario) {
+  this.rates.permits = 0;
+});
+
+Given('the configuration is not confirmed', function (this: Scenario) {
+  this.follower.isIsolated = true;
+});
+
+When('the key is withdrawn', function (this: Scenario) {
+  this.follower.withdraw('h1');
+});
+
+When('the caller sends a chat', async function (this: Scenario) {
+  await this.send('POST', '/v1/chat/completions', chatBody(false));
+});
+
+When('the caller sends {int} chats', async function (this: Scenario, count: number) {
+  for (let sent = 0; sent < count; sent += 1) {
+    await this.send('POST', '/v1/chat/completions', chatBody(false));
+  }
+});
+
+When('the caller streams a chat', async function (this: Scenario) {
+  await this.send('POST', '/v1/chat/completions', chatBody(true));
+});
+
+When('the caller begins to stream a chat', async function (this: Scenario) {
+  await this.entry();
+  this.pending = this.send('POST', '/v1/chat/completions', chatBody(true));
+  const agents = [...this.agents.values()];
+  await Promise.race(agents.map((agent) => waitForRequests(agent, 1)));
+});
+
+When('the caller posts {string} to {string}', async function (this: Scenario, body, path) {
+  await this.send('POST', path as string, body as string);
+});
+
+When('the caller gets {string}', async function (this: Scenario, path: string) {
+  await this.send('GET', path);
+});
+
+When('the caller sends order {string}', async function (this: Scenario, number: string) {
+  await this.send('POST', '/orders', orderBody(number));
+});
+
+When('the caller begins to send order {string}', async function (this: Scenario, number: string) {
+  await this.entry();
+  this.pending = this.send('POST', '/orders', orderBody(number)).catch(() => undefined);
+  const agents = [...this.agents.values()];
+  await Promise.race(agents.map((agent) => waitForRequests(agent, 1)));
+});
+
+When('the caller goes away', async function (this: Scenario) {
+  this.callerGone.abort();
+  await this.pending?.catch(() => undefined);
+});
+
+When('the pending answer has come', async function (this: Scenario) {
+  await this.pending;
+});
+
+When('{string} gives its held answers', async function (this: Scenario, name: string) {
+  this.agent(name)
+    .held.splice(0)
+    .forEach((give) => give());
+  await this.pending;
+});
+
+Then('{string} sees the request cancelled', async function (this: Scenario, name: string) {
+  const agent = this.agent(name);
+  if (agent.cancelled === 0) await once(agent.events, 'cancelled');
+});
+
+Then('the answer has status {int}', function (this: Scenario, status: number) {
+  assert.equal(this.lastAnswer().status, status, this.lastAnswer().text);
+});
+
+Then('the answer is whole', function (this: Scenario) {
+  assert.ok(this.lastAnswer().whole);
+});
+
+Then('the answer ran at {string}', function (this: Scenario, name: string) {
+  assert.equal((JSON.parse(this.lastAnswer().text) as { by: string }).by, name);
+});
+
+Then('it is refused with {string}, {string}', function (this: Scenario, code: string, run: string) {
+  const { status, text } = this.lastAnswer();
+  const error = refusalIn(text);
+  assert.deepEqual(
+    { code: error.code, run: error.run, status },
+    { code, run, status: resultCodes[code as ResultName].status },
+  );
+});
+
+Then('the targets ran {int} request(s)', function (this: Scenario, count: number) {
+  assert.equal(this.runs(), count);
+});
+
+Then('the agents saw {int} request(s)', function (this: Scenario, count: number) {
+  assert.equal(this.seen(), count);
+});
+
+Then('no agent saw the key', function (this: Scenario) {
+  assert.ok(this.seen() > 0);
+  const secret = HARBOR_KEY.slice('jl_h1_'.length);
+  this.agents.forEach(({ seen }) =>
+    seen.forEach((request) => {
+      const text = decodeURIComponent(request.rawHeaders.join('\n'));
+      assert.ok(!text.toLowerCase().includes(secret), text);
+    }),
+  );
+});
+
+Then('the agent saw the header {string}: {string}', function (this: Scenario, name, value) {
+  const [request] = [...this.agents.values()].flatMap(({ seen }) => seen);
+  assert.equal(request?.headers[name as string], value);
+});
+
+Then('the stream ends with an error event {string}', function (this: Scenario, code: string) {
+  const { text, whole } = this.lastAnswer();
+  const last = text.trimEnd().split('\n\n').at(-1) ?? '';
+  assert.match(last, /^event: error\ndata: /);
+  assert.equal(refusalIn(last.replace(/^event: error\ndata: /, '')).code, code);
+  assert.ok(!text.includes('[DONE]'));
+  assert.ok(!whole, 'the connection ended as if the stream were whole');
+});
+
+Then('each event of the stream is valid JSON', function (this: Scenario) {
+  const lines = this.lastAnswer().text.split('\n');
+  lines
+    .filter((line) => line.startsWith('data: '))
+    .forEach((line) => JSON.parse(line.slice('data: '.length)));
+});
+
+Then('the answer says {string}: {string}', function (this: Scenario, name, value) {
+  assert.equal(this.lastAnswer().headers[name as string], value);
+});
+
+Then('{int} permits are left', function (this: Scenario, count: number) {
+  assert.equal(this.rates.permits, count);
+});
