Test the online path of the entry host

The scenarios cover keys and accounts, cut and crossed answers, retries, claims under lost answers, crashes and pauses, and the graceful stop, on a fake agent, table and configuration.

--- a/packages/entry/test/fakes/FakeTable.ts
+++ b/packages/entry/test/fakes/FakeTable.ts
@@ -42,20 +42,23 @@
   /** Next writes whose request is delayed until {@link land}; they answer `unknown`. */
   lateWrites = 0;
 
-  /** Called before each write takes effect. */
-  beforeWrite: (() => void) | undefined;
+  /** Called once, before the next write takes effect. */
+  duringWrite: (() => void) | undefined;
 
   private readonly outcomes = new Map<string, TableFailure | undefined>();
 
   private readonly late: (() => void)[] = [];
 
-  asTable(): Table {
+  /** Gives the table as one host sees it; a host whose link is cut gets no answers. */
+  asTable(link: { isCut: boolean }): Table {
+    const reach = <Answer>(call: () => ResultAsync<Answer, TableFailure>) =>
+      link.isCut ? errAsync<Answer, TableFailure>(unavailable) : call();
     return {
-      get: (key) => this.get(key),
+      get: (key) => reach(() => this.get(key)),
       // The claims use no ranges.
       query: () => errAsync(unavailable),
-      transact: (writes, token) => this.transact(writes, token),
-      settle: (writes, token, deadline) => this.settle(writes, token, deadline),
+      transact: (writes, token) => reach(() => this.transact(writes, token)),
+      settle: (writes, token, deadline) => reach(() => this.settle(writes, token, deadline)),
       close: () => undefined,
     };
   }
@@ -99,7 +102,9 @@
   }
 
   private apply(writes: readonly Write[], token: string): TableFailure | undefined {
-    this.beforeWrite?.();
+    const { duringWrite } = this;
+    this.duringWrite = undefined;
+    duringWrite?.();
     if (this.outcomes.has(token)) return this.outcomes.get(token);
     const failed = writes.flatMap((write, index) => {
       const attributes = this.rows.get(nameOf(write.key));
--- a/packages/entry/test/fakes/Scenario.ts
+++ b/packages/entry/test/fakes/Scenario.ts
@@ -1,7 +1,7 @@
 /** State of one scenario. */
 import { request, type Dispatcher } from 'undici';
 import { configurationContent } from '@jacinthlug/settings/tree/configuration';
-import { FakeAgent } from './FakeAgent.js';
+import { behaviours, FakeAgent, type Behaviour } from './FakeAgent.js';
 import { FakeFollower } from './FakeFollower.js';
 import { FakeRates } from './FakeRates.js';
 import { FakeSuspects } from './FakeSuspects.js';
@@ -11,6 +11,13 @@
 /** Key of the account `harbor`. */
 export const HARBOR_KEY = 'jl_h1_saltmarsh';
 
+/** What came of an order. */
+export interface SentOrder {
+  readonly status: number;
+  readonly requestId: string;
+  readonly run: string | undefined;
+}
+
 /** A refusal or answer as the caller sees it. */
 export interface SeenAnswer {
   readonly status: number;
@@ -61,10 +68,18 @@
   /** Answers in order of arrival. */
   readonly answers: SeenAnswer[] = [];
 
+  /** Orders of a run under random faults. */
+  readonly orders: SentOrder[] = [];
+
+  exitCode: Promise<number> | undefined;
+
   /** The request that was sent without waiting for its answer. */
   pending: Promise<void> | undefined;
 
-  readonly callerGone = new AbortController();
+  callerGone = new AbortController();
+
+  /** What agents do after the one that a scenario chose for the first request. */
+  rest: Behaviour = behaviours.answers as Behaviour;
 
   constructor() {
     this.follower.grant('h1', HARBOR_KEY, 'harbor');
--- a/packages/entry/test/fakes/startEntry.ts
+++ b/packages/entry/test/fakes/startEntry.ts
@@ -8,9 +8,14 @@
 import { openPeerConnections } from '@jacinthlug/protocol/controlClient';
 import { hashKey } from '@jacinthlug/settings/tree/Catalogue';
 import type { EntrySettings } from '@jacinthlug/settings/process/hostSettings';
+import { ok } from 'neverthrow';
 import { container } from 'tsyringe';
+import type { DataPath } from '../../src/core/forwarding/DataPath.js';
+import type { Endpoint, OperatorHandler } from '../../src/core/http/Exchange.js';
+import { writeJson } from '../../src/core/http/writeJson.js';
 import type { EntryProcess } from '../../src/core/lifecycle/EntryProcess.js';
 import { registerOnlinePath, tokens } from '../../src/core/wiring.js';
+import { createRandom } from './createRandom.js';
 import type { FakeFollower } from './FakeFollower.js';
 import { fakeMembership } from './fakeMembership.js';
 import type { FakeRates } from './FakeRates.js';
@@ -21,6 +26,15 @@
 
 export const OPERATOR_CREDENTIAL = 'operator-credential-of-the-tests';
 
+const probe: Endpoint<OperatorHandler> = {
+  method: 'GET',
+  path: '/operator/v1/probe',
+  handle: ({ response }) => {
+    writeJson(response, 200, {});
+    return Promise.resolve(ok(undefined));
+  },
+};
+
 /** What entry hosts of a scenario share. */
 export interface Surroundings {
   readonly table: FakeTable;
@@ -34,6 +48,8 @@
 export interface RunningEntry {
   readonly url: string;
   readonly process: EntryProcess;
+  /** Cuts all its connections at once, as a crash does. */
+  readonly crash: () => Promise<void>;
   readonly metrics: Metrics;
 }
 
@@ -57,7 +73,7 @@
   platform,
   logLevel: 'error',
   graceMs: 0,
-  stopWithinMs: 5000,
+  stopWithinMs: 1000,
   operatorCredentialSha256: hashKey(OPERATOR_CREDENTIAL),
   agentSubset: 24,
 };
@@ -77,31 +93,32 @@
 ): Promise<RunningEntry> => {
   const child = container.createChildContainer();
   const metrics = openMetrics('entry-1');
-  let state = seed;
-  const random = () => {
-    // Numbers of Numerical Recipes: enough for choices that a seed repeats.
-    state = (state * 1664525 + 1013904223) % 2 ** 32;
-    return state / 2 ** 32;
-  };
+  const link = { isCut: false };
   const values: [symbol, unknown][] = [
     [tokens.settings, { ...settings, ...changes }],
     [tokens.journal, silentJournal],
     [tokens.metrics, metrics],
-    [tokens.table, around.table.asTable()],
+    [tokens.table, around.table.asTable(link)],
     [tokens.follower, around.follower.asFollower()],
     [tokens.membership, fakeMembership(around.members)],
     [tokens.rates, around.rates.asRates()],
     [tokens.suspects, around.suspects],
     [tokens.peers, openPeerConnections()],
-    [tokens.random, random],
+    [tokens.random, createRandom(seed)],
     [tokens.callerEndpoints, []],
-    [tokens.operatorEndpoints, []],
+    [tokens.operatorEndpoints, [probe]],
     [tokens.closables, []],
   ];
   values.forEach(([token, value]) => child.register(token, { useValue: value }));
   registerOnlinePath(child);
   const process = child.resolve<EntryProcess>(tokens.process);
   await process.start();
-  const { port } = child.resolve<Server>(tokens.outerServer).address() as AddressInfo;
-  return { url: `http://127.0.0.1:${port}`, process, metrics };
+  const outer = child.resolve<Server>(tokens.outerServer);
+  const { port } = outer.address() as AddressInfo;
+  const crash = async () => {
+    link.isCut = true;
+    outer.closeAllConnections();
+    await child.resolve<DataPath>(tokens.dataPath).close();
+  };
+  return { url: `http://127.0.0.1:${port}`, process, metrics, crash };
 };
--- /dev/null
+++ b/packages/entry/test/features/access.feature
@@ -0,0 +1,131 @@
+Feature: Keys and accounts
+  Guards against a target that sees a caller's key, and a request that runs for another account (P4, P5, P6).
+
+  Background:
+    Given the agents
+      | name     | service |
+      | engine-1 | chat    |
+      | ledger-1 | ledger  |
+
+  Scenario Outline: The key never reaches the agent, wherever the caller puts it
+    Given the caller sends the header "<header>": "<value>"
+    When the caller posts "{}" to "/quotes?size=3&<query>"
+    Then the answer has status 200
+    And no agent saw the key
+    And the agent saw the header "jacinthlug-path": "/quotes?size=3"
+
+    Examples:
+      | header              | value                        | query                       |
+      | authorization       | Bearer jl_h1_saltmarsh       | key=jl_h1_saltmarsh         |
+      | x-api-key           | jl_h1_saltmarsh              | api_key=jl_h1_saltmarsh     |
+      | api-key             | jl_h1_saltmarsh              | access_token=jl_h1_saltmarsh |
+      | cookie              | session=jl_h1_saltmarsh      | API_KEY=jl_h1_saltmarsh     |
+      | proxy-authorization | Basic jl_h1_saltmarsh        | other=jl_h1_saltmarsh       |
+      | x-forwarded-key     | jl_h1_saltmarsh              | other=jl%5Fh1_%73altmarsh   |
+      | x-trace             | trace-jl%5Fh1_saltmarsh      | jl_h1_saltmarsh=1           |
+      | x-jl_h1_saltmarsh   | 1                            | key=1                       |
+      | jacinthlug-key      | jl_h1_saltmarsh              | key=1                       |
+
+  Scenario: On an open route a shown key is dropped too
+    When the caller posts "{}" to "/notices"
+    Then the answer has status 200
+    And no agent saw the key
+
+  Scenario: An open route needs no key
+    Given the caller sends no key
+    When the caller gets "/notices"
+    Then the answer has status 200
+
+  Scenario Outline: A body that contains the key is refused
+    When the caller posts '<body>' to "<path>"
+    Then it is refused with "key-in-body", "not run"
+    And the agents saw 0 requests
+
+    Examples:
+      | path     | body                             |
+      | /quotes  | {"note":"jl_h1_saltmarsh"}       |
+      | /quotes  | {"note":"jl_h1_saltm\u0061rsh"}  |
+      | /quotes  | note=jl%5Fh1_saltmarsh           |
+      | /notices | {"note":"jl_h1_saltmarsh"}       |
+
+  Scenario: A compressed body, in which a key could hide, is refused
+    Given the caller sends the header "content-encoding": "gzip"
+    When the caller posts "{}" to "/quotes"
+    Then it is refused with "body-invalid", "not run"
+
+  Scenario: A missing key is refused
+    Given the caller sends no key
+    When the caller sends a chat
+    Then it is refused with "key-missing", "not run"
+
+  Scenario Outline: A wrong key is refused
+    Given the caller sends the header "<header>": "<value>"
+    When the caller sends a chat
+    Then it is refused with "key-unknown", "not run"
+    And the agents saw 0 requests
+
+    Examples:
+      | header        | value                  |
+      | authorization | Bearer jl_h1_saltmarsz |
+      | x-api-key     | jl_h1_another          |
+
+  Scenario: A withdrawn key is refused
+    When the key is withdrawn
+    And the caller sends a chat
+    Then it is refused with "key-unknown", "not run"
+    And the agents saw 0 requests
+
+  Scenario: A stream whose key is withdrawn never ends cleanly
+    Given "engine-1" next holds a stream open
+    When the caller begins to stream a chat
+    And the key is withdrawn
+    And the pending answer has come
+    Then the stream ends with an error event "key-unknown"
+    And "engine-1" sees the request cancelled
+
+  Scenario: A key that is withdrawn while the claim is written forwards nothing
+    Given the key is withdrawn during the next write to the table
+    When the caller sends order "12"
+    Then it is refused with "key-unknown", "not run"
+    And the agents saw 0 requests
+    And no claim is left
+
+  Scenario Outline: A request that names another account is refused
+    Given the caller sends the header "<header>": "<value>"
+    When the caller posts '<body>' to "/quotes"
+    Then it is refused with "account-mismatch", "not run"
+    And the agents saw 0 requests
+
+    Examples:
+      | header              | value      | body                     |
+      | openai-organization | lighthouse | {}                       |
+      | openai-project      | lighthouse | {}                       |
+      | jacinthlug-account  | lighthouse | {}                       |
+      | x-trace             | 1          | {"account":"lighthouse"} |
+
+  Scenario: Without a confirmed configuration nothing is served
+    Given the configuration is not confirmed
+    When the caller sends a chat
+    Then it is refused with "configuration-unconfirmed", "not run"
+    And the agents saw 0 requests
+
+  Scenario: An account beyond its rate is refused before a claim is written
+    Given the rate of the account is used up
+    When the caller sends order "12"
+    Then it is refused with "rate-exceeded", "not run"
+    And the agents saw 0 requests
+    And no claim is left
+
+  Scenario: Operators' paths take the operator credential alone
+    When the caller gets "/operator/v1/probe"
+    Then it is refused with "operator-credential-wrong", "not run"
+    Given the caller shows the operator credential
+    When the caller gets "/operator/v1/probe"
+    Then the answer has status 200
+
+  Scenario: A body larger than the route allows is refused
+    When the caller posts "12345678901234567" to "/small"
+    Then it is refused with "body-too-large", "not run"
+    And the agents saw 0 requests
+    When the caller posts "1234567890123456" to "/small"
+    Then the answer has status 200
--- /dev/null
+++ b/packages/entry/test/features/claims.feature
@@ -0,0 +1,147 @@
+Feature: Requests that may run once
+  Guards against a request that runs twice when it is sent again, answers are lost or hosts crash (P10).
+
+  Background:
+    Given the agents
+      | name     | service |
+      | ledger-1 | ledger  |
+      | ledger-2 | ledger  |
+      | engine-1 | chat    |
+
+  Scenario: A resend after the answer gets the recorded answer
+    When the caller sends order "12"
+    And the caller sends order "12"
+    Then the answer has status 200
+    And the answer says "idempotent-replayed": "true"
+    And the targets ran 1 request
+
+  Scenario: A resend during the run is told that the outcome is unknown
+    Given each agent always holds its answer
+    When the caller begins to send order "12"
+    And the caller sends order "12"
+    Then it is refused with "outcome-unknown", "outcome unknown"
+    When the held answers are given
+    And the caller sends order "12"
+    Then the answer says "idempotent-replayed": "true"
+    And the targets ran 1 request
+
+  Scenario: A resend after a crash of the entry host never runs again
+    Given each agent always holds its answer
+    When the caller begins to send order "12"
+    And the entry host crashes and another one takes over
+    And the held answers are given
+    And the caller sends order "12"
+    Then it is refused with "outcome-unknown", "outcome unknown"
+    And the targets ran 1 request
+
+  Scenario: A caller that goes away finds the answer when it comes back
+    Given each agent always holds its answer
+    When the caller begins to send order "12"
+    And the caller goes away
+    And the held answers are given
+    And the claim is recorded
+    And the caller comes back
+    And the caller sends order "12"
+    Then the answer says "idempotent-replayed": "true"
+    And the targets ran 1 request
+
+  Scenario: The lost answer of the claim is settled
+    Given the table loses 2 answers
+    When the caller sends order "12"
+    Then the answer has status 200
+    And the targets ran 1 request
+
+  Scenario: A claim that is not settled in time forwards nothing, and is released when it lands
+    Given the table delays 1 write
+    When the caller sends order "12"
+    Then it is refused with "claims-unavailable", "not run"
+    And the targets ran 0 requests
+    When the delayed writes land
+    And the claims are settled
+    And the caller sends order "12"
+    Then the answer has status 200
+    And the targets ran 1 request
+
+  Scenario: While no claim can be written nothing runs
+    Given the table is down
+    When the caller sends order "12"
+    Then it is refused with "claims-unavailable", "not run"
+    And the agents saw 0 requests
+    And 1000 permits are left
+
+  Scenario: A repeatable request runs without its claim while the table is down
+    Given the table is down
+    And the caller sends the header "idempotency-key": "tide-table"
+    When the caller sends a chat
+    Then the answer has status 200
+
+  Scenario: A host that was paused past the deadline after its claim forwards nothing
+    Given requests may take 100 ms
+    And the host is paused for 150 ms during the next write to the table
+    When the caller sends order "12"
+    Then it is refused with "deadline-passed-in-queue", "not run"
+    And the agents saw 0 requests
+
+  Scenario: The same identity with another body is refused
+    When the caller sends order "12"
+    And the caller posts '{"order":{"number":"12","ropes":4}}' to "/orders"
+    Then it is refused with "identity-reused", "not run"
+    When the caller posts '{"order":{"number":12,"ropes":3}}' to "/orders"
+    Then it is refused with "identity-reused", "not run"
+    And the targets ran 1 request
+
+  Scenario: Field and header both identify a request
+    Given the caller sends the header "idempotency-key": "tide-table"
+    When the caller sends order "12"
+    And the caller sends order "13"
+    Then it is refused with "identity-reused", "not run"
+    And the targets ran 1 request
+
+  Scenario: An identity that cannot identify is refused
+    When the caller posts '{"order":{"number":["12"]}}' to "/orders"
+    Then it is refused with "body-invalid", "not run"
+
+  Scenario: A claim whose request did not run is released
+    Given each agent always refuses with "overloaded"
+    When the caller sends order "12"
+    Then it is refused with "overloaded", "not run"
+    And no claim is left
+
+  Scenario: A cut answer keeps the claim
+    Given whichever agent comes first cuts a whole answer
+    When the caller sends order "12"
+    Then it is refused with "target-failed", "outcome unknown"
+    When the caller sends order "12"
+    Then it is refused with "outcome-unknown", "outcome unknown"
+    And the targets ran 1 request
+
+  Scenario: The answer is given although it cannot be recorded, and recorded later
+    Given the table goes down after the next write
+    When the caller sends order "12"
+    Then the answer has status 200
+    When the table is up
+    And the claim is recorded
+    And the caller sends order "12"
+    Then the answer says "idempotent-replayed": "true"
+    And the targets ran 1 request
+
+  Scenario: A streamed answer is replayed with its final event
+    Given the caller sends the header "idempotency-key": "tide-table"
+    And each agent always streams an answer
+    When the caller streams a chat
+    And the caller streams a chat
+    Then the answer says "idempotent-replayed": "true"
+    And the answers are equal
+    And the targets ran 1 request
+
+  Scenario Outline: Under random faults no order runs twice and "not run" is true
+    When 60 orders are sent under random faults with seed <seed>
+    Then no order ran twice
+    And no request that was refused as "not run" has run
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
--- /dev/null
+++ b/packages/entry/test/steps/claims.steps.ts
@@ -0,0 +1,144 @@
+import assert from 'node:assert/strict';
+import { setImmediate as turn } from 'node:timers/promises';
+import { Given, Then, When } from '@cucumber/cucumber';
+import { request } from 'undici';
+import { innerHeaders } from '@jacinthlug/protocol/headers';
+import { behaviours, refuseWith, type Behaviour } from '../fakes/FakeAgent.js';
+import { createRandom } from '../fakes/createRandom.js';
+import { HARBOR_KEY, type Scenario, type SentOrder } from '../fakes/Scenario.js';
+
+const agentFaults: readonly Behaviour[] = [
+  behaviours.answers,
+  behaviours['drops the connection'],
+  behaviours['cuts a whole answer'],
+  behaviours['answers with the answer of another request'],
+  refuseWith('overloaded'),
+  refuseWith('target-leaving'),
+  refuseWith('target-failed'),
+].flatMap((behaviour) => (behaviour ? [behaviour] : []));
+
+/** Waits for what a background task will have done; it takes some turns of the event loop, not time. */
+const until = async (isDone: () => boolean): Promise<void> => {
+  for (let turns = 0; turns < 1_000_000 && !isDone(); turns += 1) await turn();
+  assert.ok(isDone(), 'it was never done');
+};
+
+const claimStates = ({ table }: Scenario): unknown[] =>
+  [...table.rows.values()].map(({ state }) => state);
+
+Given('the table is down', function (this: Scenario) {
+  this.table.down = true;
+});
+
+Given('the table is up', function (this: Scenario) {
+  this.table.down = false;
+});
+
+Given('the table loses {int} answer(s)', function (this: Scenario, count: number) {
+  this.table.lostAnswers = count;
+});
+
+Given('the table delays {int} write(s)', function (this: Scenario, count: number) {
+  this.table.lateWrites = count;
+});
+
+Given('the key is withdrawn during the next write to the table', function (this: Scenario) {
+  this.table.duringWrite = () => this.follower.withdraw('h1');
+});
+
+Given('the table goes down after the next write', function (this: Scenario) {
+  this.table.duringWrite = () => {
+    this.table.down = true;
+  };
+});
+
+Given(
+  'the host is paused for {int} ms during the next write to the table',
+  function (this: Scenario, pauseMs: number) {
+    this.table.duringWrite = () => {
+      // Blocks the whole process, as a pause of the host does.
+      Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, pauseMs);
+    };
+  },
+);
+
+When('the delayed writes land', function (this: Scenario) {
+  this.table.land();
+});
+
+When('the claims are settled', async function (this: Scenario) {
+  await until(() => this.table.rows.size === 0);
+});
+
+When('the claim is recorded', async function (this: Scenario) {
+  await until(() => claimStates(this).every((state) => state === 'done'));
+});
+
+When('the entry host crashes and another one takes over', async function (this: Scenario) {
+  const crashed = await this.entry();
+  await crashed.crash();
+  await this.startEntry();
+});
+
+Then('no claim is left', async function (this: Scenario) {
+  await until(() => this.table.rows.size === 0);
+});
+
+const sendOrder = async (url: string, number: number): Promise<SentOrder> => {
+  const { statusCode, headers, body } = await request(`${url}/orders`, {
+    method: 'POST',
+    headers: { authorization: `Bearer ${HARBOR_KEY}` },
+    body: JSON.stringify({ order: { number } }),
+  });
+  const { error } = (await body.json()) as { error?: { run: string } };
+  return { status: statusCode, requestId: String(headers['x-request-id']), run: error?.run };
+};
+
+const plantFaults = ({ table, agents }: Scenario, random: () => number): void => {
+  const pick = (count: number) => Math.floor(random() * count);
+  Object.assign(table, {
+    lostAnswers: pick(3) === 0 ? 1 + pick(3) : 0,
+    lateWrites: pick(6) === 0 ? 1 : 0,
+    down: pick(10) === 0,
+  });
+  agents.forEach(({ next }) => {
+    next.splice(0);
+    next.push(agentFaults[pick(agentFaults.length * 2)] ?? (behaviours.answers as Behaviour));
+  });
+  if (pick(3) === 0) table.land();
+};
+
+When(
+  '{int} orders are sent under random faults with seed {int}',
+  { timeout: 60_000 },
+  async function (this: Scenario, count: number, seed: number) {
+    const random = createRandom(seed);
+    const entries = [await this.startEntry(), await this.startEntry()];
+    for (let sent = 0; sent < count; sent += 2) {
+      plantFaults(this, random);
+      const numbers = [random(), random()].map((each) => Math.floor(each * 12));
+      this.orders.push(
+        ...(await Promise.all(
+          entries.map(({ url }, index) => sendOrder(url, numbers[index] as number)),
+        )),
+      );
+    }
+  },
+);
+
+Then('no order ran twice', function (this: Scenario) {
+  const bodies = [...this.agents.values()].flatMap(({ runs }) => runs.map(({ body }) => body));
+  assert.equal(new Set(bodies).size, bodies.length);
+  assert.ok(bodies.length > 0);
+});
+
+Then('no request that was refused as "not run" has run', function (this: Scenario) {
+  const ran = new Set(
+    [...this.agents.values()].flatMap(({ runs }) =>
+      runs.map(({ headers }) => headers[innerHeaders.request]),
+    ),
+  );
+  const notRun = this.orders.filter(({ run }) => run === 'not run');
+  assert.ok(notRun.length > 0);
+  notRun.forEach(({ requestId }) => assert.ok(!ran.has(requestId)));
+});
--- a/packages/entry/test/steps/online.steps.ts
+++ b/packages/entry/test/steps/online.steps.ts
@@ -2,6 +2,7 @@
 import { once } from 'node:events';
 import { After, Given, setWorldConstructor, Then, When, type DataTable } from '@cucumber/cucumber';
 import { resultCodes, type ResultName } from '@jacinthlug/catalog/resultCodes';
+import { innerHeaders } from '@jacinthlug/protocol/headers';
 import { behaviours, refuseWith, type Behaviour, type FakeAgent } from '../fakes/FakeAgent.js';
 import { HARBOR_KEY, Scenario } from '../fakes/Scenario.js';
 import { OPERATOR_CREDENTIAL } from '../fakes/startEntry.js';
@@ -34,6 +35,14 @@
   while (agent.seen.length < count) await once(agent.events, 'seen');
 };
 
+/** Sends a request and waits until an agent has it. */
+const begin = async (scenario: Scenario, path: string, body: string): Promise<void> => {
+  await scenario.entry();
+  Object.assign(scenario, { pending: scenario.send('POST', path, body).catch(() => undefined) });
+  const agents = [...scenario.agents.values()];
+  await Promise.race(agents.map((agent) => waitForRequests(agent, 1)));
+};
+
 Given('the agents', async function (this: Scenario, table: DataTable) {
   const rows = table.hashes() as { name: string; service: string; domain?: string }[];
   await Promise.all(rows.map(({ name, service, domain }) => this.addAgent(name, service, domain)));
@@ -51,13 +60,17 @@
   const behaviour = behaviourOf(text);
   let isFirst = true;
   const fallback: Behaviour = (agent, seen, response) => {
-    const chosen = isFirst ? behaviour : behaviourOf('answers');
+    const chosen = isFirst ? behaviour : this.rest;
     isFirst = false;
     chosen(agent, seen, response);
   };
   this.agents.forEach((agent) => Object.assign(agent, { fallback }));
 });
 
+Given('each other agent {}', function (this: Scenario, text: string) {
+  this.rest = behaviourOf(text);
+});
+
 Given('{string} is gone from its address', async function (this: Scenario, name: string) {
   await this.agent(name).stop();
 });
@@ -82,6 +95,12 @@
   this.follower.isIsolated = true;
 });
 
+Given('requests may take {int} ms', function (this: Scenario, timeLimitMs: number) {
+  this.follower.edit(({ declarations }) => {
+    Object.assign(declarations.nodes['']?.settings ?? {}, { timeLimitMs });
+  });
+});
+
 When('the key is withdrawn', function (this: Scenario) {
   this.follower.withdraw('h1');
 });
@@ -101,10 +120,7 @@
 });
 
 When('the caller begins to stream a chat', async function (this: Scenario) {
-  await this.entry();
-  this.pending = this.send('POST', '/v1/chat/completions', chatBody(true));
-  const agents = [...this.agents.values()];
-  await Promise.race(agents.map((agent) => waitForRequests(agent, 1)));
+  await begin(this, '/v1/chat/completions', chatBody(true));
 });
 
 When('the caller posts {string} to {string}', async function (this: Scenario, body, path) {
@@ -120,25 +136,28 @@
 });
 
 When('the caller begins to send order {string}', async function (this: Scenario, number: string) {
-  await this.entry();
-  this.pending = this.send('POST', '/orders', orderBody(number)).catch(() => undefined);
-  const agents = [...this.agents.values()];
-  await Promise.race(agents.map((agent) => waitForRequests(agent, 1)));
+  await begin(this, '/orders', orderBody(number));
+});
+
+When('the caller begins to send a chat', async function (this: Scenario) {
+  await begin(this, '/v1/chat/completions', chatBody(false));
 });
 
 When('the caller goes away', async function (this: Scenario) {
   this.callerGone.abort();
-  await this.pending?.catch(() => undefined);
+  await this.pending;
+});
+
+When('the caller comes back', function (this: Scenario) {
+  this.callerGone = new AbortController();
 });
 
 When('the pending answer has come', async function (this: Scenario) {
   await this.pending;
 });
 
-When('{string} gives its held answers', async function (this: Scenario, name: string) {
-  this.agent(name)
-    .held.splice(0)
-    .forEach((give) => give());
+When('the held answers are given', async function (this: Scenario) {
+  this.agents.forEach(({ held }) => held.splice(0).forEach((give) => give()));
   await this.pending;
 });
 
@@ -147,6 +166,26 @@
   if (agent.cancelled === 0) await once(agent.events, 'cancelled');
 });
 
+Then('some agent sees the request cancelled', async function (this: Scenario) {
+  const agents = [...this.agents.values()];
+  if (agents.some(({ cancelled }) => cancelled > 0)) return;
+  await Promise.race(agents.map(({ events }) => once(events, 'cancelled')));
+});
+
+Then('the second attempt was marked as a suspect', function (this: Scenario) {
+  const seen = [...this.agents.values()].flatMap((agent) => agent.seen);
+  const marks = seen.map(({ headers }) => headers[innerHeaders.suspect]);
+  assert.deepEqual(marks.sort(), ['false', 'true']);
+});
+
+Then('the caller did not see {string}', function (this: Scenario, text: string) {
+  assert.ok(!this.lastAnswer().text.includes(text));
+});
+
+Then('the answers are equal', function (this: Scenario) {
+  assert.equal(new Set(this.answers.map(({ text }) => text)).size, 1);
+});
+
 Then('the answer has status {int}', function (this: Scenario, status: number) {
   assert.equal(this.lastAnswer().status, status, this.lastAnswer().text);
 });
--- /dev/null
+++ b/packages/entry/test/steps/stop.steps.ts
@@ -0,0 +1,24 @@
+import assert from 'node:assert/strict';
+import { Then, When } from '@cucumber/cucumber';
+import { request } from 'undici';
+import type { Scenario } from '../fakes/Scenario.js';
+
+When('the entry host is told to stop', async function (this: Scenario) {
+  const { process } = await this.entry();
+  this.exitCode = process.stop();
+  // The grace period of the tests is 0 ms: the stop goes on with the next timer.
+  await new Promise((resolve) => {
+    setTimeout(resolve, 20);
+  });
+});
+
+Then('the path {string} answers {int}', async function (this: Scenario, path: string, status) {
+  const { url } = await this.entry();
+  const { statusCode, body } = await request(`${url}${path}`);
+  await body.dump();
+  assert.equal(statusCode, status);
+});
+
+Then('the entry host exits with {int}', async function (this: Scenario, code: number) {
+  assert.equal(await this.exitCode, code);
+});
