Make two scenarios of the entry host sharper

A paused host still had to open a connection, so the deadline timer fired before anything was sent: the scenario now opens the connection before the pause. A caller that goes away was noticed only after the answer: the scenario now waits until its connection is closed.

--- a/packages/entry/test/fakes/startEntry.ts
+++ b/packages/entry/test/fakes/startEntry.ts
@@ -2,6 +2,7 @@
 import 'reflect-metadata';
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { promisify } from 'node:util';
 import { silentJournal } from '@jacinthlug/catalog/Journal';
 import { openMetrics, type Metrics } from '@jacinthlug/catalog/Metrics';
 import type { Member } from '@jacinthlug/protocol/members';
@@ -48,6 +49,8 @@
 export interface RunningEntry {
   readonly url: string;
   readonly process: EntryProcess;
+  /** Counts the connections from callers. */
+  readonly countConnections: () => Promise<number>;
   /** Cuts all its connections at once, as a crash does. */
   readonly crash: () => Promise<void>;
   readonly metrics: Metrics;
@@ -115,10 +118,11 @@
   await process.start();
   const outer = child.resolve<Server>(tokens.outerServer);
   const { port } = outer.address() as AddressInfo;
+  const countConnections = () => promisify(outer.getConnections.bind(outer))();
   const crash = async () => {
     link.isCut = true;
     outer.closeAllConnections();
     await child.resolve<DataPath>(tokens.dataPath).close();
   };
-  return { url: `http://127.0.0.1:${port}`, process, metrics, crash };
+  return { url: `http://127.0.0.1:${port}`, process, metrics, countConnections, crash };
 };
--- a/packages/entry/test/features/claims.feature
+++ b/packages/entry/test/features/claims.feature
@@ -38,6 +38,7 @@
     Given each agent always holds its answer
     When the caller begins to send order "12"
     And the caller goes away
+    And the entry host has no connection from it
     And the held answers are given
     And the claim is recorded
     And the caller comes back
@@ -76,11 +77,14 @@
     Then the answer has status 200
 
   Scenario: A host that was paused past the deadline after its claim forwards nothing
+    Given "ledger-2" is leaving
+    # An open connection, on which the order could go out at once.
+    When the caller posts "{}" to "/quotes"
     Given requests may take 100 ms
     And the host is paused for 150 ms during the next write to the table
     When the caller sends order "12"
     Then it is refused with "deadline-passed-in-queue", "not run"
-    And the agents saw 0 requests
+    And the agents saw 1 request
 
   Scenario: The same identity with another body is refused
     When the caller sends order "12"
--- a/packages/entry/test/steps/claims.steps.ts
+++ b/packages/entry/test/steps/claims.steps.ts
@@ -62,6 +62,11 @@
   },
 );
 
+When('the entry host has no connection from it', async function (this: Scenario) {
+  const { countConnections } = await this.entry();
+  while ((await countConnections()) > 0) await turn();
+});
+
 When('the delayed writes land', function (this: Scenario) {
   this.table.land();
 });
--- a/packages/entry/test/steps/online.steps.ts
+++ b/packages/entry/test/steps/online.steps.ts
@@ -75,6 +75,10 @@
   await this.agent(name).stop();
 });
 
+Given('{string} is leaving', function (this: Scenario, name: string) {
+  Object.assign(this.agent(name).member, { state: 'leaving' });
+});
+
 Given('the caller sends the header {string}: {string}', function (this: Scenario, name, value) {
   this.headers = { ...this.headers, [name as string]: value as string };
 });
