Add the configuration follower, membership, suspects and edits

The follower keeps a proof of freshness on its own monotonic clock and decides its mode from the proof and the answers of peers. Questions of configuration.watch get an optional digest of the member list, as the answerer cannot otherwise tell whether the asker holds the present list. Questions of rates.share get a sequence, as a delayed question would lower a share that was raised since.

--- /dev/null
+++ b/packages/control/src/edits/createEditor.ts
@@ -0,0 +1,213 @@
+/** Accepts edits of the configuration (design 5.1, 5.10). */
+import { randomUUID } from 'node:crypto';
+import type { Journal } from '@jacinthlug/catalog/Journal';
+import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
+import type { Table, Write } from '@jacinthlug/platform/Table';
+import type { Configuration, ConfigurationContent } from '@jacinthlug/settings/tree/configuration';
+import { err, ok, type Result } from 'neverthrow';
+import {
+  encodeVersion,
+  headKey,
+  readHead,
+  readVersion,
+  readVersionRecord,
+  versionKey,
+} from '../follower/configurationRows.js';
+import { emptyConfiguration } from '../follower/createHeldConfiguration.js';
+import type { Follower } from '../follower/createFollower.js';
+import type { Clock } from '../time/Clock.js';
+
+/** An edit of the whole content. */
+export interface Edit {
+  /** Version that the content is based on. */
+  readonly baseVersion: number;
+  readonly content: ConfigurationContent;
+  readonly author: string;
+  readonly note?: string;
+  /** Names the edit: a repeat with the same token takes effect once. */
+  readonly token: string;
+}
+
+/** An edit that is computed from the version in force, and computed again when that changes. */
+export interface Change {
+  /**
+   * Computes the new content.
+   *
+   * @param content - content in force
+   * @returns the new content, `unchanged` when the edit is in force already, or why it is refused
+   */
+  apply(content: ConfigurationContent): Result<ConfigurationContent | 'unchanged', Refusal>;
+  readonly author: string;
+  readonly note: string;
+  readonly token: string;
+}
+
+/** Accepts edits. */
+export interface Editor {
+  /**
+   * Reads a version, from memory when it is the held one.
+   *
+   * @param version - its number
+   * @returns the version, or why it cannot be read
+   */
+  read(version: number): Promise<Result<Configuration, Refusal>>;
+
+  /**
+   * Commits an edit on its base version.
+   *
+   * @param edit - the edit
+   * @returns the version made, or why there is none
+   */
+  commit(edit: Edit): Promise<Result<number, Refusal>>;
+
+  /**
+   * Commits a change on the version in force, again when another edit comes between.
+   *
+   * @param change - the change
+   * @returns the version in which the change is in force, or why there is none
+   */
+  change(change: Change): Promise<Result<number, Refusal>>;
+}
+
+/** What the editor needs. */
+export interface EditorParts {
+  readonly table: Table;
+  readonly follower: Follower;
+  readonly clock: Clock;
+  readonly journal: Journal;
+  /** Wall-clock time, `Date.now` unless replaced. Unit: ms since 1970. */
+  readonly wallNow?: () => number;
+}
+
+/** Time to settle a commit. Unit: ms. */
+const SETTLE_MS = 5000;
+
+/** Attempts of a change while other edits come between. */
+const MAX_CHANGE_ATTEMPTS = 8;
+
+const unavailable = (message: string): Refusal =>
+  refuse('platform-unavailable', { detail: message });
+
+const conflictWith = (version: number): Refusal =>
+  refuse('configuration-conflict', {
+    detail: `The version in force is ${version}.`,
+    facts: { version },
+  });
+
+/**
+ * Creates the editor of an entry host.
+ *
+ * @param parts - table, follower and time
+ * @returns the editor
+ */
+export const createEditor = ({
+  table,
+  follower,
+  clock,
+  journal,
+  wallNow = Date.now,
+}: EditorParts): Editor => {
+  const checkMajority = async (): Promise<Result<void, Refusal>> => {
+    await follower.askDomains();
+    if (follower.mayAcceptEdits()) return ok(undefined);
+    const isConfirmed = follower.mode() === 'confirmed';
+    return err(refuse(isConfirmed ? 'configuration-no-majority' : 'configuration-unconfirmed'));
+  };
+  const read = async (version: number): Promise<Result<Configuration, Refusal>> => {
+    const latest = follower.latest();
+    if (latest?.version === version) return ok(latest.configuration);
+    if (version === 0) return ok(emptyConfiguration);
+    const row = await readVersion(table, version);
+    if (row.isErr()) return err(unavailable(row.error.message));
+    return row.value ? ok(row.value) : err(refuse('not-found', { detail: `version ${version}` }));
+  };
+  const currentVersion = async (): Promise<Result<number, Refusal>> => {
+    const head = await readHead(table);
+    return head.isErr() ? err(unavailable(head.error.message)) : ok(head.value.version);
+  };
+  /** Tells from the version row whose edit followed the base version. */
+  const findOutcome = async (edit: Edit): Promise<'ours' | 'other' | 'none' | 'unreadable'> => {
+    const record = await readVersionRecord(table, edit.baseVersion + 1);
+    if (record.isErr()) return 'unreadable';
+    if (!record.value) return 'none';
+    return record.value.token === edit.token ? 'ours' : 'other';
+  };
+  const accepted = ({ baseVersion, content }: Edit): Result<number, Refusal> => {
+    const version = baseVersion + 1;
+    follower.adopt({ version, content });
+    journal.record('configuration-accepted', { version });
+    return ok(version);
+  };
+  /** Answers a repeat: the content in force is that of the row, not that of the repeat. */
+  const acceptedBefore = async ({ baseVersion }: Edit): Promise<Result<number, Refusal>> => {
+    const version = baseVersion + 1;
+    const row = await readVersion(table, version);
+    if (row.isOk() && row.value) follower.adopt(row.value);
+    return ok(version);
+  };
+  const writesOf = async (edit: Edit): Promise<Write[]> => {
+    const version = edit.baseVersion + 1;
+    const record = { version, author: edit.author, acceptedAt: wallNow(), token: edit.token };
+    const attributes = await encodeVersion(
+      edit.note === undefined ? record : { ...record, note: edit.note },
+      edit.content,
+    );
+    const isBase =
+      edit.baseVersion === 0
+        ? ({ kind: 'missing', attribute: 'version' } as const)
+        : ({ kind: 'equals', attribute: 'version', value: edit.baseVersion } as const);
+    return [
+      { kind: 'put', key: versionKey(version), attributes, conditions: [{ kind: 'absent' }] },
+      { kind: 'update', key: headKey, set: { version }, conditions: [isBase] },
+    ];
+  };
+  const conflict = async (edit: Edit): Promise<Result<number, Refusal>> => {
+    const current = await currentVersion();
+    return err(current.isErr() ? current.error : conflictWith(current.value));
+  };
+  /** Decides after a transaction that did not succeed for certain. */
+  const settleByRow = async (edit: Edit, isUnknown: boolean): Promise<Result<number, Refusal>> => {
+    const outcome = await findOutcome(edit);
+    if (outcome === 'ours') return acceptedBefore(edit);
+    if (outcome === 'other') return conflict(edit);
+    // An absent row settles nothing while the transaction may still take effect.
+    if (isUnknown || outcome === 'unreadable') return err(refuse('configuration-outcome-unknown'));
+    return conflict(edit);
+  };
+  const commit = async (edit: Edit): Promise<Result<number, Refusal>> => {
+    const majority = await checkMajority();
+    if (majority.isErr()) return err(majority.error);
+    // A repeat of an accepted edit, or an edit on an old version: the row of the next one decides.
+    if (edit.baseVersion < (follower.latest()?.version ?? 0)) return settleByRow(edit, false);
+    const writes = await writesOf(edit);
+    const deadline = clock.now() + SETTLE_MS;
+    const outcome = await table.settle(writes, randomUUID(), deadline);
+    if (outcome.isOk()) return accepted(edit);
+    if (outcome.error.kind === 'unavailable') return err(unavailable(outcome.error.message));
+    return settleByRow(edit, outcome.error.kind === 'unknown');
+  };
+  const readInForce = async (): Promise<Result<Configuration, Refusal>> => {
+    const version = await currentVersion();
+    return version.isErr() ? err(version.error) : read(version.value);
+  };
+  const changeOnce = async (change: Change): Promise<Result<number, Refusal>> => {
+    const base = await readInForce();
+    if (base.isErr()) return err(base.error);
+    const content = change.apply(base.value.content);
+    if (content.isErr()) return err(content.error);
+    if (content.value === 'unchanged') return ok(base.value.version);
+    return commit({ ...change, baseVersion: base.value.version, content: content.value });
+  };
+  return {
+    read,
+    commit,
+    async change(change) {
+      let outcome = await changeOnce(change);
+      for (let attempt = 1; attempt < MAX_CHANGE_ATTEMPTS; attempt += 1) {
+        if (outcome.isOk() || outcome.error.code !== 'configuration-conflict') return outcome;
+        outcome = await changeOnce(change);
+      }
+      return outcome;
+    },
+  };
+};
--- /dev/null
+++ b/packages/control/src/follower/answerWatch.ts
@@ -0,0 +1,82 @@
+/** Answers peers that ask for the configuration. */
+import type { ConfigurationState, ConfigurationWatch } from '@jacinthlug/protocol/messages';
+import type { Notifier } from '../time/createNotifier.js';
+import { askNow, askPeer, HOLD_MS } from './askPeer.js';
+import type { HeldConfiguration } from './createHeldConfiguration.js';
+import type { FollowerParts } from './FollowerParts.js';
+import { TABLE_REACHED_MS } from './mode.js';
+
+/** Age of the proof beyond which holding an answer only delays the asker. Unit: ms. */
+const HOLDABLE_PROOF_MS = 2000;
+
+/** Answers the questions of peers. */
+export type WatchAnswerer = (question: ConfigurationWatch) => Promise<ConfigurationState>;
+
+/**
+ * Creates the answerer.
+ *
+ * @param parts - members and suspects to tell
+ * @param held - the held configuration
+ * @param news - wakes held answers
+ * @param signal - ends held answers
+ * @returns the answerer
+ */
+export const createWatchAnswerer = (
+  parts: FollowerParts,
+  held: HeldConfiguration,
+  news: Notifier,
+  signal: AbortSignal,
+): WatchAnswerer => {
+  const { self, clock, membership, suspects } = parts;
+  const askingBack = new Set<string>();
+  const wantsMembers = ({ membersDigest }: ConfigurationWatch): boolean =>
+    membersDigest !== undefined &&
+    membership.digest() !== '' &&
+    membersDigest !== membership.digest();
+  const hasNews = (question: ConfigurationWatch): boolean =>
+    held.version() > question.version ||
+    suspects.version() > question.suspectsVersion ||
+    wantsMembers(question);
+  const isHoldable = (): boolean =>
+    !signal.aborted && (held.proofAge() ?? Infinity) <= HOLDABLE_PROOF_MS;
+  /** Fetches what the asker holds in a higher version, so that news also travel up the tree. */
+  const askBack = async (question: ConfigurationWatch): Promise<void> => {
+    held.noteVersion(question.version);
+    const isBehind =
+      question.version > held.version() || question.suspectsVersion > suspects.version();
+    const asker = membership.all().find(({ name }) => name === question.asker);
+    if (!isBehind || !asker || askingBack.has(asker.name)) return;
+    askingBack.add(asker.name);
+    await askPeer(parts, held, asker, askNow);
+    askingBack.delete(asker.name);
+  };
+  const hold = async (question: ConfigurationWatch): Promise<number> => {
+    const since = clock.now();
+    const until = since + Math.min(question.holdMs, HOLD_MS);
+    while (clock.now() < until && isHoldable() && !hasNews(question)) {
+      await news.wait(until - clock.now());
+    }
+    return clock.now() - since;
+  };
+  return async (question) => {
+    void askBack(question);
+    const heldMs = await hold(question);
+    const ageMs = held.proofAge() ?? null;
+    const catalogue = held.catalogue();
+    const version = held.version();
+    return {
+      version,
+      mode: held.mode(),
+      reachesTable: ageMs !== null && ageMs <= TABLE_REACHED_MS,
+      heldMs,
+      ageMs,
+      failureDomain: self.failureDomain,
+      ...(catalogue && version > question.version
+        ? { configuration: catalogue.configuration }
+        : {}),
+      suspectsVersion: suspects.version(),
+      ...(suspects.version() > question.suspectsVersion ? { suspects: suspects.all() } : {}),
+      ...(wantsMembers(question) ? { members: [...membership.all()] } : {}),
+    };
+  };
+};
--- /dev/null
+++ b/packages/control/src/follower/configurationRows.ts
@@ -0,0 +1,168 @@
+/** Rows of the configuration in the table. */
+import { promisify } from 'node:util';
+import { gunzip, gzip } from 'node:zlib';
+import type { Attributes, Row, RowKey, Table } from '@jacinthlug/platform/Table';
+import { suspect, type Suspect } from '@jacinthlug/protocol/messages';
+import {
+  configurationContent,
+  type Configuration,
+  type ConfigurationContent,
+} from '@jacinthlug/settings/tree/configuration';
+import { err, ok, type Result } from 'neverthrow';
+import { z } from 'zod';
+
+const PARTITION = 'configuration';
+const VERSION_PREFIX = 'version#';
+const VERSION_DIGITS = 12;
+
+/** Key of the head row. */
+export const headKey: RowKey = { pk: PARTITION, sk: 'head' };
+
+/**
+ * Gives the key of the row of a version.
+ *
+ * @param version - number of the version
+ * @returns the key
+ */
+export const versionKey = (version: number): RowKey => ({
+  pk: PARTITION,
+  sk: `${VERSION_PREFIX}${String(version).padStart(VERSION_DIGITS, '0')}`,
+});
+
+const headAttributes = z.object({
+  version: z.int().nonnegative().default(0),
+  suspects: z.array(suspect).default([]),
+  suspectsVersion: z.int().nonnegative().default(0),
+});
+
+/** The head row. */
+export interface Head {
+  /** Version in force; 0 when there is none. */
+  readonly version: number;
+  readonly suspects: readonly Suspect[];
+  readonly suspectsVersion: number;
+}
+
+const versionAttributes = z.object({
+  version: z.int().positive(),
+  tree: z.instanceof(Uint8Array),
+  author: z.string(),
+  acceptedAt: z.number(),
+  note: z.string().optional(),
+  token: z.string(),
+});
+
+/** The row of a version, without its content. */
+export interface VersionRecord {
+  readonly version: number;
+  readonly author: string;
+  /** Wall-clock time. Unit: ms since 1970. */
+  readonly acceptedAt: number;
+  readonly note?: string;
+  /** Token of the edit that made the version. */
+  readonly token: string;
+}
+
+/** The table did not answer, or a row has another format. */
+export interface ReadFailure {
+  readonly message: string;
+}
+
+const messageOf = (fault: unknown): string =>
+  fault instanceof Error ? fault.message : String(fault);
+
+/**
+ * Reads the head row.
+ *
+ * @param table - the table
+ * @returns the head; version 0 when the row is absent
+ */
+export const readHead = async (table: Table): Promise<Result<Head, ReadFailure>> => {
+  const row = await table.get(headKey);
+  if (row.isErr()) return err({ message: row.error.kind });
+  const parsed = headAttributes.safeParse(row.value?.attributes ?? {});
+  return parsed.success ? ok(parsed.data) : err({ message: parsed.error.message });
+};
+
+const decodeRecord = (row: Row): VersionRecord => {
+  const { version, author, acceptedAt, note, token } = versionAttributes.parse(row.attributes);
+  return { version, author, acceptedAt, token, ...(note === undefined ? {} : { note }) };
+};
+
+const decodeContent = async (row: Row): Promise<ConfigurationContent> => {
+  const { tree } = versionAttributes.parse(row.attributes);
+  const text = (await promisify(gunzip)(tree)).toString('utf8');
+  return configurationContent.parse(JSON.parse(text));
+};
+
+/**
+ * Reads a version.
+ *
+ * @param table - the table
+ * @param version - its number
+ * @returns the version, or nothing when it is absent
+ */
+export const readVersion = async (
+  table: Table,
+  version: number,
+): Promise<Result<Configuration | undefined, ReadFailure>> => {
+  const row = await table.get(versionKey(version));
+  if (row.isErr()) return err({ message: row.error.kind });
+  if (row.value === undefined) return ok(undefined);
+  try {
+    return ok({ version, content: await decodeContent(row.value) });
+  } catch (fault) {
+    return err({ message: messageOf(fault) });
+  }
+};
+
+/**
+ * Reads who made a version.
+ *
+ * @param table - the table
+ * @param version - its number
+ * @returns the record, or nothing when it is absent
+ */
+export const readVersionRecord = async (
+  table: Table,
+  version: number,
+): Promise<Result<VersionRecord | undefined, ReadFailure>> => {
+  const row = await table.get(versionKey(version));
+  if (row.isErr()) return err({ message: row.error.kind });
+  return ok(row.value === undefined ? undefined : decodeRecord(row.value));
+};
+
+/**
+ * Reads the records of the latest versions.
+ *
+ * @param table - the table
+ * @param limit - how many
+ * @returns the records, latest first
+ */
+export const readHistory = async (
+  table: Table,
+  limit: number,
+): Promise<Result<VersionRecord[], ReadFailure>> => {
+  const rows = await table.query({
+    pk: PARTITION,
+    prefix: VERSION_PREFIX,
+    limit,
+    descending: true,
+  });
+  return rows.isErr() ? err({ message: rows.error.kind }) : ok(rows.value.map(decodeRecord));
+};
+
+/**
+ * Encodes the row of a version.
+ *
+ * @param record - who made it and when
+ * @param content - its content
+ * @returns the attributes, with the content gzipped
+ */
+export const encodeVersion = async (
+  record: VersionRecord,
+  content: ConfigurationContent,
+): Promise<Attributes> => ({
+  ...record,
+  tree: await promisify(gzip)(Buffer.from(JSON.stringify(content))),
+});
--- /dev/null
+++ b/packages/control/src/follower/readTable.ts
@@ -0,0 +1,43 @@
+/** Reads the configuration from the table. */
+import type { Table } from '@jacinthlug/platform/Table';
+import type { SpreadSuspectList } from '../suspects/createSuspectList.js';
+import type { Clock } from '../time/Clock.js';
+import { readHead, readVersion } from './configurationRows.js';
+import { emptyConfiguration, type HeldConfiguration } from './createHeldConfiguration.js';
+
+/** What a read needs. */
+export interface TableRead {
+  readonly table: Table;
+  readonly held: HeldConfiguration;
+  readonly suspects: SpreadSuspectList;
+  readonly clock: Clock;
+}
+
+const adoptVersion = async (version: number, { table, held }: TableRead): Promise<void> => {
+  if (version === 0) {
+    if (!held.catalogue()) held.adopt(emptyConfiguration);
+    return;
+  }
+  if (version <= held.version()) return;
+  const read = await readVersion(table, version);
+  if (read.isOk() && read.value) held.adopt(read.value);
+};
+
+/**
+ * Reads the head row, and the version that it names when it is higher than the held one. The read
+ * proves the time at which it was sent.
+ *
+ * @param read - what to read and where to keep it
+ * @returns whether the table answered
+ */
+export const readTable = async (read: TableRead): Promise<boolean> => {
+  const sentAt = read.clock.now();
+  const head = await readHead(read.table);
+  if (head.isErr()) return false;
+  read.held.noteVersion(head.value.version);
+  read.suspects.merge(head.value.suspectsVersion, head.value.suspects);
+  await adoptVersion(head.value.version, read);
+  read.held.prove(head.value.version, sentAt);
+  void read.suspects.flush();
+  return true;
+};
--- /dev/null
+++ b/packages/control/src/membership/createMembership.ts
@@ -0,0 +1,65 @@
+/** The members of the fleet in memory. */
+import { createHash } from 'node:crypto';
+import type { Journal } from '@jacinthlug/catalog/Journal';
+import type { Member } from '@jacinthlug/protocol/members';
+import type { Membership } from '../Membership.js';
+
+/** The members with what their spread needs. */
+export interface SpreadMembership extends Membership {
+  /**
+   * Names the list as it was read or told.
+   *
+   * @returns a digest; empty before the first list
+   */
+  digest(): string;
+
+  /**
+   * Calls a listener after each change of the list.
+   *
+   * @param listener - called without arguments
+   */
+  onChange(listener: () => void): void;
+}
+
+const DIGEST_LENGTH = 16;
+
+const inOrder = (members: readonly Member[]): Member[] =>
+  [...new Map(members.map((member) => [member.name, member])).values()].sort((left, right) =>
+    left.name < right.name ? -1 : 1,
+  );
+
+const digestOf = (members: readonly Member[]): string =>
+  createHash('sha256').update(JSON.stringify(members)).digest('hex').slice(0, DIGEST_LENGTH);
+
+/**
+ * Creates an empty membership.
+ *
+ * @param journal - where changes are logged
+ * @returns the membership
+ */
+export const createMembership = (journal: Journal): SpreadMembership => {
+  let members: readonly Member[] = [];
+  let digest = '';
+  const listeners: (() => void)[] = [];
+  const live = (role: Member['role']): Member[] =>
+    members.filter((member) => member.role === role && member.state === 'live');
+  return {
+    all: () => members,
+    liveEntries: () => live('entry'),
+    liveAgents: (service) => live('agent').filter((member) => member.service === service),
+    digest: () => digest,
+    onChange(listener) {
+      listeners.push(listener);
+    },
+    update(list) {
+      const next = inOrder(list);
+      const nextDigest = digestOf(next);
+      // An empty list is a fault of the host list: the fleet contains at least this process.
+      if (next.length === 0 || nextDigest === digest) return;
+      members = next;
+      digest = nextDigest;
+      journal.record('membership-changed', { members: members.length, digest });
+      listeners.forEach((listener) => listener());
+    },
+  };
+};
--- /dev/null
+++ b/packages/control/src/membership/pollHostList.ts
@@ -0,0 +1,45 @@
+/** Reads the platform's host list while this process is a watcher. */
+import type { Journal } from '@jacinthlug/catalog/Journal';
+import type { HostList } from '@jacinthlug/platform/HostList';
+import type { Membership } from '../Membership.js';
+import type { Clock } from '../time/Clock.js';
+
+/** Time between reads in a small fleet. Unit: ms. */
+const MIN_PERIOD_MS = 2000;
+
+/**
+ * Time between reads for each member. An entry of the list takes about 170 bytes, so that a read
+ * costs at most 17 KB/s in a fleet of any size.
+ */
+const PERIOD_PER_MEMBER_MS = 10;
+
+/** What the poll needs. */
+export interface HostListPoll {
+  readonly hostList: HostList;
+  readonly membership: Membership;
+  readonly clock: Clock;
+  readonly journal: Journal;
+  /** Whether this process reads the list itself now. */
+  isWatcher(): boolean;
+  readonly signal: AbortSignal;
+}
+
+const readOnce = async ({ hostList, membership, journal }: HostListPoll): Promise<void> => {
+  const list = await hostList.list();
+  // The last list stays in use while the platform is down.
+  if (list.isErr()) journal.record('host-list-unavailable', { message: list.error.message });
+  else membership.update(list.value);
+};
+
+/**
+ * Reads the host list until the signal is aborted.
+ *
+ * @param poll - what to read and where to keep it
+ */
+export const pollHostList = async (poll: HostListPoll): Promise<void> => {
+  while (!poll.signal.aborted) {
+    if (poll.isWatcher()) await readOnce(poll);
+    const members = poll.membership.all().length;
+    await poll.clock.sleep(Math.max(MIN_PERIOD_MS, members * PERIOD_PER_MEMBER_MS), poll.signal);
+  }
+};
--- /dev/null
+++ b/packages/control/src/peers/rendezvous.ts
@@ -0,0 +1,19 @@
+/** Rendezvous hashing (highest random weight; Thaler and Ravishankar, 1998). */
+import { createHash } from 'node:crypto';
+
+const weightOf = (key: string, name: string): string =>
+  createHash('sha256').update(`${key}\0${name}`).digest('hex');
+
+/**
+ * Orders names by their weight for a key. All processes that know the same names agree on the order,
+ * and a name that comes or goes moves no other.
+ *
+ * @param key - what is placed
+ * @param names - candidates
+ * @returns the names, best candidate first
+ */
+export const rendezvousOrder = (key: string, names: readonly string[]): string[] =>
+  names
+    .map((name) => ({ name, weight: weightOf(key, name) }))
+    .sort((left, right) => (left.weight < right.weight ? 1 : -1))
+    .map(({ name }) => name);
--- /dev/null
+++ b/packages/control/src/suspects/mergeSuspects.ts
@@ -0,0 +1,66 @@
+/** Rules on lists of suspects. */
+import type { Suspect } from '@jacinthlug/protocol/messages';
+
+/** Most suspects that are kept. */
+export const MAX_SUSPECTS = 100;
+
+/** How long a suspect is kept after its last crash. Unit: ms. */
+export const SUSPECT_LIFE_MS = 3_600_000;
+
+const laterExpiry = (left: Suspect, right: Suspect): number => right.expiresAt - left.expiresAt;
+
+/**
+ * Drops expired suspects, and those that expire first when there are too many.
+ *
+ * @param suspects - records
+ * @param now - wall-clock time. Unit: ms since 1970
+ * @returns the kept records
+ */
+export const trimSuspects = (suspects: readonly Suspect[], now: number): Suspect[] =>
+  suspects
+    .filter(({ expiresAt }) => expiresAt > now)
+    .sort(laterExpiry)
+    .slice(0, MAX_SUSPECTS);
+
+/**
+ * Joins two lists. The higher count of a request wins, so that a list may be merged repeatedly.
+ *
+ * @param left - records
+ * @param right - records
+ * @returns one record for each request
+ */
+export const mergeSuspects = (left: readonly Suspect[], right: readonly Suspect[]): Suspect[] => {
+  const merged = new Map(left.map((suspect) => [suspect.fingerprint, suspect]));
+  right.forEach((suspect) => {
+    const known = merged.get(suspect.fingerprint) ?? suspect;
+    merged.set(suspect.fingerprint, {
+      fingerprint: suspect.fingerprint,
+      crashes: Math.max(known.crashes, suspect.crashes),
+      expiresAt: Math.max(known.expiresAt, suspect.expiresAt),
+    });
+  });
+  return [...merged.values()];
+};
+
+/**
+ * Counts one more crash for each request.
+ *
+ * @param suspects - records
+ * @param fingerprints - requests that were running
+ * @param now - wall-clock time of the crash. Unit: ms since 1970
+ * @returns the new list
+ */
+export const countCrash = (
+  suspects: readonly Suspect[],
+  fingerprints: readonly string[],
+  now: number,
+): Suspect[] => {
+  const known = new Map(
+    trimSuspects(suspects, now).map((suspect) => [suspect.fingerprint, suspect]),
+  );
+  new Set(fingerprints).forEach((fingerprint) => {
+    const crashes = (known.get(fingerprint)?.crashes ?? 0) + 1;
+    known.set(fingerprint, { fingerprint, crashes, expiresAt: now + SUSPECT_LIFE_MS });
+  });
+  return trimSuspects([...known.values()], now);
+};
--- /dev/null
+++ b/packages/control/src/time/createNotifier.ts
@@ -0,0 +1,36 @@
+/** Lets tasks wait for the next change of some state. */
+import type { Clock } from './Clock.js';
+
+/** Wakes tasks that wait for a change. */
+export interface Notifier {
+  /** Wakes every waiting task. */
+  notify(): void;
+
+  /**
+   * Waits for the next call of `notify`.
+   *
+   * @param ms - longest wait
+   */
+  wait(ms: number): Promise<void>;
+}
+
+/**
+ * Creates a notifier.
+ *
+ * @param clock - time for the limits
+ * @returns the notifier
+ */
+export const createNotifier = (clock: Clock): Notifier => {
+  const waiting = new Set<AbortController>();
+  return {
+    notify() {
+      waiting.forEach((waiter) => waiter.abort());
+    },
+    async wait(ms) {
+      const waiter = new AbortController();
+      waiting.add(waiter);
+      await clock.sleep(ms, waiter.signal);
+      waiting.delete(waiter);
+    },
+  };
+};
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -30,6 +30,8 @@
   version: z.int().nonnegative(),
   /** Version of the suspect list that the asker holds; grows by one with each change. */
   suspectsVersion: z.int().nonnegative(),
+  /** Digest of the member list that the asker holds; absent when it wants none. */
+  membersDigest: z.string().optional(),
   /** Longest time that the answer may be held. Unit: ms. */
   holdMs: z.int().nonnegative(),
 });
@@ -41,7 +43,7 @@
 export const configurationState = z.object({
   version: z.int().nonnegative(),
   mode: configurationMode,
-  /** Whether the answerer has read the table within the last 3 s. */
+  /** Whether the answerer has a proof, of its own or by its peers, that is at most 1.5 s old. */
   reachesTable: z.boolean(),
   /** How long the answer was held. Unit: ms. */
   heldMs: z.number().nonnegative(),
@@ -53,7 +55,7 @@
   suspectsVersion: z.int().nonnegative(),
   /** Present when the asker's list is older. */
   suspects: z.array(suspect).optional(),
-  /** Members as the answerer knows them; present on each answer that was not held to its end. */
+  /** Members as the answerer knows them; present when the asker's digest differs. */
   members: z.array(member).optional(),
 });
 
@@ -105,6 +107,8 @@
 export const shareRequest = z.object({
   /** Name and start of the asking process, so that a restarted one is another holder. */
   incarnation: z.string(),
+  /** Grows with each question of the incarnation about the shard; a late one is dropped. */
+  sequence: z.int().nonnegative(),
   shard: z.int().min(0).max(31),
   demands: z.array(demand),
   /** Accounts whose share the holder gives back; their tokens are credited to the home. */
--- a/packages/settings/src/tree/Catalogue.ts
+++ b/packages/settings/src/tree/Catalogue.ts
@@ -82,6 +82,13 @@
    * @returns the route, or nothing
    */
   findRoute(method: string, path: string): Route | undefined;
+  /**
+   * Tells whether an operator drains a host.
+   *
+   * @param host - name of the host
+   * @returns whether its target gets no new work
+   */
+  isDrained(host: string): boolean;
 }
 
 /**
@@ -103,6 +110,7 @@
  */
 export const openCatalogue = (configuration: Configuration): Catalogue => {
   const { declarations: tree, keys } = configuration.content;
+  const drainedHosts = new Set(configuration.content.drainedHosts);
   const nodesOf = <Kind extends Declaration['kind']>(kind: Kind): [string, NodeOf<Kind>][] =>
     Object.entries(tree.nodes).filter(
       (entry): entry is [string, NodeOf<Kind>] => entry[1].kind === kind,
@@ -165,5 +173,6 @@
       [...services.values()].find((service) => service.models.includes(model)),
     findRoute: (method, path) =>
       routes.find((route) => route.method === method && route.path === path),
+    isDrained: (host) => drainedHosts.has(host),
   };
 };
--- a/packages/settings/src/tree/configuration.ts
+++ b/packages/settings/src/tree/configuration.ts
@@ -21,6 +21,8 @@
   declarations,
   /** Keys by key id. Withdrawn keys stay listed, so that an id is never granted again. */
   keys: z.record(z.string(), key),
+  /** Names of the hosts that an operator drains. */
+  drainedHosts: z.array(z.string()).default([]),
 });
 
 /** Content of a version. */
