Add rate shares and the operators' endpoints

Rate shares count what a holder may hold as the larger of its statement and the last answer, so a lost message loses tokens and never makes any. Shares of an earlier home block new grants for 10 s, except what a home that released its lease told to be free.

--- a/packages/control/src/edits/createEditor.ts
+++ b/packages/control/src/edits/createEditor.ts
@@ -161,7 +161,7 @@
       { kind: 'update', key: headKey, set: { version }, conditions: [isBase] },
     ];
   };
-  const conflict = async (edit: Edit): Promise<Result<number, Refusal>> => {
+  const conflict = async (): Promise<Result<number, Refusal>> => {
     const current = await currentVersion();
     return err(current.isErr() ? current.error : conflictWith(current.value));
   };
@@ -169,10 +169,10 @@
   const settleByRow = async (edit: Edit, isUnknown: boolean): Promise<Result<number, Refusal>> => {
     const outcome = await findOutcome(edit);
     if (outcome === 'ours') return acceptedBefore(edit);
-    if (outcome === 'other') return conflict(edit);
+    if (outcome === 'other') return conflict();
     // An absent row settles nothing while the transaction may still take effect.
     if (isUnknown || outcome === 'unreadable') return err(refuse('configuration-outcome-unknown'));
-    return conflict(edit);
+    return conflict();
   };
   const commit = async (edit: Edit): Promise<Result<number, Refusal>> => {
     const majority = await checkMajority();
--- /dev/null
+++ b/packages/control/src/rates/createAccountBook.ts
@@ -0,0 +1,279 @@
+/** The home's book on one client account: its own bucket and what holders may hold. */
+import type { Demand, Share } from '@jacinthlug/protocol/messages';
+import {
+  noPart,
+  SHARE_ANSWER_LIMIT_MS,
+  SHARE_VALID_MS,
+  SINGLE_VALID_MS,
+  type Part,
+} from './limits.js';
+
+/** Part of the rate that is divided among holders; the rest fills the home's bucket. */
+const DIVIDED_RATE = 0.98;
+
+/** Part of the burst that is divided; the rest lets a new holder get something at once. */
+const DIVIDED_CAPACITY = 0.8;
+
+/**
+ * Smallest capacity that is worth a lasting share. Below it a bucket refuses callers within their
+ * rate whenever two requests come close together, so the holder gets tokens for single requests.
+ */
+const MIN_CAPACITY = 4;
+
+/** A share is lowered only when the holder needs at most this part of it, to avoid swings. */
+const KEPT_PART = 0.9;
+
+/** Least arrival rate that a holder counts with. Unit: requests a second. */
+const MIN_WEIGHT = 0.01;
+
+/** What a released home knew to be free: not held by anyone. */
+export interface FreePart extends Part {
+  readonly tokens: number;
+}
+
+/** The rate and burst of an account as the configuration has them. */
+export interface AccountLimits {
+  readonly rate: number;
+  readonly burst: number;
+}
+
+/** What a holder may hold until it states otherwise or the share lapses. */
+interface Holding extends Part {
+  readonly until: number;
+  /** A holder never extends a share for one request in an outage. */
+  readonly isSingle: boolean;
+  /** What of it was granted by an earlier home, and so is not taken from the free part. */
+  readonly inherited: Part;
+}
+
+interface KnownDemand {
+  readonly arrivalRate: number;
+  readonly at: number;
+}
+
+/** Book on one account. */
+export interface AccountBook {
+  /**
+   * Answers the demand of a holder.
+   *
+   * @param holder - incarnation of the holder
+   * @param demand - what it states
+   * @param returned - tokens that it removed from its bucket for the home
+   * @returns the share; nothing while an earlier home's shares may use up everything
+   */
+  grant(holder: string, demand: Demand, returned: number): Share | undefined;
+
+  /**
+   * Takes the whole share of a holder back.
+   *
+   * @param holder - incarnation of the holder
+   * @param returned - tokens that it removed from its bucket for the home
+   */
+  close(holder: string, returned: number): void;
+
+  /**
+   * Tells what nobody holds.
+   *
+   * @returns the free part and the tokens of the home's bucket
+   */
+  free(): FreePart;
+}
+
+/** What the book needs. */
+export interface AccountBookParts {
+  readonly account: string;
+  readonly generation: number;
+  /** Free part told by a home that released the lease; nothing is free otherwise. */
+  readonly inheritedFree: FreePart | undefined;
+  now(): number;
+  limits(): AccountLimits;
+  /** Whether shares lapse by time now; not in an outage and the 10 s after it. */
+  mayLapse(): boolean;
+  /**
+   * Tells until when shares of earlier homes may be in force.
+   *
+   * @returns monotonic time; `Infinity` while it is not known, `-Infinity` for the first home. Unit: ms
+   */
+  earlierSharesUntil(): number;
+  /** Monotonic time at which this home took over. Unit: ms. */
+  readonly startedAt: number;
+}
+
+const sum = (amounts: readonly number[]): number =>
+  amounts.reduce((total, amount) => total + amount, 0);
+
+const higher = (left: Part, right: Part): Part => ({
+  rate: Math.max(left.rate, right.rate),
+  capacity: Math.max(left.capacity, right.capacity),
+});
+
+/** Leaves a reserve for the next new holder: at most half of what is free, once it is scarce. */
+const spendable = (free: number, reserve: number): number => Math.max(0, free - reserve, free / 2);
+
+/** Moves a held amount to its target, as far as the free amount allows. */
+const adjust = (stated: number, target: number, free: number, reserve: number): number => {
+  if (target > stated) return Math.min(target, stated + spendable(free, reserve));
+  return target < stated * KEPT_PART || free < 0 ? target : stated;
+};
+
+/**
+ * Opens the book of a new home.
+ *
+ * @param parts - account, time and limits
+ * @returns the book
+ */
+export const createAccountBook = (parts: AccountBookParts): AccountBook => {
+  const { account, generation, inheritedFree } = parts;
+  const holdings = new Map<string, Holding>();
+  const demands = new Map<string, KnownDemand>();
+  const isFirst = parts.earlierSharesUntil() === -Infinity;
+  let tokens = isFirst ? parts.limits().burst : (inheritedFree?.tokens ?? 0);
+  let accruedAt = isFirst ? parts.now() : parts.startedAt;
+  /** Whether shares of an earlier home may be in force; then only what that home told is free. */
+  let hasEarlierShares = !isFirst;
+
+  const taken = (others: readonly Holding[], name: keyof Part): number =>
+    sum(others.map((held) => Math.max(0, held[name] - held.inherited[name])));
+  /** Computes what neither holders, except one, nor an earlier home may have given out. */
+  const freePart = (except?: string): Part => {
+    const { rate, burst } = parts.limits();
+    const others = [...holdings].filter(([holder]) => holder !== except).map(([, held]) => held);
+    const free = {
+      rate: rate - sum(others.map((held) => held.rate)),
+      capacity: burst - sum(others.map((held) => held.capacity)),
+    };
+    if (!hasEarlierShares) return free;
+    return {
+      rate: Math.min(free.rate, (inheritedFree?.rate ?? 0) - taken(others, 'rate')),
+      capacity: Math.min(free.capacity, (inheritedFree?.capacity ?? 0) - taken(others, 'capacity')),
+    };
+  };
+  const dropLapsed = (now: number): void => {
+    holdings.forEach(({ until, isSingle }, holder) => {
+      if (now > until && (isSingle || parts.mayLapse())) holdings.delete(holder);
+    });
+    demands.forEach(({ at }, holder) => {
+      if (now - at > SHARE_VALID_MS) demands.delete(holder);
+    });
+  };
+  const fill = (until: number): void => {
+    const { rate, capacity } = freePart();
+    const filled = tokens + (Math.max(0, rate) * Math.max(0, until - accruedAt)) / 1000;
+    tokens = Math.min(Math.max(0, capacity), filled);
+    accruedAt = Math.max(accruedAt, until);
+  };
+  /** Fills the home's bucket. Lapsed shares count until now, as nobody saw them lapse. */
+  const accrue = (): void => {
+    const now = parts.now();
+    const earlierUntil = parts.earlierSharesUntil();
+    if (hasEarlierShares && earlierUntil <= now) {
+      fill(earlierUntil);
+      hasEarlierShares = false;
+    }
+    fill(now);
+    dropLapsed(now);
+  };
+  /** Decides how much of a statement may be true at this moment. */
+  const trusted = (holder: string, demand: Demand): Part => {
+    const isKnown = holdings.has(holder);
+    const isEarlier = demand.generation < generation && hasEarlierShares;
+    // A statement on a share that lapsed here comes from a question that was delayed.
+    if (!isKnown && !isEarlier) return noPart;
+    return { rate: demand.heldRate, capacity: demand.heldCapacity };
+  };
+  const weightOf = (holder: string): number => {
+    const weights = [...demands].map(([name, { arrivalRate }]) => ({
+      name,
+      weight: Math.max(MIN_WEIGHT, arrivalRate),
+    }));
+    const own = weights.find(({ name }) => name === holder)?.weight ?? 0;
+    return own / sum(weights.map(({ weight }) => weight));
+  };
+  /** Bounds the tokens of the holder when the answer arrives, at most 1 s after its question. */
+  const tokensOnArrival = (stated: Part, demand: Demand): number =>
+    Math.min(stated.capacity, demand.tokens + (stated.rate * SHARE_ANSWER_LIMIT_MS) / 1000);
+  const credit = (returned: number): void => {
+    tokens = Math.min(Math.max(0, freePart().capacity), tokens + returned);
+  };
+  const debit = (wanted: number, reserve: number): number => {
+    const granted = Math.max(0, Math.min(wanted, spendable(tokens, reserve)));
+    tokens -= granted;
+    return granted;
+  };
+  const record = (holder: string, stated: Part, granted: Part, validMs: number): void => {
+    const now = parts.now();
+    const isSingle = validMs === SINGLE_VALID_MS && stated.rate === 0 && stated.capacity === 0;
+    const inherited = holdings.get(holder)?.inherited ?? (hasEarlierShares ? stated : noPart);
+    // The answer may be lost, so the larger of the stated and the granted part counts.
+    const counted = higher(stated, granted);
+    const until = now + (isSingle ? SINGLE_VALID_MS : SHARE_VALID_MS);
+    holdings.set(holder, { ...counted, until, isSingle, inherited });
+  };
+  /** Computes what may be added to the part that a holder has. */
+  const headroom = (holder: string, stated: Part): Part => {
+    const free = freePart(holder);
+    const inherited = holdings.get(holder)?.inherited ?? (hasEarlierShares ? stated : noPart);
+    const own = (name: keyof Part): number =>
+      hasEarlierShares ? Math.max(0, stated[name] - inherited[name]) : stated[name];
+    return { rate: free.rate - own('rate'), capacity: free.capacity - own('capacity') };
+  };
+  const lastingPart = (stated: Part, room: Part, weight: number): Part | undefined => {
+    const { rate, burst } = parts.limits();
+    const target = Math.floor(burst * DIVIDED_CAPACITY * weight);
+    if (target < MIN_CAPACITY) return undefined;
+    const reserve = burst * (1 - DIVIDED_CAPACITY);
+    const capacity = Math.floor(adjust(stated.capacity, target, room.capacity, reserve));
+    if (capacity < 1) return undefined;
+    const divided = rate * DIVIDED_RATE * weight;
+    const rateReserve = rate * (1 - DIVIDED_RATE);
+    return { rate: adjust(stated.rate, divided, room.rate, rateReserve), capacity };
+  };
+  const grantLasting = (holder: string, demand: Demand, stated: Part, part: Part): Share => {
+    const room = part.capacity - tokensOnArrival(stated, demand);
+    record(holder, stated, part, SHARE_VALID_MS);
+    const granted = debit(room, parts.limits().burst * (1 - DIVIDED_CAPACITY) * 0.5);
+    return { account, generation, ...part, tokens: granted, validMs: SHARE_VALID_MS };
+  };
+  const grantSingle = (holder: string, demand: Demand, stated: Part, room: Part): Share => {
+    const hasRoom = stated.capacity + room.capacity >= 1;
+    const part = { rate: 0, capacity: hasRoom ? 1 : 0 };
+    const wanted = part.capacity - tokensOnArrival(stated, demand);
+    const granted = wanted >= 1 && tokens >= 1 ? 1 : 0;
+    tokens -= granted;
+    record(holder, stated, part, SINGLE_VALID_MS);
+    return { account, generation, ...part, tokens: granted, validMs: SINGLE_VALID_MS };
+  };
+  /** Leaves a holder what it has from an earlier home; nobody may get more of that yet. */
+  const keepEarlier = (holder: string, stated: Part): Share | undefined => {
+    if (stated.capacity === 0 && stated.rate === 0) return undefined;
+    record(holder, stated, stated, SHARE_VALID_MS);
+    return { account, generation, ...stated, tokens: 0, validMs: SHARE_VALID_MS };
+  };
+  return {
+    grant(holder, demand, returned) {
+      accrue();
+      const stated = trusted(holder, demand);
+      demands.set(holder, { arrivalRate: demand.arrivalRate, at: parts.now() });
+      const known = holdings.get(holder);
+      if (known) holdings.set(holder, { ...known, ...stated });
+      credit(returned);
+      const room = headroom(holder, stated);
+      if (hasEarlierShares && room.capacity < 1) return keepEarlier(holder, stated);
+      const part = lastingPart(stated, room, weightOf(holder));
+      return part
+        ? grantLasting(holder, demand, stated, part)
+        : grantSingle(holder, demand, stated, room);
+    },
+    close(holder, returned) {
+      accrue();
+      holdings.delete(holder);
+      demands.delete(holder);
+      credit(returned);
+    },
+    free() {
+      accrue();
+      const { rate, capacity } = freePart();
+      return { rate: Math.max(0, rate), capacity: Math.max(0, capacity), tokens };
+    },
+  };
+};
--- /dev/null
+++ b/packages/control/src/rates/createHome.ts
@@ -0,0 +1,115 @@
+/** The home of one shard: divides the rates of its accounts among holders. */
+import type { ShareAnswer, ShareRequest } from '@jacinthlug/protocol/messages';
+import type { Clock } from '../time/Clock.js';
+import {
+  createAccountBook,
+  type AccountBook,
+  type AccountLimits,
+  type FreePart,
+} from './createAccountBook.js';
+import type { HeldLease, HomeLease } from './createHomeLease.js';
+
+/** The home of one shard. */
+export interface Home {
+  /**
+   * Answers a holder.
+   *
+   * @param question - its demands
+   * @returns shares, or who the home is
+   */
+  answer(question: ShareRequest): ShareAnswer;
+
+  /**
+   * Tells what nobody holds, by account.
+   *
+   * @returns the free parts; empty while shares of an earlier home may be in force
+   */
+  free(): Readonly<Record<string, FreePart>>;
+}
+
+/** What the home needs. */
+export interface HomeParts {
+  readonly lease: HomeLease;
+  readonly clock: Clock;
+  /** Limits of an account in the configuration; nothing when it is not declared. */
+  limitsOf(account: string): AccountLimits | undefined;
+  /** Names of the declared accounts of the shard. */
+  accounts(): readonly string[];
+}
+
+interface Books {
+  readonly lease: HeldLease;
+  readonly accounts: Map<string, AccountBook>;
+  /** Highest sequence of each holder. */
+  readonly sequences: Map<string, number>;
+}
+
+const noLimits: AccountLimits = { rate: 0, burst: 0 };
+
+/**
+ * Creates the home of a shard.
+ *
+ * @param parts - lease, time and configuration
+ * @returns the home
+ */
+export const createHome = ({ lease, clock, limitsOf, accounts }: HomeParts): Home => {
+  let books: Books | undefined;
+  const booksOf = (held: HeldLease): Books => {
+    if (books?.lease !== held) books = { lease: held, accounts: new Map(), sequences: new Map() };
+    return books;
+  };
+  const bookOf = ({ lease: held, accounts: opened }: Books, account: string): AccountBook => {
+    const known = opened.get(account);
+    if (known) return known;
+    const book = createAccountBook({
+      account,
+      generation: held.generation,
+      inheritedFree: held.inheritedFree[account],
+      now: () => clock.now(),
+      limits: () => limitsOf(account) ?? noLimits,
+      mayLapse: () => lease.mayLapse(),
+      earlierSharesUntil: () => lease.earlierSharesUntil(),
+      startedAt: held.startedAt,
+    });
+    opened.set(account, book);
+    return book;
+  };
+  const notHome = (): ShareAnswer => {
+    const home = lease.homeAddress();
+    return { kind: 'not-home', ...(home === undefined ? {} : { home }) };
+  };
+  return {
+    answer(question) {
+      const held = lease.inForce();
+      const isOvertaken = question.demands.some(
+        ({ generation }) => generation > (held?.generation ?? 0),
+      );
+      if (!held || isOvertaken) return notHome();
+      const open = booksOf(held);
+      const { incarnation, sequence, demands, released } = question;
+      // A late question states what the holder had before later answers reached it.
+      if (sequence <= (open.sequences.get(incarnation) ?? -1))
+        return { kind: 'granted', shares: [] };
+      open.sequences.set(incarnation, sequence);
+      const isDeclared = ({ account }: { account: string }): boolean =>
+        limitsOf(account) !== undefined;
+      const demanded = new Set(demands.map(({ account }) => account));
+      const shares = demands.filter(isDeclared).flatMap((demand) => {
+        const returned = released.find(({ account }) => account === demand.account)?.tokens ?? 0;
+        return bookOf(open, demand.account).grant(incarnation, demand, returned) ?? [];
+      });
+      released
+        .filter(({ account }) => !demanded.has(account))
+        .filter(isDeclared)
+        .forEach(({ account, tokens }) => bookOf(open, account).close(incarnation, tokens));
+      return { kind: 'granted', shares };
+    },
+    free() {
+      const open = books;
+      if (!open || lease.earlierSharesUntil() > clock.now()) return {};
+      return Object.fromEntries(
+        accounts().map((account) => [account, bookOf(open, account).free()]),
+      );
+    },
+  };
+};
--- /dev/null
+++ b/packages/control/src/rates/createHomeLease.ts
@@ -0,0 +1,272 @@
+/** The lease of the home of one shard (design 5.2). */
+import { randomUUID } from 'node:crypto';
+import type { Journal } from '@jacinthlug/catalog/Journal';
+import type { Attributes, Condition, Row, Table, Write } from '@jacinthlug/platform/Table';
+import { z } from 'zod';
+import type { Follower } from '../follower/createFollower.js';
+import type { Clock } from '../time/Clock.js';
+import type { FreePart } from './createAccountBook.js';
+import {
+  LEASE_READABLE_MS,
+  LEASE_RENEWAL_MS,
+  LEASE_UNCHANGED_MS,
+  LEASE_VALID_MS,
+  SHARE_VALID_MS,
+} from './limits.js';
+import { leaseKey } from './shards.js';
+
+const freePart = z.object({ rate: z.number(), capacity: z.number(), tokens: z.number() });
+
+const leaseAttributes = z.object({
+  /** Incarnation of the home; empty after a release. */
+  holder: z.string(),
+  address: z.string(),
+  generation: z.int().nonnegative(),
+  beat: z.int().nonnegative(),
+  /** What the home knew to be free when it released the lease, by account. */
+  free: z.record(z.string(), freePart).default({}),
+});
+
+/** Content of a lease row. */
+type LeaseRow = z.infer<typeof leaseAttributes>;
+
+/** A lease that this process holds. */
+export interface HeldLease {
+  readonly generation: number;
+  /** Monotonic time at which it was taken over. Unit: ms. */
+  readonly startedAt: number;
+  /** What the home before knew to be free, by account. */
+  readonly inheritedFree: Readonly<Record<string, FreePart>>;
+}
+
+/** The lease of one shard. */
+export interface HomeLease {
+  /**
+   * Gives the lease when it may be acted on now.
+   *
+   * @returns the lease, or nothing
+   */
+  inForce(): HeldLease | undefined;
+
+  /** Whether this process took the lease and knows of no later home. */
+  isHeld(): boolean;
+
+  /**
+   * Tells whether shares lapse by time now: the lease was renewed without a gap in the last 10 s.
+   *
+   * @returns whether they lapse
+   */
+  mayLapse(): boolean;
+
+  /**
+   * Tells until when shares of earlier homes may be in force.
+   *
+   * @returns monotonic time. Unit: ms
+   */
+  earlierSharesUntil(): number;
+
+  /**
+   * Tells which other process is the home, as the lease row was last seen.
+   *
+   * @returns inner address of the home
+   */
+  homeAddress(): string | undefined;
+
+  /** Renews the lease, or watches it and takes it over; one step. */
+  step(): Promise<void>;
+
+  /**
+   * Releases the lease, if it is held.
+   *
+   * @param free - what is free, by account; called when no more is granted
+   */
+  release(free: () => Readonly<Record<string, FreePart>>): Promise<void>;
+}
+
+/** What the lease needs. */
+export interface HomeLeaseParts {
+  readonly shard: number;
+  /** Name and start of this process. */
+  readonly incarnation: string;
+  /** Inner address of this process. */
+  readonly address: string;
+  readonly table: Table;
+  readonly follower: Follower;
+  readonly clock: Clock;
+  readonly journal: Journal;
+  /** Rank among the candidates, from 0; nothing when this process is none. */
+  candidateRank(): number | undefined;
+}
+
+/** Head start of each candidate over the next. Unit: ms. */
+const RANK_DELAY_MS = 2000;
+
+interface Observation {
+  readonly row: LeaseRow;
+  /** Monotonic time at which the row was first seen so. Unit: ms. */
+  readonly since: number;
+}
+
+const isSameLease = (left: LeaseRow, right: LeaseRow): boolean =>
+  left.holder === right.holder && left.generation === right.generation && left.beat === right.beat;
+
+/** A shard that never had a home. */
+const neverHeld: LeaseRow = { holder: '', address: '', generation: 0, beat: 0, free: {} };
+
+const decodeLease = (row: Row | undefined): LeaseRow =>
+  row === undefined ? neverHeld : leaseAttributes.parse(row.attributes);
+
+const conditionsOn = (row: LeaseRow): Condition[] => {
+  if (row === neverHeld) return [{ kind: 'absent' }];
+  return [
+    { kind: 'equals', attribute: 'holder', value: row.holder },
+    { kind: 'equals', attribute: 'generation', value: row.generation },
+    { kind: 'equals', attribute: 'beat', value: row.beat },
+  ];
+};
+
+/**
+ * Creates the lease of a shard, not held.
+ *
+ * @param parts - table, follower and time
+ * @returns the lease
+ */
+export const createHomeLease = (parts: HomeLeaseParts): HomeLease => {
+  const { shard, incarnation, address, table, follower, clock, journal } = parts;
+  const key = leaseKey(shard);
+  let held: HeldLease | undefined;
+  let beat = 0;
+  /** Highest generation held; one that was given up is never taken up again, as its book is lost. */
+  let lastGeneration = 0;
+  /** Time at which the last acknowledged renewal was sent. */
+  let renewedAt = -Infinity;
+  /** Time before which no share lapses. */
+  let settledAt = -Infinity;
+  let earlierUntil = Infinity;
+  let observation: Observation | undefined;
+  let readableSince = Infinity;
+
+  const isRenewed = (): boolean => clock.now() - renewedAt < LEASE_VALID_MS;
+  const mayLapse = (): boolean => isRenewed() && clock.now() >= settledAt;
+  const ownConditions = ({ generation }: HeldLease): Condition[] => [
+    { kind: 'equals', attribute: 'holder', value: incarnation },
+    { kind: 'equals', attribute: 'generation', value: generation },
+  ];
+  const lose = (): void => {
+    journal.record('home-lost', { shard, generation: held?.generation });
+    held = undefined;
+    observation = undefined;
+  };
+  const acquire = (generation: number, free: LeaseRow['free']): void => {
+    const isFirst = generation === 1;
+    const now = clock.now();
+    held = { generation, startedAt: now, inheritedFree: free };
+    lastGeneration = generation;
+    beat = 0;
+    settledAt = isFirst ? -Infinity : now + SHARE_VALID_MS;
+    earlierUntil = isFirst ? -Infinity : Infinity;
+    journal.record('home-acquired', { shard, generation });
+  };
+  const renew = async (lease: HeldLease): Promise<void> => {
+    const sentAt = clock.now();
+    // Each attempt has its own beat, as an attempt without an answer may have taken effect.
+    beat += 1;
+    const outcome = await table.transact(
+      [{ kind: 'update', key, set: { beat }, conditions: ownConditions(lease) }],
+      randomUUID(),
+    );
+    if (outcome.isErr()) {
+      if (outcome.error.kind === 'conflict' && held === lease) lose();
+      return;
+    }
+    // After a gap holders may have kept their shares in an outage; they get 10 s to say so.
+    if (sentAt - renewedAt > LEASE_VALID_MS) {
+      settledAt = Math.max(settledAt, clock.now() + SHARE_VALID_MS);
+    }
+    renewedAt = sentAt;
+    if (earlierUntil === Infinity && mayLapse()) earlierUntil = settledAt;
+  };
+  const takeOver = async (row: LeaseRow): Promise<void> => {
+    await follower.askDomains();
+    if (!follower.mayAcceptEdits()) return;
+    const sentAt = clock.now();
+    const generation = row.generation + 1;
+    const attributes: Attributes = { holder: incarnation, address, generation, beat: 0 };
+    const write: Write = { kind: 'put', key, attributes, conditions: conditionsOn(row) };
+    const outcome = await table.transact([write], randomUUID());
+    observation = undefined;
+    if (outcome.isErr()) return;
+    acquire(generation, row.free);
+    renewedAt = sentAt;
+  };
+  const isDue = (row: LeaseRow, sentAt: number, rank: number): boolean => {
+    const since = observation?.since ?? Infinity;
+    const headStart = rank * RANK_DELAY_MS;
+    if (row.holder === '' || row.holder === incarnation) return sentAt - since >= headStart;
+    return (
+      sentAt - since >= LEASE_UNCHANGED_MS + headStart &&
+      sentAt - readableSince >= LEASE_READABLE_MS
+    );
+  };
+  const observe = (row: LeaseRow): void => {
+    if (observation && isSameLease(observation.row, row)) return;
+    observation = { row, since: clock.now() };
+  };
+  const forgetReads = (): void => {
+    observation = undefined;
+    readableSince = Infinity;
+  };
+  const watch = async (rank: number): Promise<void> => {
+    const sentAt = clock.now();
+    const read = await table.get(key);
+    if (read.isErr()) {
+      forgetReads();
+      return;
+    }
+    readableSince = Math.min(readableSince, clock.now());
+    const row = decodeLease(read.value);
+    // A takeover without an answer took effect; the next step renews before anything is granted.
+    if (row.holder === incarnation && row.generation > lastGeneration) acquire(row.generation, {});
+    else {
+      observe(row);
+      if (isDue(row, sentAt, rank)) await takeOver(row);
+    }
+  };
+  return {
+    inForce() {
+      if (!held) return undefined;
+      // Nobody can take the lease while the table accepts no writes.
+      return isRenewed() || follower.mode() === 'outage' ? held : undefined;
+    },
+    isHeld: () => held !== undefined,
+    mayLapse,
+    earlierSharesUntil: () => earlierUntil,
+    homeAddress() {
+      if (held) return undefined;
+      return observation?.row.address === '' ? undefined : observation?.row.address;
+    },
+    async step() {
+      if (held) {
+        await renew(held);
+        return;
+      }
+      const rank = parts.candidateRank();
+      if (rank === undefined) forgetReads();
+      else await watch(rank);
+    },
+    async release(free) {
+      const lease = held;
+      held = undefined;
+      if (!lease || !isRenewed()) return;
+      const attributes: Attributes = {
+        holder: '',
+        address: '',
+        generation: lease.generation,
+        beat: beat + 1,
+        free: free() as unknown as Attributes,
+      };
+      const write: Write = { kind: 'put', key, attributes, conditions: ownConditions(lease) };
+      await table.settle([write], randomUUID(), clock.now() + LEASE_RENEWAL_MS);
+    },
+  };
+};
--- /dev/null
+++ b/packages/control/src/rates/createShardHolder.ts
@@ -0,0 +1,205 @@
+/** Holds the shares of one shard: asks the home, renews and gives back. */
+import type { Metrics } from '@jacinthlug/catalog/Metrics';
+import type { PeerFailure } from '@jacinthlug/protocol/controlClient';
+import type { Demand, ShareAnswer, ShareRequest } from '@jacinthlug/protocol/messages';
+import { err, type Result } from 'neverthrow';
+import type { Clock } from '../time/Clock.js';
+import type { AccountLimits } from './createAccountBook.js';
+import { createArrivals, type Arrivals } from './createArrivals.js';
+import { createHeldShare, type HeldShare } from './createHeldShare.js';
+import { SHARE_ANSWER_LIMIT_MS, SHARE_RENEWAL_MS } from './limits.js';
+
+/** A share is given back after this time without a request. Unit: ms. */
+const IDLE_MS = 10_000;
+
+/** Homes that are tried for one question. */
+const MAX_HOPS = 3;
+
+/** Time between questions while a share is empty. Unit: ms. */
+const EMPTY_ASK_MS = 250;
+
+/** Time between questions while the home has nothing to give. Unit: ms. */
+const NOTHING_ASK_MS = 50;
+
+/** An account that is used on this process. */
+export interface HeldAccount {
+  readonly name: string;
+  readonly share: HeldShare;
+  readonly arrivals: Arrivals;
+}
+
+/** Holds the shares of one shard. */
+export interface ShardHolder {
+  /**
+   * Gives an account, from its first request on.
+   *
+   * @param name - name of the account
+   * @returns the account
+   */
+  account(name: string): HeldAccount;
+
+  /**
+   * Asks the home, unless it was asked too recently for its answer to differ.
+   *
+   * @param account - account that lacks tokens
+   * @returns whether an answer came
+   */
+  askFor(account: HeldAccount): Promise<boolean>;
+
+  /**
+   * Counts a refused request.
+   *
+   * @param account - its account
+   */
+  noteRefused(account: HeldAccount): void;
+
+  /** Renews the shares when they are due, and gives back those that are idle. */
+  renew(): Promise<void>;
+
+  /**
+   * Keeps shares past their end, in an outage.
+   *
+   * @param until - monotonic time. Unit: ms
+   */
+  extend(until: number): void;
+
+  /** Gives all shares back. */
+  giveUp(): Promise<void>;
+}
+
+/** What the holder needs. */
+export interface ShardHolderParts {
+  readonly shard: number;
+  readonly incarnation: string;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  limitsOf(account: string): AccountLimits | undefined;
+  /**
+   * Sends a question.
+   *
+   * @param question - what is asked
+   * @param failures - how many attempts failed since the home last answered
+   * @returns the answer, or why there is none
+   */
+  send(question: ShareRequest, failures: number): Promise<Result<ShareAnswer, PeerFailure>>;
+}
+
+const noLimits: AccountLimits = { rate: 0, burst: 0 };
+
+/**
+ * Creates the holder of a shard, without shares.
+ *
+ * @param parts - home, time and limits
+ * @returns the holder
+ */
+export const createShardHolder = (parts: ShardHolderParts): ShardHolder => {
+  const { shard, incarnation, clock, metrics, limitsOf, send } = parts;
+  const accounts = new Map<string, HeldAccount>();
+  const refusals = new Map<string, number>();
+  /** Accounts for which the home had no token at the last question. */
+  const starved = new Set<string>();
+  let sequence = 0;
+  let failures = 0;
+  let askedAt = -Infinity;
+  let pending: Promise<boolean> | undefined;
+
+  const demandOf = ({ name, share, arrivals }: HeldAccount): Demand => {
+    const { rate, capacity, tokens, generation } = share.state();
+    return {
+      account: name,
+      arrivalRate: arrivals.rate(),
+      refused: refusals.get(name) ?? 0,
+      tokens,
+      heldRate: rate,
+      heldCapacity: capacity,
+      generation,
+    };
+  };
+  const isIdle = ({ arrivals }: HeldAccount): boolean => clock.now() - arrivals.lastAt() > IDLE_MS;
+  const questionOf = (giveUp: readonly HeldAccount[]): ShareRequest => {
+    const kept = [...accounts.values()].filter((account) => !giveUp.includes(account));
+    sequence += 1;
+    const surplus = kept.map(({ name, share }) => ({
+      account: name,
+      tokens: share.removeSurplus(),
+    }));
+    const demands = kept.map(demandOf);
+    refusals.clear();
+    const released = giveUp.map(({ name, share }) => ({ account: name, tokens: share.giveUp() }));
+    const returned = surplus.filter(({ tokens }) => tokens > 0);
+    return { incarnation, sequence, shard, demands, released: [...returned, ...released] };
+  };
+  const applyAnswer = (answer: ShareAnswer, sentAt: number): boolean => {
+    if (answer.kind !== 'granted') return false;
+    accounts.forEach((_, name) => starved.add(name));
+    answer.shares.forEach((share) => {
+      accounts.get(share.account)?.share.apply(share, sentAt);
+      if (share.tokens > 0) starved.delete(share.account);
+    });
+    return true;
+  };
+  /** Asks once. A question that gets no answer in time loses the tokens that it returned. */
+  const askOnce = async (giveUp: readonly HeldAccount[]): Promise<boolean> => {
+    const sentAt = clock.now();
+    const answer = await send(questionOf(giveUp), failures);
+    const isLate = clock.now() - sentAt > SHARE_ANSWER_LIMIT_MS;
+    const result = isLate
+      ? err<ShareAnswer, PeerFailure>({ kind: 'unreachable', message: 'late' })
+      : answer;
+    const outcome = result.isErr() ? result.error.kind : result.value.kind;
+    metrics.count('shares.requests', { outcome });
+    const isApplied = result.isOk() && applyAnswer(result.value, sentAt);
+    failures = isApplied ? 0 : failures + 1;
+    return isApplied;
+  };
+  const askHops = async (giveUp: readonly HeldAccount[]): Promise<boolean> => {
+    askedAt = clock.now();
+    for (let hop = 0; hop < MAX_HOPS; hop += 1) {
+      const hopAt = clock.now();
+      if (await askOnce(giveUp)) return true;
+      // A home that cannot be reached took the whole time limit; a hint costs one round trip.
+      if (clock.now() - hopAt > SHARE_ANSWER_LIMIT_MS / 2) return false;
+    }
+    return false;
+  };
+  const ask = async (giveUp: readonly HeldAccount[] = []): Promise<boolean> => {
+    pending ??= askHops(giveUp).finally(() => {
+      pending = undefined;
+    });
+    return pending;
+  };
+  return {
+    account(name) {
+      const known = accounts.get(name);
+      if (known) return known;
+      const now = (): number => clock.now();
+      const share = createHeldShare(now, () => limitsOf(name) ?? noLimits);
+      const created = { name, share, arrivals: createArrivals(now) };
+      accounts.set(name, created);
+      return created;
+    },
+    async askFor({ name, share }) {
+      if (pending) return pending;
+      const waitMs = share.isValid() ? EMPTY_ASK_MS : NOTHING_ASK_MS;
+      const isUseful = clock.now() - askedAt >= waitMs;
+      return isUseful || (!share.isValid() && !starved.has(name)) ? ask() : false;
+    },
+    noteRefused({ name }) {
+      refusals.set(name, (refusals.get(name) ?? 0) + 1);
+    },
+    async renew() {
+      if (accounts.size === 0 || clock.now() - askedAt < SHARE_RENEWAL_MS) return;
+      const idle = [...accounts.values()].filter(isIdle);
+      await ask(idle);
+      idle.filter(isIdle).forEach(({ name }) => accounts.delete(name));
+    },
+    extend(until) {
+      accounts.forEach(({ share }) => share.extend(until));
+    },
+    async giveUp() {
+      await pending;
+      if (accounts.size > 0) await ask([...accounts.values()]);
+      accounts.clear();
+    },
+  };
+};
--- /dev/null
+++ b/packages/control/src/rates/limits.ts
@@ -0,0 +1,40 @@
+/** Times of the rate shares (design 5.2). Each keeps a total from exceeding rate x time + burst. */
+
+/** Validity of a share, from the sending of the question. Unit: ms. */
+export const SHARE_VALID_MS = 10_000;
+
+/** Validity of a share for one request. Unit: ms. */
+export const SINGLE_VALID_MS = 300;
+
+/** Time between renewals of a share. Unit: ms. */
+export const SHARE_RENEWAL_MS = 2000;
+
+/** Age of a question from which its answer is dropped. Unit: ms. */
+export const SHARE_ANSWER_LIMIT_MS = 1000;
+
+/** Time between renewals of a home lease. Unit: ms. */
+export const LEASE_RENEWAL_MS = 1000;
+
+/** Time for which a home grants after the sending of its last renewal. Unit: ms. */
+export const LEASE_VALID_MS = 3000;
+
+/** Time for which a challenger must see a lease unchanged. Unit: ms. */
+export const LEASE_UNCHANGED_MS = 4000;
+
+/**
+ * Time for which a challenger must have read the table without a failure. A home that grants in mode
+ * `outage` notices the end of the outage within 5 s: evidence of peers counts for 3 s, and peers read
+ * the table again within 2 s.
+ */
+export const LEASE_READABLE_MS = 8000;
+
+/** An amount of an account's rate and burst. */
+export interface Part {
+  /** Unit: requests a second. */
+  readonly rate: number;
+  /** Unit: requests. */
+  readonly capacity: number;
+}
+
+/** Nothing of the rate and burst. */
+export const noPart: Part = { rate: 0, capacity: 0 };
--- /dev/null
+++ b/packages/entry/src/core/operators/configurationEndpoints.ts
@@ -0,0 +1,93 @@
+/** Operators' endpoints on versions of the configuration. */
+import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
+import { readHistory } from '@jacinthlug/control/follower/configurationRows';
+import { checkStructure } from '@jacinthlug/settings/tree/checkStructure';
+import { declarations, type Declarations } from '@jacinthlug/settings/tree/declarations';
+import { err, ok, type Result } from 'neverthrow';
+import { z } from 'zod';
+import type { Endpoint, OperatorHandler } from '../http/Exchange.js';
+import { readBody, sendJson } from './json.js';
+import type { OperatorDeps } from './OperatorDeps.js';
+
+/** Name under which edits are recorded: the interface has one operator credential. */
+export const OPERATOR = 'operator';
+
+/** Versions that the history lists. */
+const HISTORY_LENGTH = 50;
+
+const editBody = z.strictObject({
+  baseVersion: z.int().nonnegative(),
+  declarations,
+  token: z.string().min(1).max(200),
+  note: z.string().max(1000).optional(),
+});
+
+const checkTree = (tree: Declarations): Result<void, Refusal> => {
+  const mistakes = checkStructure(tree);
+  const [first] = mistakes;
+  if (!first) return ok(undefined);
+  const detail = `${first.path}: ${first.message}`;
+  return err(refuse('configuration-invalid', { detail, facts: { mistakes } }));
+};
+
+const showConfiguration =
+  ({ follower }: OperatorDeps): OperatorHandler =>
+  (exchange) =>
+    Promise.resolve(
+      follower.inForce().andThen(({ configuration }) => sendJson(exchange, configuration)),
+    );
+
+const editConfiguration =
+  ({ editor }: OperatorDeps): OperatorHandler =>
+  async (exchange) => {
+    const body = await readBody(exchange, editBody, 'configuration-invalid');
+    if (body.isErr()) return err(body.error);
+    const { baseVersion, declarations: tree, token, note } = body.value;
+    const structure = checkTree(tree);
+    if (structure.isErr()) return err(structure.error);
+    const base = await editor.read(baseVersion);
+    if (base.isErr()) {
+      const isUnknown = base.error.code === 'not-found';
+      return err(isUnknown ? refuse('configuration-conflict') : base.error);
+    }
+    const version = await editor.commit({
+      baseVersion,
+      content: { ...base.value.content, declarations: tree },
+      author: OPERATOR,
+      token: `edit ${token}`,
+      ...(note === undefined ? {} : { note }),
+    });
+    return version.andThen((accepted) => sendJson(exchange, { version: accepted }));
+  };
+
+const showHistory =
+  ({ table }: OperatorDeps): OperatorHandler =>
+  async (exchange) => {
+    const records = await readHistory(table, HISTORY_LENGTH);
+    if (records.isErr()) {
+      return err(refuse('platform-unavailable', { detail: records.error.message }));
+    }
+    const versions = records.value.map(({ version, acceptedAt, author, note }) => ({
+      version,
+      acceptedAt,
+      author,
+      note,
+    }));
+    return sendJson(exchange, { versions });
+  };
+
+/**
+ * Creates the endpoints on the configuration.
+ *
+ * @param deps - editor, follower and table
+ * @returns the endpoints
+ */
+export const createConfigurationEndpoints = (deps: OperatorDeps): Endpoint<OperatorHandler>[] => [
+  {
+    method: 'GET',
+    path: '/operator/v1/configuration/history',
+    handle: showHistory(deps),
+  },
+  { method: 'GET', path: '/operator/v1/configuration', handle: showConfiguration(deps) },
+  { method: 'POST', path: '/operator/v1/configuration', handle: editConfiguration(deps) },
+];
--- /dev/null
+++ b/packages/entry/src/core/operators/createOperatorEndpoints.ts
@@ -0,0 +1,19 @@
+/** The operators' interface under `/operator/v1`. */
+import type { Endpoint, OperatorHandler } from '../http/Exchange.js';
+import { createConfigurationEndpoints } from './configurationEndpoints.js';
+import { createHostEndpoints } from './hostEndpoints.js';
+import { createKeyEndpoints } from './keyEndpoints.js';
+import type { OperatorDeps } from './OperatorDeps.js';
+
+/**
+ * Creates the endpoints of operators. The server has checked the operator credential before it calls
+ * a handler, and has not read the body.
+ *
+ * @param deps - what the endpoints need
+ * @returns the endpoints
+ */
+export const createOperatorEndpoints = (deps: OperatorDeps): Endpoint<OperatorHandler>[] => [
+  ...createConfigurationEndpoints(deps),
+  ...createKeyEndpoints(deps),
+  ...createHostEndpoints(deps),
+];
