--- a/packages/demo/src/measure/experiments.ts
+++ b/packages/demo/src/measure/experiments.ts
@@ -46,7 +46,13 @@
     shareRates: () => Promise.resolve({ kind: 'granted', shares }),
   };
   return measureCalls(handlers, (client) =>
-    client.rates.share.mutate({ incarnation: 'entry-17#1', shard: 4, demands, released: [] }),
+    client.rates.share.mutate({
+      incarnation: 'entry-17#1',
+      sequence: 9,
+      shard: 4,
+      demands,
+      released: [],
+    }),
   );
 };
 
