--- a/packages/agent/src/core/batch/ChunkRun.ts
+++ b/packages/agent/src/core/batch/ChunkRun.ts
@@ -1,4 +1,5 @@
 /** The run of one claimed chunk, from its input to the commit of its results. */
+import { setMaxListeners } from 'node:events';
 import type { Claim } from '@jacinthlug/batch/ChunkStore';
 import { isSuccess, type ResultLine } from '@jacinthlug/batch/results/resultLine';
 import type { BatchSlot } from '../TargetAccess.js';
@@ -93,6 +94,8 @@
     private readonly claim: Claim,
     private readonly onHungry: () => void,
   ) {
+    // Each item in a pause listens, so the number of listeners is that of the items.
+    setMaxListeners(0, this.halted);
     this.progressAt = dependencies.clock.monotonic();
     this.lease = keepLease(dependencies, claim, (end) => this.abort(end));
   }
@@ -207,9 +210,10 @@
         continue;
       }
       const slot = await acquire(this.halted);
-      const item = slot && !this.halted.aborted ? queue.shift() : undefined;
-      if (slot && item) void this.runInSlot(item, slot, phase);
-      else slot?.release();
+      if (!slot) break;
+      const item = this.halted.aborted ? undefined : queue.shift();
+      if (item) void this.runInSlot(item, slot, phase);
+      else slot.release();
       if (queue.length === 0) this.onHungry();
     }
     while (this.running > 0) await this.change.next();
--- a/packages/batch/test/fakes/SimulatedClock.ts
+++ b/packages/batch/test/fakes/SimulatedClock.ts
@@ -28,12 +28,16 @@
   waitUntil(deadline: number, signal?: AbortSignal): Promise<void> {
     if (signal?.aborted || deadline <= this.time.now) return nextTurn();
     return new Promise((resolve) => {
-      const waiter = { deadline, wake: resolve };
+      const waiter: Waiter = {
+        deadline,
+        wake: () => {
+          this.waiters.delete(waiter);
+          signal?.removeEventListener('abort', waiter.wake);
+          resolve();
+        },
+      };
       this.waiters.add(waiter);
-      signal?.addEventListener('abort', () => {
-        this.waiters.delete(waiter);
-        resolve();
-      });
+      signal?.addEventListener('abort', waiter.wake);
     });
   }
 }
--- a/packages/batch/test/fakes/SimulatedTime.ts
+++ b/packages/batch/test/fakes/SimulatedTime.ts
@@ -27,7 +27,6 @@
     await SimulatedTime.settle();
     for (let next = this.earliest(end); next; next = this.earliest(end)) {
       this.now = Math.max(this.now, next.waiter.deadline);
-      next.clock.waiters.delete(next.waiter);
       next.waiter.wake();
       await SimulatedTime.settle();
     }
