--- a/packages/entry/src/core/routing/AgentTable.ts
+++ b/packages/entry/src/core/routing/AgentTable.ts
@@ -65,10 +65,11 @@
     );
   });
 
-const isDrained = ({ member }: AgentState, { failureDomains, services }: Catalogue): boolean => {
+const isDrained = ({ member }: AgentState, catalogue: Catalogue): boolean => {
+  const { failureDomains, services } = catalogue;
   const inDomain = failureDomains.get(member.failureDomain)?.settings.drained;
   const inService = services.get(member.service ?? '')?.settings.drained;
-  return inDomain === true || inService === true;
+  return inDomain === true || inService === true || catalogue.isDrained(member.name);
 };
 
 /** The agents of this entry host's subsets and their load. */
