--- a/packages/agent/src/wiring/openCollaborators.ts
+++ b/packages/agent/src/wiring/openCollaborators.ts
@@ -1,12 +1,86 @@
 /** Constructs the parts of the agent that other packages implement. */
+import { randomUUID } from 'node:crypto';
+import { openChunkStore } from '@jacinthlug/batch/ChunkStore';
+import { systemClock as batchClock } from '@jacinthlug/batch/Clock';
+import { openJobStore } from '@jacinthlug/batch/JobStore';
+import { createFollower } from '@jacinthlug/control/follower/createFollower';
+import { createMembership } from '@jacinthlug/control/membership/createMembership';
+import { createPeerCalls } from '@jacinthlug/control/peers/createPeerCalls';
+import { createSuspectList } from '@jacinthlug/control/suspects/createSuspectList';
+import { systemClock } from '@jacinthlug/control/time/Clock';
+import { DynamoTable } from '@jacinthlug/platform/DynamoTable';
+import { PrometheusHostList } from '@jacinthlug/platform/PrometheusHostList';
+import { S3ObjectStore } from '@jacinthlug/platform/S3ObjectStore';
+import type { Member } from '@jacinthlug/protocol/members';
+import type { AgentSettings } from '@jacinthlug/settings/process/hostSettings';
+import { createBatchWorker } from '../core/batch/createBatchWorker.js';
+import type { BatchWorker } from '../core/BatchWorker.js';
 import type { CollaboratorContext, Collaborators } from './Collaborators.js';
 
+const selfIn = ({ name, inner, failureDomain, region, target }: AgentSettings): Member => ({
+  name,
+  role: 'agent',
+  address: `${inner.host}:${inner.port}`,
+  failureDomain,
+  region,
+  state: 'live',
+  service: target.service,
+  target: target.name,
+});
+
+/** A plain service runs no batch items, so its agent looks for no chunks. */
+const idleWorker: BatchWorker = {
+  start: () => undefined,
+  cancelJob: () => undefined,
+  stop: () => Promise.resolve(),
+};
+
 /**
  * Constructs the configuration follower, the membership and the batch worker.
  *
  * @param context - what they may use
  * @returns the parts
  */
-export const openCollaborators = ({ settings }: CollaboratorContext): Collaborators => {
-  throw new Error(`no configuration follower is linked for ${settings.name}`);
+export const openCollaborators = (context: CollaboratorContext): Collaborators => {
+  const { settings, journal, metrics, peers } = context;
+  const { platform, fleetCredential } = settings;
+  const self = selfIn(settings);
+  const table = new DynamoTable(platform, metrics);
+  const objects = new S3ObjectStore(platform, metrics);
+  const membership = createMembership(journal);
+  const follower = createFollower({
+    self,
+    table,
+    hostList: new PrometheusHostList(platform, metrics),
+    membership,
+    suspects: createSuspectList({ table, clock: systemClock }),
+    peers: createPeerCalls(fleetCredential, peers),
+    clock: systemClock,
+    journal,
+    metrics,
+  });
+  return {
+    follower,
+    membership,
+    table,
+    createBatchWorker(target) {
+      if (settings.target.kind === 'service') return idleWorker;
+      const jobs = openJobStore({ table, objects, clock: batchClock });
+      return createBatchWorker({
+        target,
+        jobs,
+        chunks: openChunkStore({ table, objects, clock: batchClock, jobs, random: Math.random }),
+        clock: batchClock,
+        journal,
+        metrics,
+        holder: { incarnation: `${settings.name}#${randomUUID()}`, address: self.address },
+        random: Math.random,
+      });
+    },
+    close() {
+      table.close();
+      objects.close();
+      return Promise.resolve();
+    },
+  };
 };
