Let a request wait for a home of the rate shares instead of refusing it

In a fleet that just started, the first requests were refused as rate-unavailable: the leases of the 32 shards are taken over the first two seconds, and a request gave up after four answers without a home. Ruled out: a missing configuration (the entry host was confirmed) and an empty bucket (the first home starts with the whole burst). A request now waits up to 2 s while no home answers, and the first candidate takes a free lease at its first look.

--- a/packages/catalog/src/logEvents.ts
+++ b/packages/catalog/src/logEvents.ts
@@ -90,9 +90,9 @@
   },
   'older-version-refused': {
     number: 205,
-    severity: 'warn',
+    severity: 'debug',
     message: 'Older configuration version refused',
-    hint: 'Check the host that offered it.',
+    hint: 'Nothing to do: a peer had not got the newer version yet.',
   },
   'host-list-unavailable': {
     number: 206,
--- a/packages/control/src/rates/createHomeLease.ts
+++ b/packages/control/src/rates/createHomeLease.ts
@@ -202,7 +202,10 @@
   const isDue = (row: LeaseRow, sentAt: number, rank: number): boolean => {
     const since = observation?.since ?? Infinity;
     const headStart = rank * RANK_DELAY_MS;
-    if (row.holder === '' || row.holder === incarnation) return sentAt - since >= headStart;
+    // Nobody holds a free lease, so the first candidate takes it at once.
+    if (row.holder === '' || row.holder === incarnation) {
+      return headStart === 0 || sentAt - since >= headStart;
+    }
     return (
       sentAt - since >= LEASE_UNCHANGED_MS + headStart &&
       sentAt - readableSince >= LEASE_READABLE_MS
--- a/packages/control/src/rates/createRateShares.ts
+++ b/packages/control/src/rates/createRateShares.ts
@@ -46,6 +46,15 @@
 /** Questions that one request may wait for. */
 const MAX_ASKS = 4;
 
+/**
+ * Longest wait of a request for a home to be found. A shard has no home for a moment when a fleet
+ * starts or a home is replaced; refusing at once would refuse callers within their rate. Unit: ms.
+ */
+const HOME_WAIT_MS = 2000;
+
+/** Time between questions during that wait. Unit: ms. */
+const HOME_LOOK_MS = 100;
+
 /** Time between looks at the shares that are due. Unit: ms. */
 const RENEWAL_LOOK_MS = 500;
 
@@ -171,10 +180,16 @@
       const { holder } = shard(number);
       const account = holder.account(name);
       account.arrivals.note();
-      for (let asks = 0; ; asks += 1) {
+      const waitUntil = clock.now() + HOME_WAIT_MS;
+      for (let answers = 0; answers <= MAX_ASKS;) {
         const generation = account.share.take();
         if (generation !== undefined) return ok({ shard: number, generation });
-        if (asks >= MAX_ASKS || !(await holder.askFor(account))) break;
+        if (await holder.askFor(account)) {
+          answers += 1;
+          continue;
+        }
+        if (account.share.isCurrent() || clock.now() >= waitUntil || stopping.signal.aborted) break;
+        await clock.sleep(HOME_LOOK_MS, stopping.signal);
       }
       holder.noteRefused(account);
       return err(refuseTake(account));
