Give each run of a batch item a time limit

The agent's access to the target has no limit of its own, so an item without end held its chunk for ever. The new scenario also showed that a chunk was given back as idle while its only item was in the pause before a retry; the time of progress is now that of the last run which the target ended.

--- a/packages/agent/src/core/batch/ChunkRun.ts
+++ b/packages/agent/src/core/batch/ChunkRun.ts
@@ -2,7 +2,8 @@
 import { setMaxListeners } from 'node:events';
 import type { Claim } from '@jacinthlug/batch/ChunkStore';
 import { isSuccess, type ResultLine } from '@jacinthlug/batch/results/resultLine';
-import type { BatchSlot } from '../TargetAccess.js';
+import { err, type Result } from 'neverthrow';
+import type { BatchSlot, TargetAnswer, TargetFailure, TargetRequest } from '../TargetAccess.js';
 import type { ChunkDependencies } from './ChunkDependencies.js';
 import { parseChunk, type Item } from './Item.js';
 import { crashLine, judgeAnswer, type Verdict } from './judgeAnswer.js';
@@ -24,6 +25,9 @@
 /** Pause before another try when the platform does not answer. Unit: ms. */
 const PLATFORM_RETRY_MS = 2000;
 
+/** Time that one run of an item may take; an item without end must not hold its chunk. Unit: ms. */
+export const ITEM_LIMIT_MS = 300_000;
+
 /** Time between checks of the job row. Unit: ms. */
 export const JOB_CHECK_MS = 5000;
 
@@ -78,6 +82,7 @@
   /** Items in a pause before another run. */
   private paused = 0;
 
+  /** When the target last took an item to an end, whichever. */
   private progressAt: number;
 
   private loaded = false;
@@ -245,18 +250,36 @@
       this.abort('lost');
       return { kind: 'put-back' };
     }
-    const signal = AbortSignal.any([this.cut.signal, slot.preempted]);
     const request = {
       method: item.line.method,
       path: item.line.url,
       headers: { 'content-type': 'application/json' },
       body: JSON.stringify(item.line.body),
     };
-    const result = await this.dependencies.target.run(request, signal);
+    const result = await this.runWithin(request, slot);
     if (slot.preempted.aborted && result.isErr()) {
       this.dependencies.metrics.count('batch.preempted');
     }
-    return judgeAnswer(this.claim, item, result, signal.aborted);
+    const isInterrupted = this.cut.signal.aborted || slot.preempted.aborted;
+    return judgeAnswer(this.claim, item, result, isInterrupted);
+  }
+
+  /** Runs a request, and cancels it at the target when it takes too long. */
+  private async runWithin(
+    request: TargetRequest,
+    { preempted }: BatchSlot,
+  ): Promise<Result<TargetAnswer, TargetFailure>> {
+    const { clock, target } = this.dependencies;
+    const ended = new AbortController();
+    const late = new AbortController();
+    void clock.waitUntil(clock.monotonic() + ITEM_LIMIT_MS, ended.signal).then(() => {
+      if (!ended.signal.aborted) late.abort();
+    });
+    const signal = AbortSignal.any([this.cut.signal, preempted, late.signal]);
+    const result = await target.run(request, signal);
+    ended.abort();
+    if (result.isOk() || !late.signal.aborted) return result;
+    return err({ kind: 'failed', message: `no answer within ${ITEM_LIMIT_MS} ms` });
   }
 
   private readonly verdictHandlers: {
@@ -282,13 +305,13 @@
   };
 
   private apply(item: Item, verdict: Verdict): void {
+    if ('line' in verdict) this.progressAt = this.dependencies.clock.monotonic();
     const handle = this.verdictHandlers[verdict.kind] as (item: Item, verdict: Verdict) => void;
     handle(item, verdict);
   }
 
   private settle(item: Item, line: ResultLine): void {
     this.lines[item.index] = line;
-    this.progressAt = this.dependencies.clock.monotonic();
     const outcome = line.error?.code ?? (isSuccess(line) ? 'succeeded' : 'failed');
     this.dependencies.metrics.count('batch.items', { outcome });
   }
--- a/packages/agent/test/fakes/FakeTarget.ts
+++ b/packages/agent/test/fakes/FakeTarget.ts
@@ -102,7 +102,7 @@
     else if (word === 'failing' || (word === 'flaky' && failures < 2)) {
       this.failures.set(name, failures + 1);
       leave(answer(503, { error: { message: 'failed' } }));
-    } else leave(answer(200, { content }));
+    } else if (word !== 'endless') leave(answer(200, { content }));
   }
 
   private crash(): void {
--- a/packages/agent/test/features/batch.feature
+++ b/packages/agent/test/features/batch.feature
@@ -2,12 +2,13 @@
   Guards against items that are lost, run for nothing or visible twice when agents, targets or the
   platform fail in the middle of a chunk.
 
-  Scenario: Impossible and flaky items do not hold the chunk
-    Given a job of 240 items where item 3 is "impossible", 120 is "flaky" and 121 is "failing"
+  Scenario: Impossible, endless and flaky items do not hold the chunk
+    Given a job of 240 items where item 3 is "impossible", 4 is "endless", 120 is "flaky" and 121 is "failing"
     And the agent "ana"
     When the agents run the job to its end
     Then each item is visible once
     And the target of "ana" saw item 3 once
+    And the target of "ana" saw item 4 3 times
     And the target of "ana" saw item 120 3 times
     And the target of "ana" saw item 121 3 times
     And the target of "ana" had 4 items at once
--- a/packages/agent/test/steps/batch.steps.ts
+++ b/packages/agent/test/steps/batch.steps.ts
@@ -74,7 +74,13 @@
 
 const wordOf = (content: string): string => content.split(' ')[0] ?? '';
 
-const failingWords: ReadonlySet<string> = new Set(['impossible', 'failing', 'crash', 'fatal']);
+const failingWords: ReadonlySet<string> = new Set([
+  'impossible',
+  'failing',
+  'endless',
+  'crash',
+  'fatal',
+]);
 
 Before(function (this: Scenario) {
   this.agents = new Map();
--- a/packages/entry/test/features/batch.feature
+++ b/packages/entry/test/features/batch.feature
@@ -44,7 +44,7 @@
     Then the client lists 4 files in pages of 2, newest first
 
   Scenario Outline: The platform does not answer
-    Given the table <fault>
+    Given the platform <fault>
     Then an upload gets the error 503 "platform-unavailable", <run>
 
     Examples:
--- a/packages/entry/test/steps/batch.steps.ts
+++ b/packages/entry/test/steps/batch.steps.ts
@@ -149,7 +149,7 @@
 );
 
 Given(
-  /^the table (is down|loses answers and reads fail)$/,
+  /^the platform (is down|loses answers and reads fail)$/,
   function (this: Scenario, fault: string) {
     const { table } = this.bench;
     table.down = fault === 'is down';
