--- a/packages/entry/test/steps/batch.steps.ts
+++ b/packages/entry/test/steps/batch.steps.ts
@@ -149,7 +149,7 @@
 );
 
 Given(
-  /^the table (is down|loses answers and reads fail)$/,
+  /^the platform (is down|loses answers and reads fail)$/,
   function (this: Scenario, fault: string) {
     const { table } = this.bench;
     table.down = fault === 'is down';
@@ -206,7 +206,7 @@
 
 When('{string} uploads {int} files', async function (this: Scenario, account: string, count) {
   for (let index = 0; index < Number(count); index += 1) {
-    await upload(clientOf(this, account), `file ${index}`);
+    await upload(clientOf(this, account), `file ${index}`.repeat(300_000));
     await this.bench.time.advance(1000);
   }
 });
