Take the validity of a chunk claim from the settings of the agent

It was a constant of 60 s, so a recovery could only be watched for a minute. The default stays 60 s; renewal starts after a third of the remaining validity, which is the 20 s of before.

--- a/packages/agent/src/core/batch/keepLease.ts
+++ b/packages/agent/src/core/batch/keepLease.ts
@@ -2,8 +2,8 @@
 import type { Claim, ChunkStore } from '@jacinthlug/batch/ChunkStore';
 import type { Clock } from '@jacinthlug/batch/Clock';
 
-/** Time between renewals. Unit: ms. */
-export const RENEW_EVERY_MS = 20_000;
+/** Part of the remaining validity after which a lease is renewed, so that two renewals may fail. */
+const RENEW_AFTER = 1 / 3;
 
 /** Pause after a renewal that the table did not answer. Unit: ms. */
 const RETRY_MS = 2000;
@@ -54,15 +54,20 @@
     end('lost');
   };
 
+  const nextRenewal = (): number => {
+    const now = clock.monotonic();
+    return now + (heldUntil - now) * RENEW_AFTER;
+  };
+
   const renew = async (): Promise<void> => {
-    let renewAt = clock.monotonic() + RENEW_EVERY_MS;
+    let renewAt = nextRenewal();
     while (!stopping.signal.aborted) {
       await clock.waitUntil(renewAt, stopping.signal);
       if (!isHeld()) return;
       const renewed = await chunks.renew(claim);
       if (renewed.isOk()) {
         heldUntil = Math.max(heldUntil, renewed.value);
-        renewAt = clock.monotonic() + RENEW_EVERY_MS;
+        renewAt = nextRenewal();
       } else if (renewed.error.kind === 'lost' || renewed.error.kind === 'ended') {
         end(renewed.error.kind);
       } else {
--- a/packages/agent/src/wiring/openCollaborators.ts
+++ b/packages/agent/src/wiring/openCollaborators.ts
@@ -69,7 +69,14 @@
       return createBatchWorker({
         target,
         jobs,
-        chunks: openChunkStore({ table, objects, clock: batchClock, jobs, random: Math.random }),
+        chunks: openChunkStore({
+          table,
+          objects,
+          clock: batchClock,
+          jobs,
+          random: Math.random,
+          leaseMs: settings.chunkLeaseMs,
+        }),
         clock: batchClock,
         journal,
         metrics,
--- a/packages/batch/src/ChunkStore.ts
+++ b/packages/batch/src/ChunkStore.ts
@@ -30,8 +30,8 @@
 } from './rows/rows.js';
 import { settleWrites } from './settleWrites.js';
 
-/** Validity of a claim from the sending of the claim or of its last renewal. Unit: ms. */
-export const LEASE_MS = 60_000;
+/** Validity of a claim when the settings name none. Unit: ms. */
+export const DEFAULT_LEASE_MS = 60_000;
 
 /** Longest wait for the outcome of one write of a holder. Unit: ms. */
 const SETTLE_MS = 10_000;
@@ -157,6 +157,8 @@
   readonly jobs: JobStore;
   /** Random numbers of [0, 1). */
   readonly random: () => number;
+  /** Validity of a claim from the sending of the claim or of its last renewal. Unit: ms. */
+  readonly leaseMs?: number;
 }
 
 /**
@@ -200,6 +202,7 @@
   clock,
   jobs,
   random,
+  leaseMs = DEFAULT_LEASE_MS,
 }: ChunkStoreDependencies): ChunkStore => {
   const settleBy = (): number => clock.monotonic() + SETTLE_MS;
 
@@ -308,14 +311,14 @@
   const claim: ChunkStore['claim'] = async (chunk, holder) => {
     const { job, index, former } = chunk;
     // The lease counts from before the write is sent, so that it ends here no later than there.
-    const heldUntil = clock.monotonic() + LEASE_MS;
+    const heldUntil = clock.monotonic() + leaseMs;
     const lapsed = former !== undefined && former.holder !== RELEASED;
     const row: ChunkRow = {
       state: 'claimed',
       holder: holder.incarnation,
       address: holder.address,
       fencing: (former?.fencing ?? 0) + 1,
-      leaseUntil: clock.wall() + LEASE_MS,
+      leaseUntil: clock.wall() + leaseMs,
       lapses: (former?.lapses ?? 0) + (lapsed ? 1 : 0),
       running: NO_ITEM,
       crashed: former ? crashedOf(former) : [],
@@ -339,8 +342,8 @@
   };
 
   const renew: ChunkStore['renew'] = async (held) => {
-    const heldUntil = clock.monotonic() + LEASE_MS;
-    const leaseUntil = clock.wall() + LEASE_MS;
+    const heldUntil = clock.monotonic() + leaseMs;
+    const leaseUntil = clock.wall() + leaseMs;
     const written = await settleWrites(table, {
       writes: [
         {
--- a/packages/settings/src/process/hostSettings.ts
+++ b/packages/settings/src/process/hostSettings.ts
@@ -65,6 +65,8 @@
 
 /** Schema of the settings of `jacinthlug-agent`. */
 export const agentSettings = hostSettings.extend({
+  /** Time after which the chunk of a lost agent may be claimed by another. Unit: ms. */
+  chunkLeaseMs: z.int().min(1000).default(60_000),
   target: z.strictObject({
     /** Name of the target; unique in the fleet. */
     name: z.string().min(1),
