Do not start a repeat that the deadline would cut off

settle made attempts up to the last millisecond before its deadline. Such an attempt was aborted and turned a certain "unavailable" into "unknown": one of two runs of the new scenario for a contended transaction failed this way. The scenario that showed it now waits for the second attempt and lifts the refusal, so that it depends on events only.

The table stand-in refuses with "contention" (a cancelled transaction with the reason TransactionConflict), so that the repeats inside settle are tested.

--- a/packages/platform/src/DynamoTable.ts
+++ b/packages/platform/src/DynamoTable.ts
@@ -20,6 +20,9 @@
 const FIRST_PAUSE_MS = 25;
 const LONGEST_PAUSE_MS = 1000;
 
+/** No repeat starts with less time left: cut off by the deadline, its outcome would be unknown. */
+const SHORTEST_REPEAT_MS = 50;
+
 type Operation = 'table.get' | 'table.query' | 'table.transact';
 
 const toRow = ({ pk, sk, ...attributes }: Item): Row => ({
@@ -129,7 +132,8 @@
       if (failure.kind === 'unknown') unsettled = failure;
       if (!unsettled && !isTransient) return err(failure);
       const pauseMs = pauseAfter(attempt);
-      if (performance.now() + pauseMs >= deadline) return err(unsettled ?? failure);
+      const nextEnd = performance.now() + pauseMs + SHORTEST_REPEAT_MS;
+      if (nextEnd >= deadline) return err(unsettled ?? failure);
       await sleep(pauseMs);
     }
   }
--- a/packages/platform/test/features/table.feature
+++ b/packages/platform/test/features/table.feature
@@ -110,6 +110,20 @@
       | put | a/b | {"version":1} | |
     Then it ends with "unknown"
 
+  Scenario Outline: Settling repeats what was refused because of <refuse>
+    Given the table service has the faults {"refuse":<refuse>}
+    When a transaction begins to be settled with
+      | put | a/b | {"version":1} | |
+    And the calls "platform.calls{operation=table.transact,outcome=unavailable}" have become 2
+    And the table service has the faults {"refuse":false}
+    Then the settling ends with "ok"
+    And the row "a/b" has {"version":1}
+
+    Examples:
+      | refuse       |
+      | "contention" |
+      | true         |
+
   Scenario: A used token does not carry another transaction
     When a transaction is sent with
       | put | a/b | {"version":1} | |
--- a/packages/platform/test/steps/shared.steps.ts
+++ b/packages/platform/test/steps/shared.steps.ts
@@ -1,7 +1,10 @@
 import assert from 'node:assert/strict';
-import { After, Given, setDefaultTimeout, Then } from '@cucumber/cucumber';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { After, Given, setDefaultTimeout, Then, When } from '@cucumber/cucumber';
 import { setFaults, type World } from './world.js';
 
+const POLL_MS = 5;
+
 // Slow scenarios and a busy machine take longer than the default of 5 s.
 setDefaultTimeout(60_000);
 
@@ -19,3 +22,10 @@
 Then('the calls {string} are counted as {int}', function (this: World, name: string, by: number) {
   assert.equal(this.metrics.totals()[name], by);
 });
+
+When(
+  'the calls {string} have become {int}',
+  async function (this: World, name: string, by: number) {
+    while ((this.metrics.totals()[name] ?? 0) < by) await sleep(POLL_MS);
+  },
+);
--- a/packages/platform/test/steps/table.steps.ts
+++ b/packages/platform/test/steps/table.steps.ts
@@ -20,6 +20,7 @@
   token: string;
   writes: Write[];
   result: Result<void, TableFailure>;
+  settling: ResultAsync<void, TableFailure>;
 }
 
 /** Small, so that a query of a few rows has several pages. */
@@ -106,16 +107,30 @@
   },
 );
 
+When('a transaction begins to be settled with', function (this: Scenario, table: DataTable) {
+  this.writes = writesOf(table);
+  this.token = randomUUID();
+  this.settling = settle(this);
+});
+
 When('the same transaction is settled', async function (this: Scenario) {
   this.result = await settle(this);
 });
 
-Then('it ends with {string}', function (this: Scenario, outcome: string) {
-  const kind = this.result.match(
+const expectOutcome = (result: Result<void, TableFailure>, outcome: string): void => {
+  const kind = result.match(
     () => 'ok',
     (failure) => failure.kind,
   );
   assert.equal(kind, outcome);
+};
+
+Then('it ends with {string}', function (this: Scenario, outcome: string) {
+  expectOutcome(this.result, outcome);
+});
+
+Then('the settling ends with {string}', async function (this: Scenario, outcome: string) {
+  expectOutcome(await this.settling, outcome);
 });
 
 Then(
--- a/packages/standins/src/core/faults.ts
+++ b/packages/standins/src/core/faults.ts
@@ -10,8 +10,11 @@
   loseAnswers: z.int().nonnegative(),
   /** The next reads whose connection is destroyed after half of the body. */
   cutAnswers: z.int().nonnegative(),
-  /** Refuses requests without any effect: `true` for the service's throttling, or an HTTP status. */
-  refuse: z.union([z.boolean(), z.int().min(400).max(599)]),
+  /**
+   * Refuses requests without any effect: `true` for the service's throttling, an HTTP status, or
+   * `contention` for a transaction that is cancelled because of another one (table only).
+   */
+  refuse: z.union([z.boolean(), z.int().min(400).max(599), z.literal('contention')]),
   /** How late a change of the host list shows. Unit: ms. */
   lagMs: z.number().nonnegative(),
 });
@@ -19,6 +22,9 @@
 /** Faults in force. */
 export type Faults = z.infer<typeof faults>;
 
+/** How a request is refused. */
+export type RefusalWanted = Exclude<Faults['refuse'], false>;
+
 /** Schema of `POST /_standin/faults`; absent fields stay as they are. */
 export const faultOrder = faults.partial();
 
--- a/packages/standins/src/core/startStandinServer.ts
+++ b/packages/standins/src/core/startStandinServer.ts
@@ -2,7 +2,7 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { faultOrder, noFaults, type Faults } from './faults.js';
+import { faultOrder, noFaults, type Faults, type RefusalWanted } from './faults.js';
 
 /** Where a stand-in listens. */
 export interface StandinAddress {
@@ -65,10 +65,10 @@
   /**
    * Renders the refusal of the fault `refuse`.
    *
-   * @param status - wanted HTTP status; absent for the service's throttling
+   * @param wanted - how to refuse; what the service does not have counts as throttling
    * @returns the answer
    */
-  refuse(status: number | undefined): StandinReply;
+  refuse(wanted: RefusalWanted): StandinReply;
 }
 
 /** Longer than clients idle, so that none meets a connection that is just being closed. */
@@ -173,8 +173,7 @@
     try {
       if (faults.delayMs > 0) await sleep(faults.delayMs, undefined, { signal: closing.signal });
       if (faults.refuse === false) run(request, response);
-      else
-        send(response, protocol.refuse(faults.refuse === true ? undefined : faults.refuse), true);
+      else send(response, protocol.refuse(faults.refuse), true);
     } finally {
       depart?.();
     }
--- a/packages/standins/src/hosts/startHostsStandin.ts
+++ b/packages/standins/src/hosts/startHostsStandin.ts
@@ -50,6 +50,7 @@
       refresh(lagMs);
       return jsonReply(200, {});
     },
-    refuse: (status = 503) => jsonReply(status, { message: 'refused' }),
+    refuse: (wanted) =>
+      jsonReply(typeof wanted === 'number' ? wanted : 503, { message: 'refused' }),
   });
 };
--- a/packages/standins/src/objects/startObjectsStandin.ts
+++ b/packages/standins/src/objects/startObjectsStandin.ts
@@ -95,6 +95,9 @@
       const method = methods[request.method];
       return method ? method(objects, request) : xmlError(405, 'MethodNotAllowed');
     },
-    refuse: (status = 503) => xmlError(status, refusalCodes.get(status) ?? 'UnknownError'),
+    refuse(wanted) {
+      const status = typeof wanted === 'number' ? wanted : 503;
+      return xmlError(status, refusalCodes.get(status) ?? 'UnknownError');
+    },
   });
 };
--- a/packages/standins/src/table/startTableStandin.ts
+++ b/packages/standins/src/table/startTableStandin.ts
@@ -122,6 +122,13 @@
   }),
 });
 
+/** Answer of a transaction that met another one on the same rows. */
+const contention = new ServiceError(
+  'TransactionCanceledException',
+  'Transaction cancelled, please refer cancellation reasons for specific reasons [TransactionConflict]',
+  { CancellationReasons: [{ Code: 'TransactionConflict', Message: 'Transaction is ongoing' }] },
+);
+
 /** Names of the exceptions of the fault `refuse`, by HTTP status. */
 const refusalNames = new Map([
   [400, 'ProvisionedThroughputExceededException'],
@@ -160,9 +167,11 @@
         throw fault;
       }
     },
-    refuse: (status = 400) =>
-      errorReply(
-        new ServiceError(refusalNames.get(status) ?? 'UnknownError', 'refused', {}, status),
-      ),
+    refuse(wanted) {
+      if (wanted === 'contention') return errorReply(contention);
+      const status = wanted === true ? 400 : wanted;
+      const type = refusalNames.get(status) ?? 'UnknownError';
+      return errorReply(new ServiceError(type, 'refused', {}, status));
+    },
   });
 };
