Record crashes by their id, take over ended claims and test routing

The agent names each crash and tells all its requests in each answer, so that adding every list would count a crash once for each answer; two crashes block a request for an hour. An entry host now records the request of its own answer at once, and later, in an order among the entry hosts, those that nobody recorded.

A claim of a repeatable request whose host died blocked the Idempotency-Key for 7 days; it is taken over 60 s after the request must have ended. Claims of requests that may run once are never taken over.

--- a/packages/entry/src/core/claims/ClaimStore.ts
+++ b/packages/entry/src/core/claims/ClaimStore.ts
@@ -13,6 +13,9 @@
 /** Longest time that an answer waits for its record. Unit: ms. */
 const RECORD_WAIT_MS = 1000;
 
+/** Largest difference between the wall clocks of two hosts that is allowed for. Unit: ms. */
+const CLOCK_SKEW_MS = 60_000;
+
 /** Claims that were released between a conflict and the read are tried again this often. */
 const MAX_TRIES = 3;
 
@@ -33,10 +36,23 @@
 
 const keyOf = ({ hash }: Identity): RowKey => ({ pk: `claim#${hash}`, sk: 'claim' });
 
-const putOf = (key: RowKey, attempt: string, fingerprint: string): Write => ({
+/** A wish to claim. */
+export interface Wish {
+  /** At least one; all are claimed or none. */
+  readonly identities: readonly Identity[];
+  readonly fingerprint: string;
+  /** Monotonic time until which the outcome must be known. Unit: ms. */
+  readonly deadline: number;
+  /** Wall-clock time at which the request has ended in any case. Unit: ms since 1970. */
+  readonly endsBy: number;
+  /** Whether a claim whose request has ended without a record may be taken over. */
+  readonly repeatable: boolean;
+}
+
+const putOf = (key: RowKey, attempt: string, { fingerprint, endsBy }: Wish): Write => ({
   kind: 'put',
   key,
-  attributes: { state: 'claimed', attempt, fingerprint, expiresAt: Date.now() + KEPT_MS },
+  attributes: { state: 'claimed', attempt, fingerprint, endsBy, expiresAt: Date.now() + KEPT_MS },
   conditions: [{ kind: 'absent' }],
 });
 
@@ -94,26 +110,20 @@
   /**
    * Claims the identities of a request, all or none.
    *
-   * @param identities - at least one
-   * @param fingerprint - fingerprint of the request
-   * @param deadline - monotonic time until which the outcome must be known. Unit: ms
+   * @param wish - identities and terms
    * @returns the claim, the recorded answer, a refusal, or that the table does not tell
    */
-  async claim(
-    identities: readonly Identity[],
-    fingerprint: string,
-    deadline: number,
-  ): Promise<Claiming> {
-    const keys = identities.map(keyOf);
+  async claim(wish: Wish): Promise<Claiming> {
+    const keys = wish.identities.map(keyOf);
     for (let tries = 0; tries < MAX_TRIES; tries += 1) {
       const claim: Claim = { keys, attempt: randomUUID() };
-      const writes = keys.map((key) => putOf(key, claim.attempt, fingerprint));
-      const written = await this.table.settle(writes, claim.attempt, deadline);
+      const writes = keys.map((key) => putOf(key, claim.attempt, wish));
+      const written = await this.table.settle(writes, claim.attempt, wish.deadline);
       if (written.isOk()) return { kind: 'claimed', claim };
-      const found = await this.examine(claim, written.error, fingerprint);
+      const found = await this.examine(claim, written.error, wish);
       if (found.kind !== 'claimed') this.releaseUnsettled(claim, writes, written.error);
       if (found.kind !== 'absent') return found;
-      if (performance.now() >= deadline) break;
+      if (performance.now() >= wish.deadline) break;
     }
     return { kind: 'unavailable' };
   }
@@ -153,7 +163,7 @@
   private async examine(
     claim: Claim,
     failure: TableFailure,
-    fingerprint: string,
+    wish: Wish,
   ): Promise<Claiming | { readonly kind: 'absent' }> {
     if (failure.kind === 'unavailable') return { kind: 'unavailable' };
     const reads = await Promise.all(claim.keys.map((key) => this.table.get(key)));
@@ -161,7 +171,10 @@
     if (rows.some(({ attributes }) => attributes.attempt === claim.attempt)) {
       return { kind: 'claimed', claim };
     }
-    const claiming = strictest(await Promise.all(rows.map((row) => readRow(row, fingerprint))));
+    if (wish.repeatable && (await this.removeEnded(rows, wish))) return { kind: 'absent' };
+    const claiming = strictest(
+      await Promise.all(rows.map((row) => readRow(row, wish.fingerprint))),
+    );
     const unread = reads.some((read) => read.isErr());
     if (claiming && !(unread && claiming.kind === 'replay')) return claiming;
     if (failure.kind === 'unknown') return { kind: 'unavailable' };
@@ -169,6 +182,22 @@
     return unread ? outcomeUnknown('Its record cannot be read now.') : { kind: 'absent' };
   }
 
+  /**
+   * Removes claims of the same request whose host died: the request may run again, so that its caller need
+   * not wait until the claims expire.
+   */
+  private async removeEnded(rows: readonly Row[], { fingerprint }: Wish): Promise<boolean> {
+    const isEnded = ({ attributes }: Row) =>
+      attributes.state === 'claimed' &&
+      attributes.fingerprint === fingerprint &&
+      Number(attributes.endsBy) + CLOCK_SKEW_MS < Date.now();
+    if (rows.length === 0 || !rows.every(isEnded)) return false;
+    const writes = rows.flatMap(({ pk, sk, attributes }) =>
+      releaseOf({ keys: [{ pk, sk }], attempt: String(attributes.attempt) }),
+    );
+    return (await this.table.transact(writes, randomUUID())).isOk();
+  }
+
   /** Removes a claim whose write was not settled in time, whenever it takes effect. */
   private releaseUnsettled(claim: Claim, writes: readonly Write[], failure: TableFailure): void {
     if (failure.kind !== 'unknown') return;
--- a/packages/entry/src/core/forwarding/Attempt.ts
+++ b/packages/entry/src/core/forwarding/Attempt.ts
@@ -22,12 +22,23 @@
   readonly first: Buffer;
 }
 
+/** A crash of a target as the agent tells of it. */
+export interface Crash {
+  /** Names the crash; equal in all answers that tell of it. */
+  readonly id: string;
+  readonly target: string;
+  /** Requests that were in the target. */
+  readonly fingerprints: readonly string[];
+}
+
 /** A refusal by the agent. */
 export interface AgentRefusal {
   readonly kind: 'refused';
   readonly code: ResultName;
   readonly run: RunState;
   readonly retryAfterSeconds?: number;
+  /** Present with `target-crashed`. */
+  readonly crash?: Crash;
 }
 
 /** An attempt that got neither an answer nor a refusal. */
--- a/packages/entry/src/core/forwarding/CrashRecorder.ts
+++ b/packages/entry/src/core/forwarding/CrashRecorder.ts
@@ -1,43 +1,100 @@
-/** Records crashes of targets once, whoever reports them. */
+/** Records crashes of targets in the suspect list, each request once for each crash. */
 import type { Journal } from '@jacinthlug/catalog/Journal';
+import type { Membership } from '@jacinthlug/control/Membership';
 import type { SuspectList } from '@jacinthlug/control/SuspectList';
 import type { CrashReport } from '@jacinthlug/protocol/messages';
+import { rendezvousWeight } from '../routing/agentSubset.js';
+import type { Crash } from './Attempt.js';
 
 /**
- * Time within which reports of the same request and target count as the same crash: the agent reports a
- * crash to its peers and in the answer to each request. Unit: ms.
+ * Time in which another entry host records the crash of its own request and the list spreads. Entry hosts
+ * look one after the other for requests that nobody recorded, this far apart. Unit: ms.
  */
-const SAME_CRASH_MS = 5000;
+const LOOK_AFTER_MS = 3000;
 
-/** Passes crashes on to the suspect list once. */
+/** Time for which the suspect list keeps a record. Unit: ms. */
+const RECORD_KEPT_MS = 3_600_000;
+
+/** A record of at most this age counts as that of the same crash. Unit: ms. */
+const SAME_CRASH_MS = 15_000;
+
+/** Crashes that are remembered, so that several answers about one crash count once. */
+const MAX_REMEMBERED = 1000;
+
+/** What the recorder needs. */
+export interface CrashRecorderNeeds {
+  /** Name of this entry host. */
+  readonly name: string;
+  readonly membership: Membership;
+  readonly suspects: SuspectList;
+  readonly journal: Journal;
+  /** Runs a task after a time in ms. */
+  readonly schedule: (task: () => void, delayMs: number) => void;
+}
+
+/** Records crashes of targets. */
 export class CrashRecorder {
-  private readonly recent = new Map<string, number>();
+  private readonly remembered = new Set<string>();
+
+  constructor(private readonly needs: CrashRecorderNeeds) {}
 
-  constructor(
-    private readonly suspects: SuspectList,
-    private readonly journal: Journal,
-    private readonly now: () => number = () => performance.now(),
-  ) {}
+  /**
+   * Records the crash that an answer told of. The request of the answer is recorded at once; only this host
+   * got that answer. Of the other requests in the target some have no answer, as their streams had begun:
+   * those are recorded later, by the first host that finds them unrecorded.
+   *
+   * @param crash - the crash
+   * @param own - fingerprint of the request that was answered
+   */
+  async recordAnswered(crash: Crash, own: string): Promise<void> {
+    await this.recordOnce(crash, [own]);
+    const others = crash.fingerprints.filter((each) => each !== own);
+    if (others.length === 0 || !this.remember(crash.id)) return;
+    const look = () => {
+      void this.recordForgotten(crash, others);
+    };
+    this.needs.schedule(look, LOOK_AFTER_MS * (1 + this.rankFor(crash)));
+  }
 
   /**
-   * Records a crash.
+   * Records a crash that no answer told of. An agent reports it to one entry host only.
    *
-   * @param report - target and the requests that were running
-   * @returns when the suspect list knows it
+   * @param report - target and requests
    */
   async record({ target, fingerprints }: CrashReport): Promise<void> {
-    const now = this.now();
-    this.forgetOld(now);
-    const fresh = fingerprints.filter((each) => !this.recent.has(`${target}\n${each}`));
-    if (fresh.length === 0) return;
-    fresh.forEach((each) => this.recent.set(`${target}\n${each}`, now));
-    this.journal.record('suspect-added', { target, fingerprints: fresh });
-    await this.suspects.add({ target, fingerprints: fresh });
+    if (fingerprints.length === 0) return;
+    this.needs.journal.record('suspect-added', { target, fingerprints });
+    await this.needs.suspects.add({ target, fingerprints });
+  }
+
+  private async recordOnce(crash: Crash, fingerprints: readonly string[]): Promise<void> {
+    const fresh = fingerprints.filter((each) => this.remember(`${crash.id} ${each}`));
+    await this.record({ target: crash.target, fingerprints: fresh });
+  }
+
+  private async recordForgotten(crash: Crash, fingerprints: readonly string[]): Promise<void> {
+    const recordedSince = Date.now() + RECORD_KEPT_MS - SAME_CRASH_MS;
+    const forgotten = fingerprints.filter(
+      (each) => (this.needs.suspects.find(each)?.expiresAt ?? 0) < recordedSince,
+    );
+    await this.recordOnce(crash, forgotten);
+  }
+
+  /** Gives the turn of this host among the entry hosts; it differs from crash to crash. */
+  private rankFor({ id }: Crash): number {
+    const own = rendezvousWeight(this.needs.name, id);
+    const others = this.needs.membership.liveEntries().map(({ name }) => name);
+    return others.filter((name) => rendezvousWeight(name, id) > own).length;
   }
 
-  private forgetOld(now: number): void {
-    this.recent.forEach((at, key) => {
-      if (now - at > SAME_CRASH_MS) this.recent.delete(key);
-    });
+  /** Remembers a text; tells whether it was new. */
+  private remember(text: string): boolean {
+    if (this.remembered.has(text)) return false;
+    this.remembered.add(text);
+    const [oldest] = this.remembered;
+    if (this.remembered.size > MAX_REMEMBERED && oldest !== undefined) {
+      this.remembered.delete(oldest);
+    }
+    return true;
   }
 }
--- a/packages/entry/src/core/forwarding/Forwarder.ts
+++ b/packages/entry/src/core/forwarding/Forwarder.ts
@@ -222,11 +222,8 @@
     if (failure.kind === 'mismatched') {
       journal.record('answer-mismatched', { agent: name, request: request.requestId });
     }
-    if (rule.crashed) {
-      await crashes.record({
-        target: agent.member.target ?? name,
-        fingerprints: [request.fingerprint],
-      });
+    if (failure.kind === 'refused' && failure.crash) {
+      await crashes.recordAnswered(failure.crash, request.fingerprint);
     }
   }
 
--- a/packages/entry/src/core/forwarding/readAnswer.ts
+++ b/packages/entry/src/core/forwarding/readAnswer.ts
@@ -29,6 +29,10 @@
   error: z.object({
     run: z.enum(['not run', 'outcome unknown']),
     retryAfterSeconds: z.number().nonnegative().optional(),
+    facts: z
+      .object({ crash: z.string(), target: z.string(), fingerprints: z.array(z.string()) })
+      .optional()
+      .catch(undefined),
   }),
 });
 
@@ -139,8 +143,13 @@
   if (answer.kind !== 'whole') return { ...refusal, run: 'outcome unknown' };
   try {
     const { error } = refusalFacts.parse(JSON.parse(answer.body.toString('utf8')));
-    const { run, retryAfterSeconds } = error;
-    return { ...refusal, run, ...(retryAfterSeconds !== undefined && { retryAfterSeconds }) };
+    const { run, retryAfterSeconds, facts } = error;
+    return {
+      ...refusal,
+      run,
+      ...(retryAfterSeconds !== undefined && { retryAfterSeconds }),
+      ...(facts && { crash: { ...facts, id: facts.crash } }),
+    };
   } catch {
     return { ...refusal, run: 'outcome unknown' };
   }
--- a/packages/entry/src/core/forwarding/retryRules.ts
+++ b/packages/entry/src/core/forwarding/retryRules.ts
@@ -12,8 +12,6 @@
   readonly opensCircuit?: boolean;
   /** Whether the agent counts as leaving until its next report. */
   readonly leaving?: boolean;
-  /** Whether the request may have crashed the target. */
-  readonly crashed?: boolean;
 }
 
 /** Attempts at other targets after failures that say nothing about the request itself. */
@@ -36,7 +34,7 @@
   'configuration-unconfirmed': { retries: SEVERAL },
   'target-failed': { retries: SEVERAL },
   // The one retry runs alone in its target; a second crash confirms the request as the cause.
-  'target-crashed': { retries: 1, crashed: true },
+  'target-crashed': { retries: 1 },
 };
 
 const ruleOfAbandoned: Readonly<Record<'deadline' | 'caller-gone' | 'agent-silent', RetryRule>> = {
--- a/packages/entry/src/core/http/OuterServer.ts
+++ b/packages/entry/src/core/http/OuterServer.ts
@@ -92,7 +92,10 @@
   private async serve(request: Request, response: Response, work: Work): Promise<void> {
     const exchange = openExchange(request, response, DEFAULT_TIME_LIMIT_MS);
     response.on('error', () => undefined);
-    const finish = this.needs.lifecycle.beginWork();
+    const { lifecycle } = this.needs;
+    // Callers go to another host for their next request.
+    if (lifecycle.isStopping()) response.shouldKeepAlive = false;
+    const finish = lifecycle.beginWork();
     try {
       const outcome = finish ? await work(exchange) : err(refuse('stopping'));
       if (outcome.isErr()) this.refuse(exchange, outcome.error);
--- a/packages/entry/src/core/http/readBody.ts
+++ b/packages/entry/src/core/http/readBody.ts
@@ -11,11 +11,13 @@
  *
  * @param request - the request
  * @param limitBytes - largest body that is read. Unit: bytes
+ * @param deadline - monotonic time at which the connection of a body that is not whole is cut. Unit: ms
  * @returns the body; `body-too-large`, or `body-invalid` when it was cut or is compressed
  */
 export const readBody = async (
   request: IncomingMessage,
   limitBytes: number,
+  deadline: number,
 ): Promise<Result<Buffer, Refusal>> => {
   // Keys and identities could hide in a compressed body.
   const encoding = request.headers['content-encoding'];
@@ -23,6 +25,7 @@
     return err(refuse('body-invalid', { detail: 'Compressed bodies are not taken.' }));
   }
   if (Number(request.headers['content-length'] ?? 0) > limitBytes) return tooLarge(limitBytes);
+  const timer = setTimeout(() => request.destroy(), Math.max(0, deadline - performance.now()));
   const chunks: Buffer[] = [];
   let size = 0;
   try {
@@ -34,6 +37,8 @@
     }
   } catch {
     return err(refuse('body-invalid', { detail: 'The body was cut.' }));
+  } finally {
+    clearTimeout(timer);
   }
   return ok(Buffer.concat(chunks));
 };
--- a/packages/entry/src/core/lifecycle/EntryProcess.ts
+++ b/packages/entry/src/core/lifecycle/EntryProcess.ts
@@ -33,6 +33,9 @@
   readonly closables: readonly Closable[];
 }
 
+/** Time between looks for connections that have become idle. Unit: ms. */
+const CLOSE_PERIOD_MS = 50;
+
 const listen = (server: Server, { host, port }: EntrySettings['outer']): Promise<void> =>
   new Promise((resolve, reject) => {
     server.once('error', reject);
@@ -44,8 +47,12 @@
 
 const closeServer = (server: Server): Promise<void> =>
   new Promise((resolve) => {
-    server.close(() => resolve());
-    server.closeIdleConnections();
+    // An answer that is still being flushed keeps its connection busy for a moment.
+    const timer = setInterval(() => server.closeIdleConnections(), CLOSE_PERIOD_MS);
+    server.close(() => {
+      clearInterval(timer);
+      resolve();
+    });
   });
 
 /** An entry host. */
--- a/packages/entry/src/core/online/OnlineRunner.ts
+++ b/packages/entry/src/core/online/OnlineRunner.ts
@@ -4,7 +4,7 @@
 import { refuse, type Refusal, type ResultName } from '@jacinthlug/catalog/resultCodes';
 import type { Permit, RateShares } from '@jacinthlug/control/RateShares';
 import { err, ok, type Result } from 'neverthrow';
-import type { Claim, ClaimStore } from '../claims/ClaimStore.js';
+import type { Claim, Claiming, ClaimStore } from '../claims/ClaimStore.js';
 import type { RecordedAnswer } from '../claims/RecordedAnswer.js';
 import { Abandoned } from '../forwarding/Attempt.js';
 import type { Forwarded, Forwarder } from '../forwarding/Forwarder.js';
@@ -31,12 +31,7 @@
   readonly metrics: Metrics;
 }
 
-/** What a request holds while it runs. */
-interface Holdings {
-  readonly claim?: Claim;
-  readonly permit?: Permit;
-}
-
+/** What became of a request, as far as claim and permit are concerned. */
 interface Ending {
   /** Answer to be recorded in the claim. */
   readonly answer?: RecordedAnswer;
@@ -56,8 +51,31 @@
   return cause.kind === 'deadline' ? 'deadline-passed' : 'target-failed';
 };
 
+/** Goes on with a request after the wish to claim it. */
+type AfterClaiming = {
+  readonly [Kind in Claiming['kind']]: (
+    exchange: Exchange,
+    request: OnlineRequest,
+    claiming: Extract<Claiming, { kind: Kind }>,
+  ) => Promise<Result<void, Refusal>>;
+};
+
 /** Runs online requests. */
 export class OnlineRunner {
+  private readonly afterClaiming: AfterClaiming = {
+    claimed: (exchange, request, { claim }) => this.runHolding(exchange, request, claim),
+    replay: (exchange, request, { answer }) => {
+      this.needs.metrics.count('requests.replayed', { route: request.route });
+      writeWhole(exchange.response, request.requestId, answer, true);
+      return Promise.resolve(ok(undefined));
+    },
+    refused: (_, __, { refusal }) => Promise.resolve(err(refusal)),
+    unavailable: (exchange, request) =>
+      request.repeatable
+        ? this.runHolding(exchange, request)
+        : Promise.resolve(err(refuse('claims-unavailable'))),
+  };
+
   constructor(private readonly needs: OnlineRunnerNeeds) {}
 
   /**
@@ -70,7 +88,7 @@
   async run(exchange: Exchange, request: OnlineRequest): Promise<Result<void, Refusal>> {
     const block = this.needs.forwarder.findBlock(request.fingerprint);
     if (block) return err(block);
-    if (request.identities.length === 0) return this.runHolding(exchange, request, {});
+    if (request.identities.length === 0) return this.runHolding(exchange, request);
     return this.runClaimed(exchange, request);
   }
 
@@ -83,24 +101,10 @@
     if (affordable.isErr()) return err(affordable.error);
     const limitMs = request.repeatable ? REPEATABLE_CLAIM_LIMIT_MS : CLAIM_LIMIT_MS;
     const deadline = Math.min(request.deadline, performance.now() + limitMs);
-    const claiming = await this.needs.claims.claim(
-      request.identities,
-      request.fingerprint,
-      deadline,
-    );
-    switch (claiming.kind) {
-      case 'claimed':
-        return this.runHolding(exchange, request, { claim: claiming.claim });
-      case 'replay':
-        this.needs.metrics.count('requests.replayed', { route: request.route });
-        writeWhole(exchange.response, request.requestId, claiming.answer, true);
-        return ok(undefined);
-      case 'refused':
-        return err(claiming.refusal);
-      default:
-        if (!request.repeatable) return err(refuse('claims-unavailable'));
-        return this.runHolding(exchange, request, {});
-    }
+    const { identities, fingerprint, wallDeadline: endsBy, repeatable } = request;
+    const wish = { identities, fingerprint, deadline, endsBy, repeatable };
+    const claiming = await this.needs.claims.claim(wish);
+    return this.afterClaiming[claiming.kind](exchange, request, claiming as never);
   }
 
   private async checkRate({ account }: OnlineRequest): Promise<Result<void, Refusal>> {
@@ -112,7 +116,7 @@
   private async runHolding(
     exchange: Exchange,
     request: OnlineRequest,
-    { claim }: Holdings,
+    claim?: Claim,
   ): Promise<Result<void, Refusal>> {
     const { account } = request;
     const taken = account ? await this.needs.rates.take(account) : ok(undefined);
--- a/packages/entry/src/core/online/readRequest.ts
+++ b/packages/entry/src/core/online/readRequest.ts
@@ -83,7 +83,7 @@
   const { request, requestId } = exchange;
   const { headers, method = 'GET' } = request;
   const target = request.originalUrl ?? request.url ?? '/';
-  const read = await readBody(request, terms.maxBodyBytes);
+  const read = await readBody(request, terms.maxBodyBytes, deadline);
   if (read.isErr()) return err(read.error);
   const body = read.value;
   const json = parseJsonBody(body).unwrapOr(undefined);
--- a/packages/entry/src/core/wiring.ts
+++ b/packages/entry/src/core/wiring.ts
@@ -135,6 +135,15 @@
   });
 };
 
+const buildCrashes: Build<CrashRecorder> = (container) =>
+  new CrashRecorder({
+    name: container.resolve<EntrySettings>(tokens.settings).name,
+    membership: container.resolve<Membership>(tokens.membership),
+    suspects: container.resolve<SuspectList>(tokens.suspects),
+    journal: container.resolve<Journal>(tokens.journal),
+    schedule: (task, delayMs) => setTimeout(task, delayMs).unref(),
+  });
+
 const buildForwarder: Build<Forwarder> = (container) =>
   new Forwarder({
     agents: container.resolve<AgentTable>(tokens.agents),
@@ -232,14 +241,7 @@
     tokens.dataPath,
     (c) => new DataPath(c.resolve<EntrySettings>(tokens.settings).fleetCredential),
   );
-  register(
-    tokens.crashes,
-    (c) =>
-      new CrashRecorder(
-        c.resolve<SuspectList>(tokens.suspects),
-        c.resolve<Journal>(tokens.journal),
-      ),
-  );
+  register(tokens.crashes, buildCrashes);
   register(tokens.forwarder, buildForwarder);
   register(tokens.runner, buildRunner);
   register(
--- a/packages/entry/test/fakes/FakeAgent.ts
+++ b/packages/entry/test/fakes/FakeAgent.ts
@@ -46,7 +46,15 @@
   (code: ResultName): Behaviour =>
   (agent, seen, response) => {
     if (code === 'target-crashed' || code === 'target-failed') agent.countRun(seen);
-    const { status, headers, body } = renderRefusal(refuse(code));
+    const fingerprints = [String(seen.headers[innerHeaders.fingerprint])];
+    const facts = {
+      crash: `${agent.member.name} ${agent.seen.length}`,
+      target: agent.member.name,
+      fingerprints,
+    };
+    const { status, headers, body } = renderRefusal(
+      refuse(code, code === 'target-crashed' ? { facts } : {}),
+    );
     response.writeHead(status, { ...headersFor(agent, seen), ...headers });
     response.end(JSON.stringify(body));
   };
@@ -85,6 +93,10 @@
     agent.held.push(() => answerWhole(agent, seen, response));
   },
   'runs without an answer': (agent, seen) => agent.countRun(seen),
+  'falls silent': (agent, seen) => {
+    agent.countRun(seen);
+    agent.fallSilent();
+  },
   'answers too much': (agent, seen, response) => {
     agent.countRun(seen);
     response.writeHead(200, headersFor(agent, seen));
@@ -113,6 +125,8 @@
   /** Requests whose connection the entry host closed before the answer was whole. */
   cancelled = 0;
 
+  private isSilent = false;
+
   private readonly server: Server;
 
   private constructor(
@@ -155,6 +169,7 @@
       fleetCredential,
     );
     server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+      if (agent.isSilent) return;
       if (request.url === '/inner/run') void agent.run(request, response);
       else control(request, response);
     });
@@ -165,6 +180,11 @@
     this.runs.push(seen);
   }
 
+  /** Answers nothing from now on and closes nothing, as a lost host does. */
+  fallSilent(): void {
+    this.isSilent = true;
+  }
+
   async stop(): Promise<void> {
     await new Promise<void>((resolve) => {
       this.server.close(() => resolve());
--- a/packages/entry/test/features/claims.feature
+++ b/packages/entry/test/features/claims.feature
@@ -129,6 +129,29 @@
     Then the answer says "idempotent-replayed": "true"
     And the targets ran 1 request
 
+  Scenario Outline: The claim of a crashed host blocks a repeatable request only until the request has ended
+    Given the caller sends the header "idempotency-key": "tide-table"
+    And each agent always holds its answer
+    When the caller begins to send a chat
+    And the entry host crashes and another one takes over
+    And each agent always answers
+    And the claim says that its request ended <age> s ago
+    And the caller sends a chat
+    Then the answer has status <status>
+
+    Examples:
+      | age | status |
+      | 30  | 409    |
+      | 61  | 200    |
+
+  Scenario: The claim of a crashed host blocks a request that may run once for good
+    Given each agent always holds its answer
+    When the caller begins to send order "12"
+    And the entry host crashes and another one takes over
+    And the claim says that its request ended 61 s ago
+    And the caller sends order "12"
+    Then it is refused with "outcome-unknown", "outcome unknown"
+
   Scenario: A streamed answer is replayed with its final event
     Given the caller sends the header "idempotency-key": "tide-table"
     And each agent always streams an answer
--- a/packages/entry/test/steps/claims.steps.ts
+++ b/packages/entry/test/steps/claims.steps.ts
@@ -71,6 +71,12 @@
   this.table.land();
 });
 
+When('the claim says that its request ended {int} s ago', function (this: Scenario, age: number) {
+  this.table.rows.forEach((attributes, name) => {
+    this.table.rows.set(name, { ...attributes, endsBy: Date.now() - age * 1000 });
+  });
+});
+
 When('the claims are settled', async function (this: Scenario) {
   await until(() => this.table.rows.size === 0);
 });
--- /dev/null
+++ b/packages/entry/test/steps/client.steps.ts
@@ -0,0 +1,47 @@
+import assert from 'node:assert/strict';
+import { Then } from '@cucumber/cucumber';
+import OpenAI from 'openai';
+import { HARBOR_KEY, type Scenario } from '../fakes/Scenario.js';
+
+const openClient = async (scenario: Scenario): Promise<OpenAI> => {
+  const { url } = await scenario.entry();
+  return new OpenAI({ baseURL: `${url}/v1`, apiKey: HARBOR_KEY, maxRetries: 0 });
+};
+
+const streamText = async (scenario: Scenario): Promise<string> => {
+  const client = await openClient(scenario);
+  const stream = await client.chat.completions.create({
+    model: 'tide-7b',
+    messages: [{ role: 'user', content: 'Ebb?' }],
+    stream: true,
+  });
+  let text = '';
+  for await (const chunk of stream) text += chunk.choices[0]?.delta.content ?? '';
+  return text;
+};
+
+Then('the openai client lists the model {string}', async function (this: Scenario, model: string) {
+  const client = await openClient(this);
+  const models = await client.models.list();
+  assert.deepEqual(
+    models.data.map(({ id }) => id),
+    [model],
+  );
+});
+
+Then('the openai client streams {string}', async function (this: Scenario, text: string) {
+  assert.equal(await streamText(this), text);
+});
+
+Then('the openai client fails while it streams', async function (this: Scenario) {
+  await assert.rejects(streamText(this), /The target failed/);
+});
+
+Then('the openai client fails with status {int}', async function (this: Scenario, status: number) {
+  const client = await openClient(this);
+  await assert.rejects(client.models.list(), (fault) => {
+    assert.ok(fault instanceof OpenAI.APIError);
+    assert.equal(fault.status, status);
+    return true;
+  });
+});
--- /dev/null
+++ b/packages/entry/test/steps/routing.steps.ts
@@ -0,0 +1,157 @@
+import assert from 'node:assert/strict';
+import { Given, Then, When, type DataTable } from '@cucumber/cucumber';
+import { silentJournal } from '@jacinthlug/catalog/Journal';
+import type { Member } from '@jacinthlug/protocol/members';
+import { CrashRecorder } from '../../src/core/forwarding/CrashRecorder.js';
+import { AgentState } from '../../src/core/routing/AgentState.js';
+import { agentSubset } from '../../src/core/routing/agentSubset.js';
+import { chooseAgent } from '../../src/core/routing/chooseAgent.js';
+import { Circuit } from '../../src/core/routing/Circuit.js';
+import { createRandom } from '../fakes/createRandom.js';
+import { fakeMembership } from '../fakes/fakeMembership.js';
+import type { Scenario } from '../fakes/Scenario.js';
+
+interface RoutingScenario extends Scenario {
+  listed: Member[];
+  states: AgentState[];
+  circuit: Circuit;
+  holder: AgentState;
+  recorders: Map<string, CrashRecorder>;
+  waits: { readonly delayMs: number; readonly task: () => void }[];
+}
+
+const TRIES = 200;
+
+const memberOf = (name: string, failureDomain: string, role: Member['role'] = 'agent'): Member => ({
+  name,
+  role,
+  address: '127.0.0.1:1',
+  failureDomain,
+  region: 'coast',
+  state: 'live',
+});
+
+const reportOf = (target: string, expectedWaitMs: number) => ({
+  target,
+  service: 'chat',
+  state: 'serving' as const,
+  running: 0,
+  waiting: 0,
+  batch: 0,
+  concurrency: 8,
+  expectedWaitMs,
+  models: [],
+});
+
+const choose = (agents: readonly AgentState[], promptPrefix?: string): Set<AgentState> => {
+  const random = createRandom(7);
+  const choices = Array.from({ length: TRIES }, () =>
+    chooseAgent({ agents, failureDomain: 'quay', promptPrefix, random }),
+  );
+  return new Set(choices.flatMap((choice) => (choice ? [choice] : [])));
+};
+
+Given(
+  '{int} members in {string} and {int} in {string}',
+  function (this: RoutingScenario, own: number, near: string, others: number, far: string) {
+    const list = (count: number, domain: string) =>
+      Array.from({ length: count }, (_, index) => memberOf(`${domain}-${index}`, domain));
+    this.listed = [...list(own, near), ...list(others, far)];
+  },
+);
+
+Then(
+  'a subset of {int} has {int} members of {string} and {int} of {string}',
+  function (this: RoutingScenario, size: number, own: number, near, others: number, far) {
+    const subset = agentSubset('entry-1', 'quay', this.listed, size);
+    const count = (domain: unknown) =>
+      subset.filter(({ failureDomain }) => failureDomain === domain).length;
+    assert.deepEqual([count(near), count(far)], [own, others]);
+  },
+);
+
+Given('the agents wait', function (this: RoutingScenario, table: DataTable) {
+  this.states = (table.hashes() as { name: string; domain: string; wait: string }[]).map(
+    ({ name, domain, wait }) => {
+      const state = new AgentState(memberOf(name, domain));
+      state.hear(reportOf(name, Number(wait)), 0);
+      return state;
+    },
+  );
+});
+
+Then('the choice is always one of {string}', function (this: RoutingScenario, names: string) {
+  const chosen = [...choose(this.states)].map(({ member }) => member.name).sort();
+  assert.deepEqual(chosen, names.split(', '));
+});
+
+Then('the prefix {string} is always sent to one agent', function (this: RoutingScenario, prefix) {
+  const chosen = [...choose(this.states, prefix as string)];
+  assert.equal(chosen.length, 1);
+  this.holder = chosen[0] as AgentState;
+});
+
+Then('that agent is left out once its wait is {int} ms', function (this: RoutingScenario, wait) {
+  this.holder.hear(reportOf(this.holder.member.name, wait as number), 0);
+  assert.ok(!choose(this.states, 'pilot').has(this.holder));
+});
+
+Given('a circuit that failed at {int} ms', function (this: RoutingScenario, at: number) {
+  this.circuit = new Circuit();
+  this.circuit.fail(at);
+});
+
+Then('at {int} ms it is closed to requests', function (this: RoutingScenario, at: number) {
+  assert.equal(this.circuit.allows(at), false);
+});
+
+Then('at {int} ms it lets a request through', function (this: RoutingScenario, at: number) {
+  assert.equal(this.circuit.allows(at), true);
+});
+
+When('a probe begins at {int} ms', function (this: RoutingScenario, at: number) {
+  this.circuit.begin(at);
+});
+
+When('the probe succeeds', function (this: RoutingScenario) {
+  this.circuit.succeed();
+});
+
+Given(
+  '{int} entry hosts {string} that share a suspect list',
+  function (this: RoutingScenario, _: number, names: string) {
+    const members = names.split(', ').map((name) => memberOf(name, 'quay', 'entry'));
+    this.waits = [];
+    const membership = { ...fakeMembership(() => members), liveEntries: () => members };
+    const schedule = (task: () => void, delayMs: number) => this.waits.push({ delayMs, task });
+    const { suspects } = this;
+    this.recorders = new Map(
+      members.map(({ name }) => [
+        name,
+        new CrashRecorder({ name, membership, suspects, journal: silentJournal, schedule }),
+      ]),
+    );
+  },
+);
+
+When(
+  '{string} is told that {string} crashed, in answer to {string}',
+  async function (this: RoutingScenario, name: string, fingerprints: string, own: string) {
+    const crash = { id: 'crash-1', target: 'engine-1', fingerprints: fingerprints.split(', ') };
+    await this.recorders.get(name)?.recordAnswered(crash, own);
+  },
+);
+
+When('all waits of the entry hosts are over', function (this: RoutingScenario) {
+  const waits = this.waits.splice(0).sort((a, b) => a.delayMs - b.delayMs);
+  assert.equal(new Set(waits.map(({ delayMs }) => delayMs)).size, 2);
+  waits.forEach(({ task }) => task());
+});
+
+Then(
+  '{string} is recorded {int} time(s) and {string} {int} time(s)',
+  function (this: RoutingScenario, first: string, times: number, second: string, too: number) {
+    const { crashes } = this.suspects;
+    assert.deepEqual([crashes.get(first) ?? 0, crashes.get(second) ?? 0], [times, too]);
+  },
+);
