Name the steps of the claims apart from those of the batches

Both suites had a step "the table is down"; merged into one package, cucumber found it ambiguous and three scenarios failed. The step of the claims has another text; what it does is unchanged.

--- a/packages/entry/test/features/claims.feature
+++ b/packages/entry/test/features/claims.feature
@@ -64,14 +64,14 @@
     And the targets ran 1 request
 
   Scenario: While no claim can be written nothing runs
-    Given the table is down
+    Given no claim can be written or read
     When the caller sends order "12"
     Then it is refused with "claims-unavailable", "not run"
     And the agents saw 0 requests
     And 1000 permits are left
 
   Scenario: A repeatable request runs without its claim while the table is down
-    Given the table is down
+    Given no claim can be written or read
     And the caller sends the header "idempotency-key": "tide-table"
     When the caller sends a chat
     Then the answer has status 200
@@ -123,7 +123,7 @@
     Given the table goes down after the next write
     When the caller sends order "12"
     Then the answer has status 200
-    When the table is up
+    When claims can be written again
     And the claim is recorded
     And the caller sends order "12"
     Then the answer says "idempotent-replayed": "true"
--- a/packages/entry/test/steps/claims.steps.ts
+++ b/packages/entry/test/steps/claims.steps.ts
@@ -26,11 +26,11 @@
 const claimStates = ({ table }: Scenario): unknown[] =>
   [...table.rows.values()].map(({ state }) => state);
 
-Given('the table is down', function (this: Scenario) {
+Given('no claim can be written or read', function (this: Scenario) {
   this.table.down = true;
 });
 
-Given('the table is up', function (this: Scenario) {
+Given('claims can be written again', function (this: Scenario) {
   this.table.down = false;
 });
 
