Close gaps of the entry host found by review

- A HEAD request reached the handlers of other methods, deletions included, as tinyhttp passes it to all.
- The key was last checked before the connection was opened; it is now checked right before the first byte.
- An agent that left the host list was no longer asked, so requests at a lost host hung until the deadline.
- A request that may run once was given up when its agent fell silent, although it could not be retried.
- While only writes to the table failed, a resend of a finished request was refused as not run; its record is read now.

--- a/packages/entry/src/core/claims/ClaimStore.ts
+++ b/packages/entry/src/core/claims/ClaimStore.ts
@@ -165,7 +165,8 @@
     failure: TableFailure,
     wish: Wish,
   ): Promise<Claiming | { readonly kind: 'absent' }> {
-    if (failure.kind === 'unavailable') return { kind: 'unavailable' };
+    // A request that may run without its claim does not wait for reads when writes fail.
+    if (failure.kind === 'unavailable' && wish.repeatable) return { kind: 'unavailable' };
     const reads = await Promise.all(claim.keys.map((key) => this.table.get(key)));
     const rows = reads.flatMap((read) => (read.isOk() && read.value ? [read.value] : []));
     if (rows.some(({ attributes }) => attributes.attempt === claim.attempt)) {
@@ -177,7 +178,7 @@
     );
     const unread = reads.some((read) => read.isErr());
     if (claiming && !(unread && claiming.kind === 'replay')) return claiming;
-    if (failure.kind === 'unknown') return { kind: 'unavailable' };
+    if (failure.kind !== 'conflict') return { kind: 'unavailable' };
     // The conflict proves that a request with this identity was started before.
     return unread ? outcomeUnknown('Its record cannot be read now.') : { kind: 'absent' };
   }
--- a/packages/entry/src/core/forwarding/Forwarder.ts
+++ b/packages/entry/src/core/forwarding/Forwarder.ts
@@ -184,7 +184,8 @@
     const controller = new AbortController();
     const passOn = () => controller.abort(signal.reason);
     signal.addEventListener('abort', passOn);
-    agent.running.add(controller);
+    // A request that may run once gains nothing when it is given up early: its answer may still come.
+    if (request.repeatable) agent.running.add(controller);
     agent.begin(performance.now());
     const attempt = await this.needs.dataPath.attempt(request, {
       address: agent.member.address,
--- a/packages/entry/src/core/forwarding/Sending.ts
+++ b/packages/entry/src/core/forwarding/Sending.ts
@@ -1,7 +1,13 @@
 /** Proves whether any byte of an attempt can have left this host. */
 import type { Dispatcher } from 'undici';
 import { isInTime, type OnlineRequest } from '../online/OnlineRequest.js';
-import { Abandoned } from './Attempt.js';
+import { Abandoned, type AbandonCause } from './Attempt.js';
+
+const findObstacle = (request: OnlineRequest): AbandonCause | undefined => {
+  if (!isInTime(request)) return { kind: 'deadline' };
+  const confirmed = request.confirm();
+  return confirmed.isErr() ? { kind: 'not-allowed', code: confirmed.error.code } : undefined;
+};
 
 /** Keeps what is known about the sending of one attempt; passed through undici as `opaque`. */
 export class Sending {
@@ -13,8 +19,8 @@
 }
 
 /**
- * Marks attempts as sent right before undici writes to a connection. The deadline is checked there for the
- * last time: the host may have been paused while it waited for the connection.
+ * Marks attempts as sent right before undici writes to a connection. Deadline and key are checked there for
+ * the last time: the host may have been paused while it waited for the connection.
  */
 export const watchSending: Dispatcher.DispatcherComposeInterceptor =
   (dispatch) => (options, handler) => {
@@ -22,7 +28,8 @@
     if (!sending) return dispatch(options, handler);
     return dispatch(options, {
       onRequestStart: (controller, context) => {
-        if (!isInTime(sending.request)) controller.abort(new Abandoned({ kind: 'deadline' }));
+        const cause = findObstacle(sending.request);
+        if (cause) controller.abort(new Abandoned(cause));
         handler.onRequestStart?.(controller, context);
         if (!controller.aborted) sending.sent = true;
       },
--- a/packages/entry/src/core/http/OuterServer.ts
+++ b/packages/entry/src/core/http/OuterServer.ts
@@ -84,7 +84,11 @@
   }
 
   private mount<Handler>({ method, path }: Endpoint<Handler>, work: Work): void {
-    const handler = (request: Request, response: Response) => this.serve(request, response, work);
+    const handler = (request: Request, response: Response) => {
+      // tinyhttp gives HEAD requests to the handlers of every method, deletions included.
+      const isMeant = request.method === method;
+      return this.serve(request, response, isMeant ? work : (exchange) => this.runRoute(exchange));
+    };
     this.app[method.toLowerCase() as Lowercase<typeof method>](path, handler);
   }
 
--- a/packages/entry/src/core/lifecycle/EntryProcess.ts
+++ b/packages/entry/src/core/lifecycle/EntryProcess.ts
@@ -71,6 +71,7 @@
     journal.record('process-started', { inner: settings.inner, outer: settings.outer });
     agents.start();
     await follower.start(this.starting.signal);
+    if (this.starting.signal.aborted) return;
     rates.start();
     journal.record('process-ready');
   }
--- a/packages/entry/src/core/routing/AgentTable.ts
+++ b/packages/entry/src/core/routing/AgentTable.ts
@@ -159,7 +159,6 @@
     const { name, failureDomain, subsetSize } = this.needs;
     const members = agentSubset(name, failureDomain, source, subsetSize);
     this.subsets.set(service, { source: [...source], members });
-    this.forgetUnused();
     return members.map((member) => this.stateOf(member));
   }
 
@@ -173,16 +172,17 @@
 
   private forgetUnused(): void {
     const used = new Set([...this.subsets.values()].flatMap(({ members }) => members.map(nameOf)));
-    [...this.states.keys()]
-      .filter((name) => !used.has(name))
-      .forEach((name) => {
-        this.states.delete(name);
-        this.misses.delete(name);
-      });
+    this.states.forEach((agent, name) => {
+      // An agent that left the list is asked as long as it has requests: its host may be lost.
+      if (used.has(name) || agent.running.size > 0) return;
+      this.states.delete(name);
+      this.misses.delete(name);
+    });
   }
 
   private askSilent(): void {
     const now = performance.now();
+    this.forgetUnused();
     this.states.forEach((agent) => {
       if (now - agent.heardAt < SILENT_AFTER_MS || this.asked.has(agent.member.name)) return;
       void this.ask(agent);
--- a/packages/entry/test/fakes/Scenario.ts
+++ b/packages/entry/test/fakes/Scenario.ts
@@ -120,7 +120,7 @@
     return entry;
   }
 
-  async send(method: 'GET' | 'POST', path: string, body?: string): Promise<void> {
+  async send(method: 'GET' | 'HEAD' | 'POST', path: string, body?: string): Promise<void> {
     const { url } = await this.entry();
     const response = await request(`${url}${path}`, {
       method,
--- a/packages/entry/test/features/access.feature
+++ b/packages/entry/test/features/access.feature
@@ -123,6 +123,11 @@
     When the caller gets "/operator/v1/probe"
     Then the answer has status 200
 
+  Scenario: A HEAD request reaches no handler of another method
+    When the caller asks for the head of "/v1/chat/completions"
+    Then the answer has status 404
+    And the agents saw 0 requests
+
   Scenario: A body larger than the route allows is refused
     When the caller posts "12345678901234567" to "/small"
     Then it is refused with "body-too-large", "not run"
--- a/packages/entry/test/steps/online.steps.ts
+++ b/packages/entry/test/steps/online.steps.ts
@@ -135,6 +135,10 @@
   await this.send('GET', path);
 });
 
+When('the caller asks for the head of {string}', async function (this: Scenario, path: string) {
+  await this.send('HEAD', path);
+});
+
 When('the caller sends order {string}', async function (this: Scenario, number: string) {
   await this.send('POST', '/orders', orderBody(number));
 });
