--- a/packages/agent/test/features/answers.feature
+++ b/packages/agent/test/features/answers.feature
@@ -9,6 +9,11 @@
     When "cut" is forwarded
     Then the connection of "cut" was cut without a final event
 
+  Scenario: A stream without its final event is never a clean end
+    Given the target has the faults '{"omitFinalEvent": true}'
+    When "open" is forwarded
+    Then the connection of "open" was cut without a final event
+
   Scenario: A cut whole answer is told
     Given the target has the faults '{"loseAnswers": 1}'
     When "lost" is forwarded for a whole answer
--- a/packages/agent/test/features/checks.feature
+++ b/packages/agent/test/features/checks.feature
@@ -26,9 +26,16 @@
     Then the connection of "holder" was cut without a final event
     And the target ended "holder" as "cancelled"
 
+  Scenario: A request whose key is withdrawn while it waits is not run
+    Given 4 requests of "lantern" run without end
+    When "waiting" is forwarded by "harbor" and waits
+    And the key of "harbor" is withdrawn
+    Then "waiting" is refused with "key-unknown" as "not run"
+    And the target was not given "waiting"
+
   Scenario: A key that the entry host knows first is waited for
     Given the key of "harbor" is withdrawn
-    When "early" is forwarded with the next version
+    When "early" is forwarded with the next version and waits for it
     And the key of "harbor" is granted
     Then "early" is answered whole
 
--- a/packages/agent/test/steps/agent.steps.ts
+++ b/packages/agent/test/steps/agent.steps.ts
@@ -83,12 +83,23 @@
   },
 );
 
-Given('{string} runs without end', async function (this: Scenario, id: string) {
-  await new Promise<void>((resolve) => {
-    void forward(this, { id, tokens: ENDLESS, onFirstBytes: resolve });
+const runWithoutEnd = (scenario: Scenario, id: string, account: string): Promise<void> =>
+  new Promise((resolve) => {
+    void forward(scenario, { id, account, tokens: ENDLESS, onFirstBytes: resolve });
   });
+
+Given('{string} runs without end', async function (this: Scenario, id: string) {
+  await runWithoutEnd(this, id, 'harbor');
 });
 
+Given(
+  '{int} requests of {string} run without end',
+  async function (this: Scenario, count: number, account: string) {
+    const ids = Array.from({ length: count }, (_, index) => `${account}-${index}`);
+    await Promise.all(ids.map((id) => runWithoutEnd(this, id, account)));
+  },
+);
+
 Given(
   '{string} waits for a whole answer of {int} tokens in the target',
   async function (this: Scenario, id: string, tokens: number) {
@@ -218,9 +229,15 @@
   },
 );
 
-When('{string} is forwarded with the next version', function (this: Scenario, id: string) {
-  void forward(this, { id, headers: { [innerHeaders.version]: String(this.fixture.version + 1) } });
-});
+When(
+  '{string} is forwarded with the next version and waits for it',
+  async function (this: Scenario, id: string) {
+    const { follower, version } = this.fixture;
+    const listening = follower.listening();
+    void forward(this, { id, headers: { [innerHeaders.version]: String(version + 1) } });
+    await eventually(() => follower.listening() > listening);
+  },
+);
 
 When(
   '{string} is forwarded with another fleet credential',
--- a/packages/agent/test/support/fakeFollower.ts
+++ b/packages/agent/test/support/fakeFollower.ts
@@ -44,6 +44,8 @@
 /** Follower whose version a test sets. */
 export interface FakeFollower extends ConfigurationFollower {
   isConfirmed: boolean;
+  /** Number of listeners that wait for adoptions. */
+  listening(): number;
 }
 
 /** Creates a follower without a version. */
@@ -52,6 +54,7 @@
   const listeners = new Set<(adopted: Catalogue) => void>();
   const follower: FakeFollower = {
     isConfirmed: true,
+    listening: () => listeners.size,
     mode: () => (follower.isConfirmed ? 'confirmed' : 'isolated'),
     inForce: () =>
       catalogue && follower.isConfirmed ? ok(catalogue) : err(refuse('configuration-unconfirmed')),
--- a/packages/standins/src/engine/CompletionStream.ts
+++ b/packages/standins/src/engine/CompletionStream.ts
@@ -99,7 +99,7 @@
     if (isStreamed) {
       this.writeChunk({}, 'stop');
       this.call.logged.conclude('completed');
-      this.call.response.end('data: [DONE]\n\n');
+      this.call.response.end(this.server.faults.omitFinalEvent ? '' : 'data: [DONE]\n\n');
       return;
     }
     const content = Array.from({ length }, (_, index) => tokenAt(index)).join('');
--- a/packages/standins/src/target/targetFaults.ts
+++ b/packages/standins/src/target/targetFaults.ts
@@ -11,6 +11,8 @@
   loseAnswers: z.int().nonnegative().default(0),
   /** Tokens after which streams are cut; for a service, bytes of the body. */
   cutAfterTokens: z.int().nonnegative().optional(),
+  /** Ends streams cleanly but without their final event. */
+  omitFinalEvent: z.boolean().default(false),
   /** How many of the next answers carry the id of another request. */
   crossAnswers: z.int().nonnegative().default(0),
   /** Answers each run with status 503 without running it. */
