--- a/packages/agent/src/core/life/CrashReporter.ts
+++ b/packages/agent/src/core/life/CrashReporter.ts
@@ -1,4 +1,4 @@
-/** Reports crashes that no answer can tell of to an entry host. */
+/** Reports to an entry host the crashes that an answer cannot tell of. */
 import type { Journal } from '@jacinthlug/catalog/Journal';
 import type { Membership } from '@jacinthlug/control/Membership';
 import { callPeer, openControlClient } from '@jacinthlug/protocol/controlClient';
@@ -18,16 +18,17 @@
   ) {}
 
   /**
-   * Logs a crash; when no answer carries its fingerprints, reports them to the first entry host that
-   * takes them. Only one is told, so that the crash counts once.
+   * Logs a crash. Requests that are answered with it are recorded by the entry hosts that get the
+   * answers; the others are reported to the first entry host that takes them. Each request is told
+   * once, so that one crash does not count as two.
    *
    * @param crash - the crash
    */
-  async report({ id, fingerprints, isUntold }: Crash): Promise<void> {
+  async report({ id, fingerprints, untold }: Crash): Promise<void> {
     const target = this.settings.target.name;
     this.journal.record('target-crashed', { target, crash: id, fingerprints });
-    if (!isUntold || fingerprints.length === 0) return;
-    const report = { target, fingerprints: [...fingerprints] };
+    if (untold.length === 0) return;
+    const report = { target, fingerprints: [...untold] };
     for (const { address } of this.entriesNearFirst()) {
       const client = openControlClient(address, this.settings.fleetCredential, this.peers);
       const answer = await callPeer(CALL_LIMIT_MS, (signal) =>
--- a/packages/agent/src/core/online/OnlinePath.ts
+++ b/packages/agent/src/core/online/OnlinePath.ts
@@ -137,8 +137,14 @@
     call: TargetCall,
     answer: OpenAnswer,
   ): Promise<Result<void, Refusal>> {
-    const { target, client, metrics } = this.parts;
+    const { target, client, metrics, models, sentOnce } = this.parts;
     try {
+      const unloaded = await models.explainStatus(answer.status, exchange.body);
+      if (unloaded) {
+        answer.body.on('error', () => undefined).destroy();
+        sentOnce.release(call.id);
+        return err(unloaded);
+      }
       const end = await relayAnswer(answer, exchange, target.kind === 'engine');
       if (end === 'incomplete') {
         return this.fail(exchange, { kind: 'failed', message: 'the answer has no final event' });
--- a/packages/agent/src/core/target/BatchAccess.ts
+++ b/packages/agent/src/core/target/BatchAccess.ts
@@ -57,6 +57,8 @@
     request: TargetRequest,
     signal: AbortSignal,
   ): Promise<Result<TargetAnswer, TargetFailure>> {
+    const unloaded = this.served.refusal(Buffer.from(request.body));
+    if (unloaded) return err({ kind: 'not-sent', message: unloaded.detail ?? unloaded.code });
     const inFlight = { suspect: false, canTell: () => true };
     const { method, path, body } = request;
     const headers = headersToTarget(request.headers);
@@ -77,6 +79,11 @@
   ): Promise<Result<TargetAnswer, TargetFailure>> {
     const { status, headers } = answer;
     try {
+      const unloaded = await this.served.explainStatus(status, Buffer.from(call.body));
+      if (unloaded) {
+        answer.body.on('error', () => undefined).destroy();
+        return err({ kind: 'not-sent', message: unloaded.detail ?? unloaded.code });
+      }
       const { bytes, isWhole } = await readWhole(answer);
       const isComplete = isEventStream(answer) ? hasFinalEvent(bytes) : isFramed(status, headers);
       if (!isWhole) answer.body.on('error', () => undefined).destroy();
--- a/packages/agent/src/core/target/CrashWatch.ts
+++ b/packages/agent/src/core/target/CrashWatch.ts
@@ -12,7 +12,7 @@
   /** Absent for batch items, which their worker runs again alone. */
   readonly fingerprint?: string;
   readonly suspect: boolean;
-  /** Tells whether an answer to the entry host can still carry the fingerprints. */
+  /** Tells whether the entry host can still be answered that the target crashed. */
   canTell(): boolean;
 }
 
@@ -22,10 +22,13 @@
   readonly id: string;
   /** Online requests that were in the target. */
   readonly fingerprints: readonly string[];
-  /** Whether no answer can tell of it, so that it has to be reported apart. */
-  readonly isUntold: boolean;
+  /** Those of them whose answer cannot tell of the crash, so that they have to be reported apart. */
+  readonly untold: readonly string[];
 }
 
+const fingerprintsOf = (requests: readonly InFlight[]): string[] =>
+  requests.flatMap(({ fingerprint }) => fingerprint ?? []);
+
 /** Time in which the connections of a crashed target drop. Unit: ms. */
 const DROP_WINDOW_MS = 50;
 
@@ -79,9 +82,12 @@
     if (isAccepting && victims.length > 1) await sleep(DROP_WINDOW_MS);
     const allDropped = victims.length > 1 && victims.every((victim) => this.dropped.has(victim));
     if (isAccepting && !allDropped && !wasAlone) return;
-    const fingerprints = victims.flatMap(({ fingerprint }) => fingerprint ?? []);
-    const isUntold = !victims.some((victim) => victim.canTell());
-    const crash = { id: randomUUID(), fingerprints, isUntold };
+    const untellable = victims.filter((victim) => !victim.canTell());
+    const crash = {
+      id: randomUUID(),
+      fingerprints: fingerprintsOf(victims),
+      untold: fingerprintsOf(untellable),
+    };
     victims.forEach((victim) => this.crashes.set(victim, crash));
     this.onCrash(crash);
   }
--- a/packages/agent/src/core/target/ServedModels.ts
+++ b/packages/agent/src/core/target/ServedModels.ts
@@ -7,6 +7,8 @@
 
 const namedModel = z.looseObject({ model: z.string() });
 
+const NOT_FOUND = 404;
+
 const modelOf = (body: Buffer): string | undefined => {
   try {
     return namedModel.safeParse(JSON.parse(body.toString('utf8'))).data?.model;
@@ -56,4 +58,18 @@
     const isPending = model !== undefined && pending.includes(model);
     return isPending ? refuse('no-target', { detail: `Model ${model} is not loaded.` }) : undefined;
   }
+
+  /**
+   * Explains an answer that may come from an engine that has lost its models: one that was restarted
+   * while no request was in it shows no crash.
+   *
+   * @param status - status of the answer
+   * @param body - body of the request
+   * @returns `no-target` when the model was not loaded, so that the request did not run
+   */
+  async explainStatus(status: number, body: Buffer): Promise<Refusal | undefined> {
+    if (this.target.kind !== 'engine' || status !== NOT_FOUND) return undefined;
+    await this.monitor.look();
+    return this.refusal(body);
+  }
 }
--- a/packages/agent/test/features/orders.feature
+++ b/packages/agent/test/features/orders.feature
@@ -16,6 +16,11 @@
     And "pending" is forwarded for the model "atlas-70b"
     Then "pending" is refused with "no-target" as "not run"
 
+  Scenario: A model that the target lost unnoticed does not look like a mistake of the caller
+    When the target drops its models unnoticed
+    And "lost" is forwarded
+    Then "lost" is refused with "no-target" as "not run"
+
   Scenario: A replaced process sends no order to a target that ignores fencing numbers
     Given the tree wants the models "atlas-70b"
     And the target serves "atlas-70b"
--- a/packages/agent/test/steps/orders.steps.ts
+++ b/packages/agent/test/steps/orders.steps.ts
@@ -19,6 +19,11 @@
   this.fixture.grant(['harbor'], {}, models.split(', '));
 });
 
+When('the target drops its models unnoticed', async function (this: Scenario) {
+  const body = JSON.stringify({ number: 0, model: 'atlas-7b', action: 'unload' });
+  await fetch(`${this.fixture.engine.url}/orders`, { method: 'POST', body });
+});
+
 Then('the target serves {string}', async function (this: Scenario, models: string) {
   await eventually(async () => {
     const state = await (await fetch(`${this.fixture.engine.url}/orders`)).json();
