--- a/packages/agent/src/core/http/InnerServer.ts
+++ b/packages/agent/src/core/http/InnerServer.ts
@@ -1,5 +1,6 @@
 /** HTTP server on the inner address. */
 import { createServer, type RequestListener, type Server } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { App } from '@tinyhttp/app';
 import { CONTROL_PATH, RUN_PATH } from '@jacinthlug/protocol/headers';
 import type { Address } from '@jacinthlug/settings/process/hostSettings';
@@ -17,6 +18,9 @@
 /** Longer than peers keep an idle connection, so that only they close one. Unit: ms. */
 const KEEP_ALIVE_MS = 30_000;
 
+/** Time for answers that are being written when the server closes. Unit: ms. */
+const LAST_ANSWERS_MS = 500;
+
 const createApp = ({ runEndpoint, isReady }: InnerServerParts): App =>
   new App({ settings: { xPoweredBy: false } })
     .get('/healthz', (_request, response) => {
@@ -53,6 +57,8 @@
     const closed = new Promise<void>((resolve) => {
       this.server.close(() => resolve());
     });
+    this.server.closeIdleConnections();
+    await Promise.race([closed, sleep(LAST_ANSWERS_MS, undefined, { ref: false })]);
     this.server.closeAllConnections();
     await closed;
   }
--- a/packages/agent/src/core/http/runEndpoint.ts
+++ b/packages/agent/src/core/http/runEndpoint.ts
@@ -44,6 +44,8 @@
     metrics.count('requests.refused', { code: refusal.code });
     journal.record('request-refused', { request: id, code: refusal.code });
     if (response.destroyed) return;
+    // A peer that kept the connection could send a request into it just when it is closed.
+    if (refusal.code === 'stopping') response.shouldKeepAlive = false;
     answerRefusal(response, refusal, ownHeaders(id), id);
   };
 
