Test failures on a fleet of real processes

One assumed a rate share right after the start while the table is down; it now begins with served callers. The other stays red in this commit: a request that crashes targets cost 3 engines of at most 2, since the second entry host had not yet learnt of the crash when the caller sent the request again.

--- a/packages/demo/src/launch/Fleet.ts
+++ b/packages/demo/src/launch/Fleet.ts
@@ -89,6 +89,8 @@
   readonly verbose: boolean;
   /** Further options of each engine stand-in. */
   readonly engineArgs?: readonly string[];
+  /** Further settings of each agent. */
+  readonly agentSettings?: Readonly<Record<string, unknown>>;
 }
 
 /**
@@ -226,7 +228,7 @@
         'agent',
         `agent-${target}`,
         domainAt(index),
-        { target: { name: target, service, url, kind } },
+        { ...options.agentSettings, target: { name: target, service, url, kind } },
         { service, target },
       );
       return Object.assign(host, { targetUrl: url });
@@ -261,6 +263,15 @@
     for (const account of deployment.accounts) {
       keys.set(account, await operator.grantKey(account));
     }
+    const lastKey = [...keys.values()].at(-1)?.secret ?? '';
+    await Promise.all(
+      entries.map(({ url }) =>
+        waitUntil('keys at each entry host', READY_LIMIT_MS, async () => {
+          const headers = { authorization: `Bearer ${lastKey}` };
+          return (await fetch(`${url ?? ''}/v1/models`, { headers })).ok;
+        }),
+      ),
+    );
     return {
       deployment,
       entries,
--- /dev/null
+++ b/packages/demo/test/support/batchJobs.ts
@@ -0,0 +1,112 @@
+/** Batch jobs of scenarios, through the unmodified `openai` client. */
+import OpenAI from 'openai';
+import { entryOf, keyOf, seenBy, type FleetWorld, type SeenRequest } from './FleetWorld.js';
+import type { Fleet } from '../../src/launch/Fleet.js';
+
+const ACCOUNT = 'surveyors';
+const MARK = 'batch-item';
+
+const clientOf = (fleet: Fleet, entry: number): OpenAI =>
+  new OpenAI({
+    baseURL: `${entryOf(fleet, entry).url}/v1`,
+    apiKey: keyOf(fleet, ACCOUNT).secret,
+    maxRetries: 0,
+  });
+
+/**
+ * Builds the lines of a job.
+ *
+ * @param fleet - the fleet, for its model
+ * @param count - number of items
+ * @param tokens - length of each answer
+ * @returns lines in the format of a batch input file
+ */
+export const jobItems = (fleet: Fleet, count: number, tokens: number): string[] =>
+  Array.from({ length: count }, (_, index) =>
+    JSON.stringify({
+      custom_id: `item-${index}`,
+      method: 'POST',
+      url: '/v1/chat/completions',
+      body: {
+        model: fleet.deployment.model,
+        max_tokens: tokens,
+        messages: [{ role: 'user', content: `${MARK} ${index}` }],
+      },
+    }),
+  );
+
+/**
+ * Submits a job through entry host 2.
+ *
+ * @param fleet - the fleet
+ * @param count - number of items
+ * @param tokens - length of each answer
+ * @returns job id
+ */
+export const submitJob = async (fleet: Fleet, count: number, tokens: number): Promise<string> => {
+  const client = clientOf(fleet, 2);
+  const lines = jobItems(fleet, count, tokens);
+  const file = await client.files.create({
+    purpose: 'batch',
+    file: new File([lines.join('\n')], 'items.jsonl'),
+  });
+  const job = await client.batches.create({
+    input_file_id: file.id,
+    endpoint: '/v1/chat/completions',
+    completion_window: '24h',
+    // Jobs of the same content are the same job; each scenario needs its own.
+    metadata: { scenario: String(performance.now()) },
+  });
+  return job.id;
+};
+
+/**
+ * Cancels the job of a scenario.
+ *
+ * @param world - state of the scenario
+ */
+export const cancelJob = async (world: FleetWorld): Promise<void> => {
+  await clientOf(world.fleet, 1).batches.cancel(world.job);
+};
+
+/**
+ * Lists items that engines run now.
+ *
+ * @param world - state of the scenario
+ * @returns the requests
+ */
+export const runningItems = async (world: FleetWorld): Promise<SeenRequest[]> => {
+  const seen = await seenBy(world.fleet.standins.engines);
+  return seen.filter(({ outcome, body }) => outcome === 'running' && body.includes(MARK));
+};
+
+/** Results of a job. */
+export interface JobResults {
+  readonly status: string;
+  /** Custom ids in the output file and the error file. */
+  readonly ids: readonly string[];
+}
+
+const idsIn = async (client: OpenAI, file: string | undefined): Promise<string[]> => {
+  if (!file) return [];
+  const text = await (await client.files.content(file)).text();
+  return text
+    .split('\n')
+    .filter(Boolean)
+    .map((line) => (JSON.parse(line) as { custom_id: string }).custom_id);
+};
+
+/**
+ * Reads the state and the results of the job through entry host 1.
+ *
+ * @param world - state of the scenario
+ * @returns the results; ids only once the job has completed
+ */
+export const readJob = async (world: FleetWorld): Promise<JobResults> => {
+  const client = clientOf(world.fleet, 1);
+  const job = await client.batches.retrieve(world.job);
+  if (job.status !== 'completed') return { status: job.status, ids: [] };
+  const output = await idsIn(client, job.output_file_id);
+  const errors = await idsIn(client, job.error_file_id);
+  return { status: job.status, ids: [...output, ...errors] };
+};
