--- a/packages/agent/src/core/online/RequestLife.ts
+++ b/packages/agent/src/core/online/RequestLife.ts
@@ -10,7 +10,7 @@
 
   private readonly timer: NodeJS.Timeout;
 
-  endReason: EndReason | undefined;
+  private reason: EndReason | undefined;
 
   /**
    * @param request - the forwarded request; its deadline starts to count
@@ -20,6 +20,17 @@
     this.timer = setTimeout(() => this.end('deadline'), leftMs);
   }
 
+  /**
+   * Why the request was given up. After a pause of the process the deadline may have passed before its
+   * timer runs.
+   */
+  get endReason(): EndReason | undefined {
+    if (this.reason === undefined && performance.now() >= this.request.deadline) {
+      this.end('deadline');
+    }
+    return this.reason;
+  }
+
   /** Aborted when the request is given up. */
   get signal(): AbortSignal {
     return this.controller.signal;
@@ -31,8 +42,8 @@
    * @param reason - why
    */
   end(reason: EndReason): void {
-    if (this.endReason !== undefined) return;
-    this.endReason = reason;
+    if (this.reason !== undefined) return;
+    this.reason = reason;
     this.controller.abort();
   }
 
--- a/packages/agent/test/features/shutdown.feature
+++ b/packages/agent/test/features/shutdown.feature
@@ -18,9 +18,14 @@
     Then the agent ends with exit code 1
     And the connection of "holder" was cut without a final event
 
-  Scenario: A drained service gets no new work
+  Scenario Outline: A leaving target gets no new work
     Given an agent whose target has 4 places
-    When the service is drained
+    When the <source> says that the target leaves
     And "new" is forwarded
     Then "new" is refused with "target-leaving" as "not run"
     And the load report says "leaving"
+
+    Examples:
+      | source    |
+      | tree      |
+      | host list |
--- a/packages/agent/test/steps/agent.steps.ts
+++ b/packages/agent/test/steps/agent.steps.ts
@@ -152,10 +152,14 @@
   this.fixture.grant([account]);
 });
 
-When('the service is drained', function (this: Scenario) {
+When('the tree says that the target leaves', function (this: Scenario) {
   this.fixture.grant(['harbor', 'lantern'], { drained: true });
 });
 
+When('the host list says that the target leaves', function (this: Scenario) {
+  this.fixture.members.forEach((member) => Object.assign(member, { state: 'leaving' }));
+});
+
 When('{string} is forwarded', async function (this: Scenario, id: string) {
   await forward(this, { id });
 });
--- a/packages/agent/test/support/AgentFixture.ts
+++ b/packages/agent/test/support/AgentFixture.ts
@@ -4,6 +4,7 @@
 import { silentJournal } from '@jacinthlug/catalog/Journal';
 import { openMetrics } from '@jacinthlug/catalog/Metrics';
 import { innerHeaders, RUN_PATH } from '@jacinthlug/protocol/headers';
+import type { Member } from '@jacinthlug/protocol/members';
 import { loadReport, type LoadReport } from '@jacinthlug/protocol/messages';
 import { agentSettings } from '@jacinthlug/settings/process/hostSettings';
 import type { InheritedSettings } from '@jacinthlug/settings/tree/declarations';
@@ -22,6 +23,14 @@
 
 const FLEET_CREDENTIAL = 'fleet-credential-of-tests';
 
+const MEMBER = {
+  name: 'agent-1',
+  role: 'agent',
+  failureDomain: 'quay',
+  region: 'coast',
+  state: 'live',
+} as const;
+
 /** Long enough for any event of these tests on a busy machine; passing it fails the step. */
 const EVENT_LIMIT_MS = 20_000;
 
@@ -84,6 +93,7 @@
     private readonly settings: Partial<InheritedSettings>,
     readonly follower: FakeFollower,
     readonly table: FakeTable,
+    readonly members: Member[],
   ) {}
 
   static async start(
@@ -94,6 +104,7 @@
     const port = await pickPort();
     const follower = createFakeFollower();
     const table = createFakeTable();
+    const members: Member[] = [{ ...MEMBER, address: `127.0.0.1:${port}` }];
     let worker: FakeBatchWorker | undefined;
     const agent = createAgent({
       settings: agentSettings.parse({
@@ -117,7 +128,7 @@
         follower,
         table,
         membership: {
-          all: () => [],
+          all: () => members,
           liveEntries: () => [],
           liveAgents: () => [],
           update: () => undefined,
@@ -132,7 +143,16 @@
     });
     if (!worker) throw new Error('no batch worker was created');
     const url = `http://127.0.0.1:${port}`;
-    const fixture = new AgentFixture(engine, agent, worker, url, settings, follower, table);
+    const fixture = new AgentFixture(
+      engine,
+      agent,
+      worker,
+      url,
+      settings,
+      follower,
+      table,
+      members,
+    );
     fixture.grant(['harbor', 'lantern']);
     await agent.start();
     return fixture;
