--- a/packages/agent/src/core/http/InnerServer.ts
+++ b/packages/agent/src/core/http/InnerServer.ts
@@ -19,7 +19,7 @@
 const KEEP_ALIVE_MS = 30_000;
 
 /** Time for answers that are being written when the server closes. Unit: ms. */
-const LAST_ANSWERS_MS = 500;
+const LAST_ANSWERS_MS = 100;
 
 const createApp = ({ runEndpoint, isReady }: InnerServerParts): App =>
   new App({ settings: { xPoweredBy: false } })
