--- a/packages/agent/test/features/crashes.feature
+++ b/packages/agent/test/features/crashes.feature
@@ -9,6 +9,14 @@
     Then "__crash__" is refused with "target-crashed" naming "__crash__" and "bystander"
     And "bystander" is refused with "target-crashed" naming "__crash__" and "bystander"
 
+  Scenario: A stream that has begun is reported to an entry host, as its answer cannot tell
+    Given an agent whose target has 4 places
+    And an entry host that takes reports of crashes
+    And "begun" runs without end
+    When "__crash__" is forwarded
+    Then the connection of "begun" was cut without a final event
+    And the entry host is told of "begun" alone
+
   Scenario: A single dropped connection is no crash
     Given an agent whose target has 4 places
     And "holder" runs without end
--- a/packages/agent/test/support/AgentFixture.ts
+++ b/packages/agent/test/support/AgentFixture.ts
@@ -21,7 +21,8 @@
   type FakeFollower,
 } from './fakeFollower.js';
 
-const FLEET_CREDENTIAL = 'fleet-credential-of-tests';
+/** Credential that the fixture's fleet shows. */
+export const FLEET_CREDENTIAL = 'fleet-credential-of-tests';
 
 const MEMBER = {
   name: 'agent-1',
@@ -129,7 +130,7 @@
         table,
         membership: {
           all: () => members,
-          liveEntries: () => [],
+          liveEntries: () => members.filter(({ role }) => role === 'entry'),
           liveAgents: () => [],
           update: () => undefined,
         },
@@ -234,6 +235,11 @@
     });
   }
 
+  /** Adds an entry host to the members that the agent knows. */
+  addEntry(address: string): void {
+    this.members.push({ ...MEMBER, name: 'entry-1', role: 'entry', address });
+  }
+
   async load(): Promise<LoadReport> {
     const response = await fetch(`${this.url}/inner/trpc/load.report`, {
       headers: { [innerHeaders.fleet]: FLEET_CREDENTIAL },
