--- a/packages/agent/test/steps/batch.steps.ts
+++ b/packages/agent/test/steps/batch.steps.ts
@@ -104,138 +104,136 @@
   );
 });
 
-Given('the agent {string}', function (this: Scenario, name: string) {
-  startAgent(this, name);
-});
-
-Given('the agent {string}, whose target keeps its answers back', function (this: Scenario, name) {
-  startAgent(this, String(name), true);
-});
-
-Given(
-  'the agent {string}, whose target keeps answers back from item {int} on',
-  function (this: Scenario, name: string, item: number) {
-    const { target } = startAgent(this, name);
-    const push = target.seen.push.bind(target.seen);
-    target.seen.push = (...contents) => {
-      if (contents.includes(this.contents[item] ?? '')) target.holds = true;
-      return push(...contents);
-    };
-  },
-);
-
-Given(
-  'the agent {string}, whose target has no free slot once the chunk is claimed',
-  function (this: Scenario, name: string) {
-    const { target } = startAgent(this, name);
-    target.acquireBatchSlot = (signal) =>
-      new Promise((resolve) => {
-        target.spare = false;
-        signal.addEventListener('abort', () => resolve(undefined));
-      });
-  },
-);
+/** Starts an agent whose target never gives a slot. */
+const startWithoutSlots = async (scenario: Scenario, name: string): Promise<void> => {
+  const { target } = startAgent(scenario, name);
+  target.acquireBatchSlot = (signal) =>
+    new Promise((resolve) => {
+      target.spare = false;
+      signal.addEventListener('abort', () => resolve(undefined));
+    });
+  await SimulatedTime.settle();
+};
 
-Given(
-  'the agent {string} starts once the chunk is claimed',
-  async function (this: Scenario, name: string) {
-    await SimulatedTime.settle();
-    startAgent(this, name);
-  },
-);
+/** Starts an agent whose target keeps answers back once it has seen an item. */
+const startHoldingFrom = (scenario: Scenario, name: string, item: number): void => {
+  const { target } = startAgent(scenario, name);
+  const push = target.seen.push.bind(target.seen);
+  target.seen.push = (...contents) => {
+    if (contents.includes(scenario.contents[item] ?? '')) target.holds = true;
+    return push(...contents);
+  };
+};
 
-Given('{int} agents were lost with the first chunk', async function (this: Scenario, count) {
-  for (let lost = 0; lost < Number(count); lost += 1) {
-    const { chunks } = unwrap(await this.bench.jobs.report(this.job.id));
-    const chunk = { job: this.job, index: 0, ...(chunks[0] ? { former: chunks[0] } : {}) };
-    unwrap(await this.bench.chunks.claim(chunk, { incarnation: `lost-${lost}`, address: '' }));
-    await this.bench.time.advance(61_000);
+/** Lets holders claim the first chunk and vanish. */
+const loseHolders = async ({ bench, job }: Scenario, count: number): Promise<void> => {
+  for (let lost = 0; lost < count; lost += 1) {
+    const { chunks } = unwrap(await bench.jobs.report(job.id));
+    const chunk = { job, index: 0, ...(chunks[0] ? { former: chunks[0] } : {}) };
+    unwrap(await bench.chunks.claim(chunk, { incarnation: `lost-${lost}`, address: '' }));
+    await bench.time.advance(61_000);
   }
-});
-
-When('the agent {string} starts', function (this: Scenario, name: string) {
-  startAgent(this, name);
-});
-
-When(
-  'the agent {string} starts, whose target keeps its answers back',
-  function (this: Scenario, name: string) {
-    startAgent(this, name, true);
-  },
-);
-
-When('the agents run the job to its end', async function (this: Scenario) {
-  await runToEnd(this);
-});
-
-When('{string} has items in its target', async function (this: Scenario, name: string) {
-  const { target } = agentOf(this, name);
-  while (target.seen.length < CONCURRENCY) await this.bench.time.advance(1000);
-});
-
-When('{string} has item {int} in its target', async function (this: Scenario, name, item) {
-  const { target } = agentOf(this, String(name));
-  const content = this.contents[Number(item)] ?? '';
-  while (!target.seen.includes(content)) await this.bench.time.advance(1000);
-});
+};
 
-When(/^"(\w+)" is (?:killed|paused)$/, function (this: Scenario, name: string) {
-  agentOf(this, name).clock.paused = true;
-});
+const advanceUntil = async (scenario: Scenario, holds: () => boolean): Promise<void> => {
+  while (!holds()) await scenario.bench.time.advance(1000);
+};
 
-When('{string} is woken and its target answers', async function (this: Scenario, name: string) {
-  const { clock, target } = agentOf(this, name);
-  // Answers reach a woken process before its timers fire.
+/** Answers reach a woken process before its timers fire. */
+const wakeWithAnswers = async (scenario: Scenario, name: string): Promise<void> => {
+  const { clock, target } = agentOf(scenario, name);
   target.holds = false;
   await SimulatedTime.settle();
   clock.paused = false;
-  await this.bench.time.advance(30_000);
-});
-
-When('the target of {string} answers', function (this: Scenario, name: string) {
-  agentOf(this, name).target.holds = false;
-});
-
-When(
-  'the items in the target of {string} are preempted {int} times',
-  async function (this: Scenario, name: string, times: number) {
-    for (let time = 0; time < times; time += 1) {
-      await this.bench.time.advance(1000);
-      agentOf(this, name).target.preempt();
-    }
-    await this.bench.time.advance(1000);
-  },
-);
+  await scenario.bench.time.advance(30_000);
+};
 
-When(
-  /^the job is cancelled and "(\w+)" (gets the notice|reads the job row)$/,
-  async function (this: Scenario, name: string, way: string) {
-    unwrap(await this.bench.jobs.cancel(this.job.id, Infinity));
-    if (way === 'gets the notice') agentOf(this, name).worker.cancelJob({ job: this.job.id });
-    else await this.bench.time.advance(5000);
-    await SimulatedTime.settle();
-  },
-);
+const preempt = async (scenario: Scenario, name: string, times: number): Promise<void> => {
+  for (let time = 0; time < times; time += 1) {
+    await scenario.bench.time.advance(1000);
+    agentOf(scenario, name).target.preempt();
+  }
+  await scenario.bench.time.advance(1000);
+};
 
-When('{string} is stopped and its target answers', async function (this: Scenario, name: string) {
-  const { worker, target } = agentOf(this, name);
+const stopWithAnswers = async (scenario: Scenario, name: string): Promise<void> => {
+  const { worker, target } = agentOf(scenario, name);
   const stopped = worker.stop();
   target.holds = false;
   await stopped;
-});
+};
 
-When('{int} seconds pass', async function (this: Scenario, seconds: number) {
-  await this.bench.time.advance(seconds * 1000);
-});
+type Event = (scenario: Scenario, first: string, second: string) => unknown;
+
+const targetOf = (scenario: Scenario, name: string): FakeTarget => agentOf(scenario, name).target;
+
+const countOf = (scenario: Scenario, name: string, item: string): number =>
+  targetOf(scenario, name).seen.filter((one) => one === scenario.contents[Number(item)]).length;
+
+const events: readonly (readonly [RegExp, Event])[] = [
+  [/^(\w+) starts$/, (s, name) => startAgent(s, name)],
+  [/^(\w+) starts holding$/, (s, name) => startAgent(s, name, true)],
+  [/^(\w+) starts without slots$/, startWithoutSlots],
+  [/^(\w+) starts, holding from (\d+) on$/, (s, name, item) => startHoldingFrom(s, name, +item)],
+  [/^(\d+) holders are lost$/, (s, count) => loseHolders(s, +count)],
+  [/^the job ends$/, (s) => runToEnd(s)],
+  [/^(\w+) is full$/, (s, n) => advanceUntil(s, () => targetOf(s, n).seen.length >= CONCURRENCY)],
+  [/^(\w+) has (\d+)$/, (s, name, item) => advanceUntil(s, () => countOf(s, name, item) > 0)],
+  [/^(\w+) pauses$/, (s, name) => Object.assign(agentOf(s, name).clock, { paused: true })],
+  [/^(\w+) wakes with answers$/, wakeWithAnswers],
+  [/^(\w+) answers$/, (s, name) => Object.assign(targetOf(s, name), { holds: false })],
+  [/^(\d+) preemptions at (\w+)$/, (s, times, name) => preempt(s, name, +times)],
+  [/^(\w+) stops with answers$/, stopWithAnswers],
+  [/^(\d+) s pass$/, (s, seconds) => s.bench.time.advance(+seconds * 1000)],
+  [/^the table goes down$/, (s) => Object.assign(s.bench.table, { down: true })],
+  [/^the table comes up$/, (s) => Object.assign(s.bench.table, { down: false })],
+  [/^the job is cancelled$/, async (s) => unwrap(await s.bench.jobs.cancel(s.job.id, Infinity))],
+  [/^(\w+) gets the notice$/, (s, n) => agentOf(s, n).worker.cancelJob({ job: s.job.id })],
+];
+
+const errorOf = async ({ bench, job }: Scenario, item: string): Promise<string | undefined> => {
+  const errors = await bench.readResults(job.id, 'error');
+  return errors.find(({ custom_id: id }) => id === `item-${item}`)?.error?.code;
+};
+
+const claimsOf = async ({ bench, job }: Scenario): Promise<string> => {
+  const [chunk] = unwrap(await bench.jobs.report(job.id)).chunks;
+  return `${chunk?.fencing} claims and ${chunk?.lapses} lost holders`;
+};
+
+const lastCrashOf = (scenario: Scenario, name: string): string => {
+  const { crashes } = targetOf(scenario, name);
+  const last = (crashes[crashes.length - 1] ?? []).map((content) => content.split(' ')[1]);
+  return `${name} crashed ${crashes.length} times, at last with ${last.join(' and ')} alone`;
+};
 
-When('the table is down for {int} seconds', async function (this: Scenario, seconds: number) {
-  this.bench.table.down = true;
-  await this.bench.time.advance(seconds * 1000);
-  this.bench.table.down = false;
+/** Each fact is computed in the words in which it is expected. */
+const facts: readonly (readonly [RegExp, Event])[] = [
+  [/^(\w+) saw \d+ requests$/, (s, n) => `${n} saw ${targetOf(s, n).seen.length} requests`],
+  [/^(\w+) saw (\d+) \d+ times$/, (s, n, item) => `${n} saw ${item} ${countOf(s, n, item)} times`],
+  [/^(\w+) had \d+ at once$/, (s, name) => `${name} had ${targetOf(s, name).peak} at once`],
+  [/^(\w+) crashed/, lastCrashOf],
+  [/^the error of (\d+)/, async (s, item) => `the error of ${item} is ${await errorOf(s, item)}`],
+  [/ lost holders$/, claimsOf],
+];
+
+const apply = async (
+  scenario: Scenario,
+  table: readonly (readonly [RegExp, Event])[],
+  phrase: string,
+): Promise<unknown> => {
+  const [pattern, handle] = table.find(([one]) => one.test(phrase)) ?? [];
+  assert.ok(pattern && handle, phrase);
+  const [, first = '', second = ''] = pattern.exec(phrase) ?? [];
+  return handle(scenario, first, second);
+};
+
+When(/^these happen: (.*)$/, async function (this: Scenario, text: string) {
+  for (const phrase of text.split('; ')) await apply(this, events, phrase);
 });
 
-When(/^the table (goes down|is up again)$/, function (this: Scenario, change: string) {
-  this.bench.table.down = change === 'goes down';
+Then(/^these hold: (.*)$/, async function (this: Scenario, text: string) {
+  for (const phrase of text.split('; ')) assert.equal(await apply(this, facts, phrase), phrase);
 });
 
 When(
@@ -284,44 +282,3 @@
 Then('no results are visible', async function (this: Scenario) {
   await this.bench.checkExactlyOnce(this.job.id, [], () => false);
 });
-
-Then(
-  /^the target of "(\w+)" saw item (\d+) (once|\d+ times)$/,
-  function (this: Scenario, name: string, item: string, times: string) {
-    const content = this.contents[Number(item)];
-    const count = agentOf(this, name).target.seen.filter((one) => one === content).length;
-    assert.equal(count, times === 'once' ? 1 : Number.parseInt(times, 10));
-  },
-);
-
-Then('the target of {string} saw {int} requests', function (this: Scenario, name, count) {
-  assert.equal(agentOf(this, String(name)).target.seen.length, count);
-});
-
-Then('the target of {string} had {int} items at once', function (this: Scenario, name, count) {
-  assert.equal(agentOf(this, String(name)).target.peak, count);
-});
-
-Then('the error of item {int} is {string}', async function (this: Scenario, item, code) {
-  const errors = await this.bench.readResults(this.job.id, 'error');
-  const line = errors.find(({ custom_id: id }) => id === `item-${item}`);
-  assert.equal(line?.error?.code, code);
-});
-
-Then(
-  'the target of {string} crashed {int} times, at last with item {int} alone',
-  function (this: Scenario, name: string, count: number, item: number) {
-    const { crashes } = agentOf(this, name).target;
-    assert.equal(crashes.length, count);
-    assert.deepEqual(crashes[count - 1], [this.contents[item]]);
-  },
-);
-
-Then(
-  'the first chunk was claimed {int} times and counts no lost holder',
-  async function (this: Scenario, claims: number) {
-    const { chunks } = unwrap(await this.bench.jobs.report(this.job.id));
-    assert.equal(chunks[0]?.fencing, claims);
-    assert.equal(chunks[0].lapses, 0);
-  },
-);
--- a/packages/batch/test/features/chunks.feature
+++ b/packages/batch/test/features/chunks.feature
@@ -1,109 +1,34 @@
 Feature: Claims and commits of chunks
   Guards against an item whose result is visible twice or not at all, and against a cancelled job
-  that goes on.
+  that goes on. Events happen in the order given; the results of each holder tell who made them.
 
-  Background:
+  Scenario Outline: <case>
     Given an accepted job of 150 items
-
-  Scenario: Two agents claim one chunk
-    When "first" and "second" claim chunk 0 at once
-    Then one of them holds chunk 0
-
-  Scenario Outline: The answer of a claim or a commit is lost
-    Given the table loses answers and <settling>
-    When "first" claims chunk 0
-    And "first" commits chunk 0
-    Then the commit of "first" is "committed"
-    And the results of chunk 0 are those of "first"
-
-    Examples:
-      | settling      |
-      | settles them  |
-      | cannot settle |
-
-  Scenario: A commit is repeated long after its answer was lost
-    When "first" claims chunk 0
-    And "first" commits chunk 0
-    And "first" commits chunk 0
-    Then the commit of "first" is "committed"
-    And the results of chunk 0 are those of "first"
-
-  Scenario: A holder that was paused past its lease commits after another holder
-    When "first" claims chunk 0
-    And 61 seconds pass
-    And "second" claims chunk 0
-    And "second" commits chunk 0
-    And "first" commits chunk 0
-    Then the commit of "first" is "lost"
-    And the results of chunk 0 are those of "second"
-
-  Scenario: A holder that was paused past its lease commits before another holder
-    When "first" claims chunk 0
-    And 61 seconds pass
-    And "second" claims chunk 0
-    And "first" commits chunk 0
-    And "second" commits chunk 0
-    Then the commit of "first" is "lost"
-    And the results of chunk 0 are those of "second"
-
-  Scenario: A chunk that is held cannot be claimed, a renewed one neither
-    When "first" claims chunk 0
-    And 50 seconds pass
-    And "first" renews chunk 0
-    And 50 seconds pass
-    And "second" claims chunk 0
-    Then the claim of "second" is "lost"
-
-  Scenario: A renewal that lands late does not shorten the lease
-    When "first" claims chunk 0
-    And the renewal of "first" lands after its next one, 30 seconds later
-    And 50 seconds pass
-    And "second" claims chunk 0
-    Then the claim of "second" is "lost"
-
-  Scenario: A released chunk is claimed at once and counts no lost holder
-    When "first" claims chunk 0
-    And "first" releases chunk 0
-    And "second" claims chunk 0
-    Then "second" has chunk 0 with fencing 2 and 0 lost holders
-
-  Scenario: A recorded item of a lost holder is handed on
-    When "first" claims chunk 0
-    And "first" records item 7
-    And 61 seconds pass
-    And "second" claims chunk 0
-    Then "second" has chunk 0 with fencing 2 and 1 lost holders
-    And "second" knows the crashed items "7"
-
-  Scenario: A cancel comes before a commit
-    When "first" claims chunk 0
-    And the job is cancelled while "first" commits chunk 0
-    Then the commit of "first" is "ended"
-    And no results are visible
-    And the job is "cancelled" and out of the queue
-
-  Scenario: A cancel comes after a commit
-    When "first" claims chunk 0
-    And "first" commits chunk 0
-    And the job is cancelled
-    Then the results of chunk 0 are those of "first"
-    And the job is "cancelled" and out of the queue
-
-  Scenario: A cancelled job gives out no chunk
-    When the job is cancelled
-    And "first" claims chunk 0
-    Then the claim of "first" is "ended"
-
-  Scenario: The answer of a cancel is lost and cannot be settled
-    Given the table loses answers and cannot settle
-    When the job is cancelled
-    Then the job is "cancelled" and out of the queue
-
-  Scenario: A job is completed by its last commit
-    When "first" claims chunk 0
-    And "second" claims chunk 1
-    And "first" commits chunk 0
-    And "second" commits chunk 1
-    And the job is cancelled
-    Then the job is "completed" and out of the queue
-    And all items are visible once
+    When these happen: <events>
+    Then the outcomes are: <outcomes>
+    And chunk 0 shows the results of "<visible>"
+    And the job is "<state>", and queued only while it is open
+
+    Examples: A chunk is claimed
+      | case                                       | events                                                                         | outcomes                        | visible | state |
+      | Two agents claim one chunk                 | first and second claim at once                                                 | claimed, lost                   | nobody  | open  |
+      | A held chunk is claimed                    | first claims 0; 50 s pass; first renews; 50 s pass; second claims 0            | claimed, renewed, lost          | nobody  | open  |
+      | A renewal lands late                       | first claims 0; first renews, landing 30 s later; 50 s pass; second claims 0   | claimed, renewed, lost          | nobody  | open  |
+      | A chunk is released                        | first claims 0; first releases; second claims 0; lapses of second              | claimed, released, claimed, 0   | nobody  | open  |
+      | A holder is lost with a recorded item      | first claims 0; first records 7; 61 s pass; second claims 0; lapses of second; crashed of second | claimed, recorded, claimed, 1, 7 | nobody | open |
+
+    Examples: A chunk is committed
+      | case                                       | events                                                                         | outcomes                         | visible | state |
+      | A commit is repeated                       | first claims 0; first commits; first commits                                   | claimed, committed, committed    | first   | open  |
+      | Answers are lost and settled by token      | answers are lost; first claims 0; first commits                                | claimed, committed               | first   | open  |
+      | Answers are lost and settled by read-back  | answers are lost; settling gives up; first claims 0; first commits             | claimed, committed               | first   | open  |
+      | A paused holder commits after another      | first claims 0; 61 s pass; second claims 0; second commits; first commits      | claimed, claimed, committed, lost | second | open  |
+      | A paused holder commits before another     | first claims 0; 61 s pass; second claims 0; first commits; second commits      | claimed, claimed, lost, committed | second | open  |
+
+    Examples: A job ends
+      | case                                       | events                                                                         | outcomes                         | visible | state     |
+      | A cancel comes before a commit             | first claims 0; cancel during the next write; first commits                    | claimed, ended                   | nobody  | cancelled |
+      | A cancel comes after a commit              | first claims 0; first commits; cancel                                          | claimed, committed, cancelled    | first   | cancelled |
+      | A cancelled job is claimed                 | cancel; first claims 0                                                         | cancelled, ended                 | nobody  | cancelled |
+      | A cancel is settled by read-back           | answers are lost; settling gives up; cancel                                    | cancelled                        | nobody  | cancelled |
+      | A cancel comes after the last commit       | first claims 0; second claims 1; first commits; second commits; cancel         | claimed, claimed, committed, committed, completed | first | completed |
--- a/packages/batch/test/steps/chunks.steps.ts
+++ b/packages/batch/test/steps/chunks.steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import type { Result } from 'neverthrow';
-import type { Claim, ClaimFailure, FreeChunk } from '../../src/ChunkStore.js';
+import type { Claim, FreeChunk } from '../../src/ChunkStore.js';
 import { resultId, type ResultLine } from '../../src/results/resultLine.js';
 import { queuePartition } from '../../src/rows/rowKeys.js';
 import type { Job } from '../../src/rows/rows.js';
@@ -12,22 +12,22 @@
   bench: BatchBench;
   input: string[];
   job: Job;
-  claims: Map<string, Result<Claim, ClaimFailure>>;
-  commits: Map<string, Result<void, ClaimFailure>>;
+  claims: Map<string, Claim>;
+  outcomes: string[];
 }
 
+type Outcome = Result<unknown, { kind: string }>;
+
 const ITEMS_PER_CHUNK = 100;
 
 const claimOf = ({ claims }: Scenario, name: string): Claim => {
   const claim = claims.get(name);
   assert.ok(claim);
-  return unwrap(claim);
+  return claim;
 };
 
-const outcomeOf = (result: Result<unknown, ClaimFailure> | undefined, done: string): string => {
-  assert.ok(result);
-  return result.isOk() ? done : result.error.kind;
-};
+const describe = (result: Outcome, done: string): string =>
+  result.isOk() ? done : result.error.kind;
 
 const findChunk = async ({ bench, job }: Scenario, index: number): Promise<FreeChunk> => {
   const { chunks } = unwrap(await bench.jobs.report(job.id));
@@ -36,7 +36,7 @@
 };
 
 /** Results that tell which holder made them. */
-const resultsOf = ({ input }: Scenario, { job, index }: Claim, holder: string): ResultLine[] =>
+const resultsOf = ({ input, job }: Scenario, index: number, holder: string): ResultLine[] =>
   input.slice(index * ITEMS_PER_CHUNK, (index + 1) * ITEMS_PER_CHUNK).map((line, item) => ({
     id: resultId(job.id, index, item),
     custom_id: (JSON.parse(line) as { custom_id: string }).custom_id,
@@ -44,139 +44,144 @@
     error: null,
   }));
 
-const claimChunk = async (scenario: Scenario, name: string, chunk: FreeChunk): Promise<void> => {
-  const holder = { incarnation: name, address: `127.0.0.1:${name.length}` };
-  scenario.claims.set(name, await scenario.bench.chunks.claim(chunk, holder));
+const claim = async (scenario: Scenario, name: string, chunk: FreeChunk): Promise<string> => {
+  const result = await scenario.bench.chunks.claim(chunk, { incarnation: name, address: '' });
+  if (result.isOk()) scenario.claims.set(name, result.value);
+  return describe(result, 'claimed');
 };
 
-const commitChunk = async (scenario: Scenario, name: string): Promise<void> => {
-  const claim = claimOf(scenario, name);
-  const lines = resultsOf(scenario, claim, name);
-  scenario.commits.set(name, await scenario.bench.chunks.commit(claim, lines));
+/** The renewal is sent before the next one and takes effect after it. */
+const renewLate = async (scenario: Scenario, name: string, seconds: number): Promise<string> => {
+  const { chunks, table, time } = scenario.bench;
+  let land: () => void = () => undefined;
+  const held = new Promise<void>((resolve) => {
+    land = resolve;
+  });
+  table.beforeWrite = () => held;
+  const late = chunks.renew(claimOf(scenario, name));
+  table.beforeWrite = undefined;
+  await time.advance(seconds * 1000);
+  const next = await chunks.renew(claimOf(scenario, name));
+  land();
+  await late;
+  return describe(next, 'renewed');
 };
 
+const cancel = async ({ bench, job }: Scenario): Promise<string> =>
+  unwrap(await bench.jobs.cancel(job.id, Infinity)).job.state;
+
+type Event = (scenario: Scenario, ...words: string[]) => Promise<string | undefined>;
+
+const events: readonly (readonly [RegExp, Event])[] = [
+  [
+    /^(\d+) s pass$/,
+    async ({ bench }, seconds) => {
+      await bench.time.advance(Number(seconds) * 1000);
+      return undefined;
+    },
+  ],
+  [
+    /^(\w+) claims (\d)$/,
+    async (s, name = '', index = '') => claim(s, name, await findChunk(s, +index)),
+  ],
+  [
+    /^first and second claim at once$/,
+    async (scenario) => {
+      const chunk = await findChunk(scenario, 0);
+      const claims = ['first', 'second'].map((name) => claim(scenario, name, chunk));
+      return (await Promise.all(claims)).sort().join(', ');
+    },
+  ],
+  [
+    /^(\w+) commits$/,
+    async (scenario, name = '') => {
+      const held = claimOf(scenario, name);
+      const lines = resultsOf(scenario, held.index, name);
+      return describe(await scenario.bench.chunks.commit(held, lines), 'committed');
+    },
+  ],
+  [
+    /^(\w+) renews$/,
+    async (s, name = '') => describe(await s.bench.chunks.renew(claimOf(s, name)), 'renewed'),
+  ],
+  [
+    /^(\w+) renews, landing (\d+) s later$/,
+    (s, name = '', seconds = '') => renewLate(s, name, +seconds),
+  ],
+  [
+    /^(\w+) releases$/,
+    async (s, name = '') => describe(await s.bench.chunks.release(claimOf(s, name)), 'released'),
+  ],
+  [
+    /^(\w+) records (\d+)$/,
+    async (s, name = '', item = '') =>
+      describe(await s.bench.chunks.recordRunning(claimOf(s, name), +item), 'recorded'),
+  ],
+  [/^lapses of (\w+)$/, async (s, name = '') => String(claimOf(s, name).lapses)],
+  [/^crashed of (\w+)$/, async (s, name = '') => claimOf(s, name).crashed.join(' ')],
+  [/^cancel$/, cancel],
+  [
+    /^cancel during the next write$/,
+    async (scenario) => {
+      const { table } = scenario.bench;
+      table.beforeWrite = async () => {
+        table.beforeWrite = undefined;
+        await cancel(scenario);
+      };
+      return undefined;
+    },
+  ],
+  [
+    /^answers are lost$/,
+    async ({ bench: { table } }) => {
+      Object.assign(table, { losesAnswer: () => true });
+      return undefined;
+    },
+  ],
+  [
+    /^settling gives up$/,
+    async ({ bench: { table } }) => {
+      Object.assign(table, { settleGivesUp: true });
+      return undefined;
+    },
+  ],
+];
+
 Given('an accepted job of {int} items', async function (this: Scenario, count: number) {
   this.claims = new Map();
-  this.commits = new Map();
+  this.outcomes = [];
   this.input = Array.from({ length: count }, (_, index) => inputLine(`item-${index}`));
   this.job = await this.bench.acceptJob(this.input);
 });
 
-When('{string} claims chunk {int}', async function (this: Scenario, name: string, index: number) {
-  await claimChunk(this, name, await findChunk(this, index));
+When(/^these happen: (.*)$/, async function (this: Scenario, text: string) {
+  for (const word of text.split('; ')) {
+    const [pattern, happen] = events.find(([one]) => one.test(word)) ?? [];
+    assert.ok(pattern && happen, word);
+    const outcome = await happen(this, ...(pattern.exec(word) ?? []).slice(1));
+    if (outcome !== undefined) this.outcomes.push(outcome);
+  }
 });
 
-When(
-  '{string} and {string} claim chunk {int} at once',
-  async function (this: Scenario, first: string, second: string, index: number) {
-    const chunk = await findChunk(this, index);
-    await Promise.all([claimChunk(this, first, chunk), claimChunk(this, second, chunk)]);
-  },
-);
-
-When('{string} commits chunk {int}', async function (this: Scenario, name: string, index: number) {
-  assert.equal(claimOf(this, name).index, index);
-  await commitChunk(this, name);
+Then(/^the outcomes are: (.*)$/, function (this: Scenario, outcomes: string) {
+  assert.equal(this.outcomes.join(', '), outcomes);
 });
 
-When('{string} renews chunk {int}', async function (this: Scenario, name: string, _index: number) {
-  unwrap(await this.bench.chunks.renew(claimOf(this, name)));
-});
-
-When(
-  '{string} releases chunk {int}',
-  async function (this: Scenario, name: string, _index: number) {
-    unwrap(await this.bench.chunks.release(claimOf(this, name)));
-  },
-);
-
-When('{string} records item {int}', async function (this: Scenario, name: string, item: number) {
-  unwrap(await this.bench.chunks.recordRunning(claimOf(this, name), item));
-});
-
-When('{int} seconds pass', async function (this: Scenario, seconds: number) {
-  await this.bench.time.advance(seconds * 1000);
-});
-
-When(
-  'the renewal of {string} lands after its next one, {int} seconds later',
-  async function (this: Scenario, name: string, seconds: number) {
-    const { chunks, table, time } = this.bench;
-    let land: () => void = () => undefined;
-    const held = new Promise<void>((resolve) => {
-      land = resolve;
-    });
-    table.beforeWrite = () => held;
-    const late = chunks.renew(claimOf(this, name));
-    table.beforeWrite = undefined;
-    await time.advance(seconds * 1000);
-    unwrap(await chunks.renew(claimOf(this, name)));
-    land();
-    await late;
-  },
-);
-
-When('the job is cancelled', async function (this: Scenario) {
-  unwrap(await this.bench.jobs.cancel(this.job.id, Infinity));
-});
-
-When(
-  'the job is cancelled while {string} commits chunk {int}',
-  async function (this: Scenario, name: string, _index: number) {
-    const { table, jobs } = this.bench;
-    table.beforeWrite = async () => {
-      table.beforeWrite = undefined;
-      unwrap(await jobs.cancel(this.job.id, Infinity));
-    };
-    await commitChunk(this, name);
-  },
-);
-
-Then('one of them holds chunk {int}', function (this: Scenario, _index: number) {
-  const outcomes = [...this.claims.values()].map((claim) => outcomeOf(claim, 'claimed'));
-  assert.deepEqual(outcomes.sort(), ['claimed', 'lost']);
-});
-
-Then('the claim of {string} is {string}', function (this: Scenario, name: string, kind: string) {
-  assert.equal(outcomeOf(this.claims.get(name), 'claimed'), kind);
-});
-
-Then('the commit of {string} is {string}', function (this: Scenario, name: string, kind: string) {
-  assert.equal(outcomeOf(this.commits.get(name), 'committed'), kind);
-});
-
-Then(
-  '{string} has chunk {int} with fencing {int} and {int} lost holders',
-  function (this: Scenario, name: string, index: number, fencing: number, lapses: number) {
-    const claim = claimOf(this, name);
-    assert.deepEqual([claim.index, claim.fencing, claim.lapses], [index, fencing, lapses]);
-  },
-);
-
-Then('{string} knows the crashed items {string}', function (this: Scenario, name, items) {
-  assert.equal(claimOf(this, String(name)).crashed.join(', '), items);
+Then('chunk 0 shows the results of {string}', async function (this: Scenario, name: string) {
+  const visible = await this.bench.readResults(this.job.id, 'output');
+  const expected = name === 'nobody' ? [] : resultsOf(this, 0, name);
+  assert.deepEqual(visible.slice(0, ITEMS_PER_CHUNK), expected);
+  assert.equal(new Set(visible.map(({ id }) => id)).size, visible.length);
+  assert.deepEqual(await this.bench.readResults(this.job.id, 'error'), []);
 });
 
 Then(
-  'the results of chunk {int} are those of {string}',
-  async function (this: Scenario, index: number, name: string) {
-    const visible = await this.bench.readResults(this.job.id, 'output');
-    assert.deepEqual(visible, resultsOf(this, claimOf(this, name), name));
-    assert.equal(claimOf(this, name).index, index);
+  'the job is {string}, and queued only while it is open',
+  async function (this: Scenario, state: string) {
+    const { job, tally } = unwrap(await this.bench.jobs.report(this.job.id));
+    assert.equal(job.state, state);
+    if (state === 'completed') assert.equal(tally.succeeded, this.input.length);
+    const queued = unwrap(await this.bench.table.query({ pk: queuePartition(MODEL) }));
+    assert.equal(queued.length, state === 'open' ? 1 : 0);
   },
 );
-
-Then('no results are visible', async function (this: Scenario) {
-  assert.deepEqual(await this.bench.readResults(this.job.id, 'output'), []);
-  assert.deepEqual(await this.bench.readResults(this.job.id, 'error'), []);
-});
-
-Then('all items are visible once', async function (this: Scenario) {
-  await this.bench.checkExactlyOnce(this.job.id, this.input, () => false);
-});
-
-Then('the job is {string} and out of the queue', async function (this: Scenario, state: string) {
-  assert.equal(unwrap(await this.bench.jobs.get(this.job.id)).state, state);
-  const queued = await this.bench.table.query({ pk: queuePartition(MODEL) });
-  assert.deepEqual(unwrap(queued), []);
-});
