Test rate shares on a simulated fleet and divide by demand

Shares are kept for 14 s after an outage, as a new home is elected 8 s after it at the earliest; the home waits accordingly.

--- a/packages/control/src/rates/createAccountBook.ts
+++ b/packages/control/src/rates/createAccountBook.ts
@@ -20,6 +20,12 @@
  */
 const MIN_CAPACITY = 4;
 
+/** Time whose arrivals the capacity of a share is to hold. Unit: s. */
+const CAPACITY_SECONDS = 4;
+
+/** Rate that a holder gets for each request a second that arrives, while others leave it. */
+const RATE_HEADROOM = 2;
+
 /** A share is lowered only when the holder needs at most this part of it, to avoid swings. */
 const KEPT_PART = 0.9;
 
@@ -181,13 +187,32 @@
     if (!isKnown && !isEarlier) return noPart;
     return { rate: demand.heldRate, capacity: demand.heldCapacity };
   };
-  const weightOf = (holder: string): number => {
-    const weights = [...demands].map(([name, { arrivalRate }]) => ({
-      name,
-      weight: Math.max(MIN_WEIGHT, arrivalRate),
-    }));
-    const own = weights.find(({ name }) => name === holder)?.weight ?? 0;
-    return own / sum(weights.map(({ weight }) => weight));
+  const arrivalRateOf = (holder: string): number =>
+    Math.max(MIN_WEIGHT, demands.get(holder)?.arrivalRate ?? 0);
+  const wantedCapacity = (holder: string): number =>
+    Math.max(MIN_CAPACITY, arrivalRateOf(holder) * CAPACITY_SECONDS);
+  /** Divides the burst so that small demands are met first (max-min fairness). */
+  const fairCapacity = (holder: string): number => {
+    const wanted = [...demands.keys()].map(wantedCapacity).sort((left, right) => left - right);
+    let left = parts.limits().burst * DIVIDED_CAPACITY;
+    for (const [index, amount] of wanted.entries()) {
+      const fair = left / (wanted.length - index);
+      if (amount >= fair) return Math.min(wantedCapacity(holder), fair);
+      left -= amount;
+    }
+    return wantedCapacity(holder);
+  };
+  /**
+   * Divides the rate in proportion to the arrivals. Of what nobody needs, the home keeps half: a full
+   * bucket of a holder loses what it cannot take, while the home's serves whoever runs out.
+   */
+  const fairRate = (holder: string): number => {
+    const { rate } = parts.limits();
+    const own = arrivalRateOf(holder);
+    const total = sum([...demands.keys()].map(arrivalRateOf));
+    const spare = Math.max(0, rate - total);
+    const divided = Math.min(rate * DIVIDED_RATE, total + spare / 2);
+    return Math.min(own * RATE_HEADROOM, (divided * own) / total);
   };
   /** Bounds the tokens of the holder when the answer arrives, at most 1 s after its question. */
   const tokensOnArrival = (stated: Part, demand: Demand): number =>
@@ -195,10 +220,11 @@
   const credit = (returned: number): void => {
     tokens = Math.min(Math.max(0, freePart().capacity), tokens + returned);
   };
-  const debit = (wanted: number, reserve: number): number => {
-    const granted = Math.max(0, Math.min(wanted, spendable(tokens, reserve)));
-    tokens -= granted;
-    return granted;
+  const debit = (wanted: number): number => {
+    // Less than one token serves no request.
+    if (wanted < 1 || tokens < wanted) return 0;
+    tokens -= wanted;
+    return wanted;
   };
   const record = (holder: string, stated: Part, granted: Part, validMs: number): void => {
     const now = parts.now();
@@ -217,21 +243,31 @@
       hasEarlierShares ? Math.max(0, stated[name] - inherited[name]) : stated[name];
     return { rate: free.rate - own('rate'), capacity: free.capacity - own('capacity') };
   };
-  const lastingPart = (stated: Part, room: Part, weight: number): Part | undefined => {
+  /** Computes what a holder should have. What nobody needs stays here for the next holder. */
+  const targetOf = (holder: string): Part => ({
+    rate: fairRate(holder),
+    capacity: Math.floor(fairCapacity(holder)),
+  });
+  const lastingPart = (holder: string, stated: Part, room: Part): Part | undefined => {
     const { rate, burst } = parts.limits();
-    const target = Math.floor(burst * DIVIDED_CAPACITY * weight);
-    if (target < MIN_CAPACITY) return undefined;
+    const target = targetOf(holder);
+    if (target.capacity < MIN_CAPACITY) return undefined;
     const reserve = burst * (1 - DIVIDED_CAPACITY);
-    const capacity = Math.floor(adjust(stated.capacity, target, room.capacity, reserve));
+    const capacity = Math.floor(adjust(stated.capacity, target.capacity, room.capacity, reserve));
     if (capacity < 1) return undefined;
-    const divided = rate * DIVIDED_RATE * weight;
     const rateReserve = rate * (1 - DIVIDED_RATE);
-    return { rate: adjust(stated.rate, divided, room.rate, rateReserve), capacity };
+    return { rate: adjust(stated.rate, target.rate, room.rate, rateReserve), capacity };
   };
   const grantLasting = (holder: string, demand: Demand, stated: Part, part: Part): Share => {
-    const room = part.capacity - tokensOnArrival(stated, demand);
+    const expected = tokensOnArrival(stated, demand);
     record(holder, stated, part, SHARE_VALID_MS);
-    const granted = debit(room, parts.limits().burst * (1 - DIVIDED_CAPACITY) * 0.5);
+    // Tokens that fill a bucket beyond half are of more use here, where any holder finds them, except
+    // for those that no longer fit here once the capacity has moved to the holder.
+    const level = Math.min(part.capacity, Math.max(part.capacity / 2, MIN_CAPACITY));
+    const overflow = tokens - Math.max(0, freePart().capacity);
+    const reserve = parts.limits().burst * (1 - DIVIDED_CAPACITY) * 0.5;
+    const wanted = Math.max(overflow, Math.min(level - expected, spendable(tokens, reserve)));
+    const granted = debit(Math.min(part.capacity - expected, wanted));
     return { account, generation, ...part, tokens: granted, validMs: SHARE_VALID_MS };
   };
   const grantSingle = (holder: string, demand: Demand, stated: Part, room: Part): Share => {
@@ -259,7 +295,7 @@
       credit(returned);
       const room = headroom(holder, stated);
       if (hasEarlierShares && room.capacity < 1) return keepEarlier(holder, stated);
-      const part = lastingPart(stated, room, weightOf(holder));
+      const part = lastingPart(holder, stated, room);
       return part
         ? grantLasting(holder, demand, stated, part)
         : grantSingle(holder, demand, stated, room);
--- a/packages/control/src/rates/createHeldShare.ts
+++ b/packages/control/src/rates/createHeldShare.ts
@@ -47,6 +47,9 @@
    */
   removeSurplus(): number;
 
+  /** Whether a lowered share left tokens for the home, which it needs for other holders. */
+  hasSurplus(): boolean;
+
   /**
    * Gives the whole share up.
    *
@@ -140,6 +143,7 @@
       surplus = 0;
       return removed;
     },
+    hasSurplus: () => surplus >= 1,
     giveUp() {
       accrue();
       const removed = tokens + surplus;
--- a/packages/control/src/rates/createHome.ts
+++ b/packages/control/src/rates/createHome.ts
@@ -22,9 +22,10 @@
   /**
    * Tells what nobody holds, by account.
    *
+   * @param held - the lease that is being released
    * @returns the free parts; empty while shares of an earlier home may be in force
    */
-  free(): Readonly<Record<string, FreePart>>;
+  free(held: HeldLease): Readonly<Record<string, FreePart>>;
 }
 
 /** What the home needs. */
@@ -104,9 +105,9 @@
         .forEach(({ account, tokens }) => bookOf(open, account).close(incarnation, tokens));
       return { kind: 'granted', shares };
     },
-    free() {
-      const open = books;
-      if (!open || lease.earlierSharesUntil() > clock.now()) return {};
+    free(held) {
+      if (lease.earlierSharesUntil() > clock.now()) return {};
+      const open = booksOf(held);
       return Object.fromEntries(
         accounts().map((account) => [account, bookOf(open, account).free()]),
       );
--- a/packages/control/src/rates/createHomeLease.ts
+++ b/packages/control/src/rates/createHomeLease.ts
@@ -11,7 +11,8 @@
   LEASE_RENEWAL_MS,
   LEASE_UNCHANGED_MS,
   LEASE_VALID_MS,
-  SHARE_VALID_MS,
+  SETTLE_AFTER_OUTAGE_MS,
+  SETTLE_AFTER_TAKEOVER_MS,
 } from './limits.js';
 import { leaseKey } from './shards.js';
 
@@ -52,7 +53,7 @@
   isHeld(): boolean;
 
   /**
-   * Tells whether shares lapse by time now: the lease was renewed without a gap in the last 10 s.
+   * Tells whether shares lapse by time now: the lease was renewed without a gap lately.
    *
    * @returns whether they lapse
    */
@@ -78,9 +79,9 @@
   /**
    * Releases the lease, if it is held.
    *
-   * @param free - what is free, by account; called when no more is granted
+   * @param free - tells what is free, by account; called when no more is granted
    */
-  release(free: () => Readonly<Record<string, FreePart>>): Promise<void>;
+  release(free: (lease: HeldLease) => Readonly<Record<string, FreePart>>): Promise<void>;
 }
 
 /** What the lease needs. */
@@ -163,7 +164,7 @@
     held = { generation, startedAt: now, inheritedFree: free };
     lastGeneration = generation;
     beat = 0;
-    settledAt = isFirst ? -Infinity : now + SHARE_VALID_MS;
+    settledAt = isFirst ? -Infinity : now + SETTLE_AFTER_TAKEOVER_MS;
     earlierUntil = isFirst ? -Infinity : Infinity;
     journal.record('home-acquired', { shard, generation });
   };
@@ -179,9 +180,9 @@
       if (outcome.error.kind === 'conflict' && held === lease) lose();
       return;
     }
-    // After a gap holders may have kept their shares in an outage; they get 10 s to say so.
+    // In the outage holders may have kept their shares past their end.
     if (sentAt - renewedAt > LEASE_VALID_MS) {
-      settledAt = Math.max(settledAt, clock.now() + SHARE_VALID_MS);
+      settledAt = Math.max(settledAt, clock.now() + SETTLE_AFTER_OUTAGE_MS);
     }
     renewedAt = sentAt;
     if (earlierUntil === Infinity && mayLapse()) earlierUntil = settledAt;
@@ -263,7 +264,7 @@
         address: '',
         generation: lease.generation,
         beat: beat + 1,
-        free: free() as unknown as Attributes,
+        free: free(lease) as unknown as Attributes,
       };
       const write: Write = { kind: 'put', key, attributes, conditions: ownConditions(lease) };
       await table.settle([write], randomUUID(), clock.now() + LEASE_RENEWAL_MS);
--- a/packages/control/src/rates/createRateShares.ts
+++ b/packages/control/src/rates/createRateShares.ts
@@ -18,7 +18,7 @@
 import { createHomeLease, type HomeLease } from './createHomeLease.js';
 import { createHomeRoute } from './createHomeRoute.js';
 import { createShardHolder, type HeldAccount, type ShardHolder } from './createShardHolder.js';
-import { LEASE_RENEWAL_MS, SHARE_ANSWER_LIMIT_MS } from './limits.js';
+import { LEASE_RENEWAL_MS, OUTAGE_EXTENSION_MS, SHARE_ANSWER_LIMIT_MS } from './limits.js';
 import { homeCandidates, shardOf, SHARDS } from './shards.js';
 
 /** What the rate shares need. */
@@ -52,12 +52,6 @@
 /** An outage counts after this time, so that a short one never extends a share. Unit: ms. */
 const OUTAGE_SURE_MS = 3000;
 
-/**
- * Time by which a share is kept in an outage, at each look. With the 5 s within which a process
- * notices the end of an outage it stays below the 10 s that a home waits. Unit: ms.
- */
-const EXTENSION_MS = 2000;
-
 /**
  * Creates the rate shares of an entry host.
  *
@@ -152,7 +146,7 @@
       outageSince = isOutage && !wasPaused ? (outageSince ?? now) : undefined;
       lookedAt = now;
       if (outageSince !== undefined && now - outageSince >= OUTAGE_SURE_MS) {
-        shards.forEach(({ holder }) => holder.extend(now + EXTENSION_MS));
+        shards.forEach(({ holder }) => holder.extend(now + OUTAGE_EXTENSION_MS));
       }
       await clock.sleep(RENEWAL_LOOK_MS, stopping.signal);
     }
@@ -174,7 +168,7 @@
       for (let asks = 0; ; asks += 1) {
         const generation = account.share.take();
         if (generation !== undefined) return ok({ shard: number, generation });
-        if (asks >= MAX_ASKS || !(await holder.askFor(account))) break;
+        if (asks >= MAX_ASKS || !(await holder.waitFor(account))) break;
       }
       holder.noteRefused(account);
       return err(refuseTake(account));
--- a/packages/control/src/rates/createShardHolder.ts
+++ b/packages/control/src/rates/createShardHolder.ts
@@ -44,7 +44,7 @@
    * @param account - account that lacks tokens
    * @returns whether an answer came
    */
-  askFor(account: HeldAccount): Promise<boolean>;
+  waitFor(account: HeldAccount): Promise<boolean>;
 
   /**
    * Counts a refused request.
@@ -96,6 +96,8 @@
   const { shard, incarnation, clock, metrics, limitsOf, send } = parts;
   const accounts = new Map<string, HeldAccount>();
   const refusals = new Map<string, number>();
+  /** Accounts with requests that wait for an answer. */
+  const waiting = new Map<string, number>();
   /** Accounts for which the home had no token at the last question. */
   const starved = new Set<string>();
   let sequence = 0;
@@ -116,6 +118,8 @@
     };
   };
   const isIdle = ({ arrivals }: HeldAccount): boolean => clock.now() - arrivals.lastAt() > IDLE_MS;
+  /** Tells whether the home must hear of an account; tokens for one request would be wasted else. */
+  const isInUse = ({ name, share }: HeldAccount): boolean => share.isValid() || waiting.has(name);
   const questionOf = (giveUp: readonly HeldAccount[]): ShareRequest => {
     const kept = [...accounts.values()].filter((account) => !giveUp.includes(account));
     sequence += 1;
@@ -123,7 +127,7 @@
       account: name,
       tokens: share.removeSurplus(),
     }));
-    const demands = kept.map(demandOf);
+    const demands = kept.filter(isInUse).map(demandOf);
     refusals.clear();
     const released = giveUp.map(({ name, share }) => ({ account: name, tokens: share.giveUp() }));
     const returned = surplus.filter(({ tokens }) => tokens > 0);
@@ -131,7 +135,9 @@
   };
   const applyAnswer = (answer: ShareAnswer, sentAt: number): boolean => {
     if (answer.kind !== 'granted') return false;
-    accounts.forEach((_, name) => starved.add(name));
+    accounts.forEach((account) => {
+      if (isInUse(account)) starved.add(account.name);
+    });
     answer.shares.forEach((share) => {
       accounts.get(share.account)?.share.apply(share, sentAt);
       if (share.tokens > 0) starved.delete(share.account);
@@ -168,6 +174,12 @@
     });
     return pending;
   };
+  const askFor = async ({ name, share }: HeldAccount): Promise<boolean> => {
+    if (pending) return pending;
+    const waitMs = share.isValid() ? EMPTY_ASK_MS : NOTHING_ASK_MS;
+    const isUseful = !starved.has(name) || clock.now() - askedAt >= waitMs;
+    return isUseful ? ask() : false;
+  };
   return {
     account(name) {
       const known = accounts.get(name);
@@ -178,19 +190,25 @@
       accounts.set(name, created);
       return created;
     },
-    async askFor({ name, share }) {
-      if (pending) return pending;
-      const waitMs = share.isValid() ? EMPTY_ASK_MS : NOTHING_ASK_MS;
-      const isUseful = clock.now() - askedAt >= waitMs;
-      return isUseful || (!share.isValid() && !starved.has(name)) ? ask() : false;
+    async waitFor(account) {
+      const { name } = account;
+      waiting.set(name, (waiting.get(name) ?? 0) + 1);
+      const isAnswered = await askFor(account);
+      const others = (waiting.get(name) ?? 1) - 1;
+      if (others > 0) waiting.set(name, others);
+      else waiting.delete(name);
+      return isAnswered;
     },
     noteRefused({ name }) {
       refusals.set(name, (refusals.get(name) ?? 0) + 1);
     },
     async renew() {
-      if (accounts.size === 0 || clock.now() - askedAt < SHARE_RENEWAL_MS) return;
-      const idle = [...accounts.values()].filter(isIdle);
-      await ask(idle);
+      const all = [...accounts.values()];
+      const hasSurplus = all.some(({ share }) => share.hasSurplus());
+      const isDue = hasSurplus || clock.now() - askedAt >= SHARE_RENEWAL_MS;
+      if (!isDue) return;
+      const idle = all.filter(isIdle);
+      if (hasSurplus || all.some(({ share }) => share.isValid())) await ask(idle);
       idle.filter(isIdle).forEach(({ name }) => accounts.delete(name));
     },
     extend(until) {
--- a/packages/control/src/rates/limits.ts
+++ b/packages/control/src/rates/limits.ts
@@ -22,11 +22,31 @@
 export const LEASE_UNCHANGED_MS = 4000;
 
 /**
- * Time for which a challenger must have read the table without a failure. A home that grants in mode
- * `outage` notices the end of the outage within 5 s: evidence of peers counts for 3 s, and peers read
- * the table again within 2 s.
+ * Time within which every process that reaches the table or a peer notices the end of an outage:
+ * evidence of peers counts for 3 s, and peers read the table again within 2 s. Unit: ms.
  */
-export const LEASE_READABLE_MS = 8000;
+const OUTAGE_NOTICED_MS = 5000;
+
+/**
+ * Time for which a challenger must have read the table without a failure, so that no earlier home
+ * still grants in mode `outage`. Unit: ms.
+ */
+export const LEASE_READABLE_MS = OUTAGE_NOTICED_MS + 3000;
+
+/**
+ * Time for which a holder keeps a share after it last saw the outage: long enough to register with a
+ * home that is elected after {@link LEASE_READABLE_MS}. Unit: ms.
+ */
+export const OUTAGE_EXTENSION_MS = 14_000;
+
+/** Time after an outage in which a home lets no share lapse. Unit: ms. */
+export const SETTLE_AFTER_OUTAGE_MS = OUTAGE_NOTICED_MS + OUTAGE_EXTENSION_MS + 1000;
+
+/**
+ * Time after a takeover in which shares of the earlier home may be in force: they are valid for 10 s,
+ * or were kept in an outage that ended at least {@link LEASE_READABLE_MS} before the takeover. Unit: ms.
+ */
+export const SETTLE_AFTER_TAKEOVER_MS = SETTLE_AFTER_OUTAGE_MS - LEASE_READABLE_MS;
 
 /** An amount of an account's rate and burst. */
 export interface Part {
--- a/packages/control/test/fakes/randomFaults.ts
+++ b/packages/control/test/fakes/randomFaults.ts
@@ -17,6 +17,16 @@
       fleet.start(name, domainOf(name));
     },
   },
+  /** A planned replacement: requests still come while the shares and leases are given back. */
+  replace: {
+    begin(fleet, name) {
+      void fleet.host(name).rates.stop();
+    },
+    end(fleet, name) {
+      fleet.crash(name);
+      fleet.start(name, domainOf(name));
+    },
+  },
   pause: {
     begin: (fleet, name) => fleet.pause(name),
     end: (fleet, name) => fleet.resume(name),
--- /dev/null
+++ b/packages/control/test/steps/rates.steps.ts
@@ -0,0 +1,199 @@
+import assert from 'node:assert/strict';
+import { Given, Then, When, type World } from '@cucumber/cucumber';
+import { configurationContent } from '@jacinthlug/settings/tree/configuration';
+import { defaultSettings } from '@jacinthlug/settings/tree/declarations';
+import { leaseKey, shardOf } from '../../src/rates/shards.js';
+import { Fleet } from '../fakes/Fleet.js';
+import { faults, strike } from '../fakes/randomFaults.js';
+import { Traffic } from '../fakes/Traffic.js';
+
+interface Scenario extends World {
+  fleet: Fleet;
+  traffic: Traffic;
+  rate: number;
+  burst: number;
+}
+
+const account = { name: 'harbor', settings: defaultSettings };
+
+const contentWith = (rate: number, burst: number) =>
+  configurationContent.parse({
+    declarations: { nodes: { harbor: { kind: 'account', settings: { rate, burst } } } },
+    keys: {},
+  });
+
+const commit = async (fleet: Fleet, baseVersion: number, rate: number, burst: number) => {
+  const edit = { baseVersion, content: contentWith(rate, burst), author: 'operator' };
+  const commits = fleet.host('a1').editor.commit({ ...edit, token: `t${baseVersion}` });
+  const outcome = await fleet.simulation.settle(commits);
+  assert.ok(outcome.isOk());
+};
+
+const homeOf = (fleet: Fleet): string => {
+  const holder = fleet.table.row(leaseKey(shardOf('harbor')))?.attributes.holder;
+  return String(holder).split('#')[0] ?? '';
+};
+
+const report = (scenario: Scenario): void => {
+  const { admitted, refused, waited, refusals } = scenario.traffic;
+  const sent = admitted + refused;
+  const part = ((100 * refused) / sent).toFixed(2);
+  const codes = JSON.stringify(Object.fromEntries(refusals));
+  scenario.log(`sent ${sent}, refused ${refused} (${part} %) ${codes}, waited ${waited}`);
+};
+
+Given(
+  'a fleet of {int} entry hosts and an account with rate {int} and burst {int}, seed {int}',
+  async function (this: Scenario, hosts: number, rate: number, burst: number, seed: number) {
+    this.fleet = new Fleet(seed, true);
+    Object.assign(this, { rate, burst });
+    Array.from({ length: hosts }, (_, index) => {
+      const domain = 'abc'.charAt(index % 3);
+      return this.fleet.start(`${domain}${Math.floor(index / 3) + 1}`, domain);
+    });
+    await this.fleet.run(6000);
+    await commit(this.fleet, 0, rate, burst);
+    await this.fleet.run(3000);
+    this.traffic = new Traffic(this.fleet, { rate, burst });
+  },
+);
+
+When(
+  'the account sends {int} times its rate for {int} s under random faults',
+  async function (this: Scenario, times: number, seconds: number) {
+    const { fleet, traffic } = this;
+    const busy = new Set<string>();
+    fleet.loss = 0.05;
+    fleet.lateness = 0.05;
+    fleet.table.loss = 0.05;
+    traffic.start(() => (this.rate * times) / 9);
+    for (let elapsed = 0; elapsed < seconds * 1000; elapsed += 100) {
+      await fleet.run(100);
+      if (fleet.simulation.random() < 0.06) strike(fleet, busy, Object.keys(faults));
+    }
+    traffic.stop();
+    report(this);
+  },
+);
+
+When(
+  'the account sends {float} times its rate for {int} s, most of it through one host',
+  async function (this: Scenario, times: number, seconds: number) {
+    const total = this.rate * times;
+    this.traffic.start((name) => (name === 'b2' ? total * 0.8 : (total * 0.2) / 8));
+    await this.fleet.run(seconds * 1000);
+    this.traffic.stop();
+    report(this);
+  },
+);
+
+When(
+  'the account sends {float} times its rate for {int} s over all hosts',
+  async function (this: Scenario, times: number, seconds: number) {
+    this.traffic.start(() => (this.rate * times) / 9);
+    await this.fleet.run(seconds * 1000);
+    this.traffic.stop();
+    report(this);
+  },
+);
+
+When(
+  'the account sends {float} times its rate through all hosts',
+  async function (this: Scenario, times: number) {
+    this.traffic.start(() => (this.rate * times) / 9);
+    await this.fleet.run(15_000);
+  },
+);
+
+When(
+  'the account sends {int} times its rate for {int} s',
+  async function (this: Scenario, times: number, seconds: number) {
+    this.traffic.start(() => (this.rate * times) / 9);
+    await this.fleet.run(seconds * 1000);
+  },
+);
+
+When('the account sends nothing for {int} s', async function (this: Scenario, seconds: number) {
+  await this.fleet.run(seconds * 1000);
+});
+
+When('the table is down for {int} s', async function (this: Scenario, seconds: number) {
+  this.fleet.table.isDown = true;
+  await this.fleet.run(seconds * 1000);
+  this.fleet.table.isDown = false;
+  await this.fleet.run(20_000);
+  report(this);
+});
+
+When(
+  'the table is down for {int} s and the home crashes meanwhile',
+  async function (this: Scenario, seconds: number) {
+    this.fleet.table.isDown = true;
+    await this.fleet.run(10_000);
+    this.fleet.crash(homeOf(this.fleet));
+    await this.fleet.run(seconds * 1000 - 10_000);
+    this.fleet.table.isDown = false;
+    await this.fleet.run(30_000);
+    report(this);
+  },
+);
+
+When('the home crashes', async function (this: Scenario) {
+  this.fleet.crash(homeOf(this.fleet));
+  await this.fleet.run(30_000);
+  report(this);
+});
+
+When('the home stops', async function (this: Scenario) {
+  const name = homeOf(this.fleet);
+  await this.fleet.simulation.settle(this.fleet.host(name).rates.stop());
+  this.fleet.crash(name);
+  this.fleet.listed.delete(name);
+});
+
+When('{int} s pass on the fleet', async function (this: Scenario, seconds: number) {
+  await this.fleet.run(seconds * 1000);
+});
+
+When(
+  'an edit lowers its rate to {int} and its burst to {int}',
+  async function (this: Scenario, rate: number, burst: number) {
+    await commit(this.fleet, 1, rate, burst);
+    await this.fleet.run(15_000);
+    this.traffic.setLimits({ rate, burst });
+    await this.fleet.run(30_000);
+    report(this);
+  },
+);
+
+Then('it never got more than its rate and burst', function (this: Scenario) {
+  assert.ok(this.traffic.admitted > 0);
+  assert.equal(this.traffic.excess, 0);
+});
+
+Then(
+  'it never got more than its rate and burst, from {int} s after the edit on the lower ones',
+  function (this: Scenario, _seconds: number) {
+    assert.equal(this.traffic.excess, 0);
+  },
+);
+
+Then('less than {int} % of its requests are refused', function (this: Scenario, percent: number) {
+  const { admitted, refused } = this.traffic;
+  assert.ok(refused < ((admitted + refused) * percent) / 100, `${refused} refused`);
+});
+
+Then(
+  'less than {int} % of its requests wait for the home',
+  function (this: Scenario, percent: number) {
+    const { admitted, refused, waited } = this.traffic;
+    assert.ok(waited < ((admitted + refused) * percent) / 100, `${waited} waited`);
+  },
+);
+
+Then('a request through another host is admitted at once', async function (this: Scenario) {
+  const [host] = this.fleet.hosts.values();
+  assert.ok(host);
+  const outcome = await this.fleet.simulation.settle(host.rates.take(account));
+  assert.ok(outcome.isOk());
+});
