Tell every entry host of a crash before the caller gets its answer

A request that crashes targets was sent again through the second entry host within milliseconds of the answer, before that host's next watch (up to 500 ms) brought the suspect list, and cost a third engine. Ruled out: the record itself (the first host had counted two crashes) and the lone run at the agent. The host that records a crash now tells the other entry hosts and waits up to 300 ms for them. Requests sent at the same moment through several hosts can still cost one target each.

--- a/packages/entry/src/core/forwarding/CrashRecorder.ts
+++ b/packages/entry/src/core/forwarding/CrashRecorder.ts
@@ -2,7 +2,7 @@
 import type { Journal } from '@jacinthlug/catalog/Journal';
 import type { Membership } from '@jacinthlug/control/Membership';
 import type { SuspectList } from '@jacinthlug/control/SuspectList';
-import type { CrashReport } from '@jacinthlug/protocol/messages';
+import type { CrashReport, SuspectNotice } from '@jacinthlug/protocol/messages';
 import { rendezvousWeight } from '../routing/agentSubset.js';
 import type { Crash } from './Attempt.js';
 
@@ -28,6 +28,8 @@
   readonly membership: Membership;
   readonly suspects: SuspectList;
   readonly journal: Journal;
+  /** Tells the other entry hosts; resolves when all answered or a short limit passed. */
+  readonly tell: (notice: SuspectNotice) => Promise<void>;
   /** Runs a task after a time in ms. */
   readonly schedule: (task: () => void, delayMs: number) => void;
 }
@@ -64,7 +66,12 @@
   async record({ target, fingerprints }: CrashReport): Promise<void> {
     if (fingerprints.length === 0) return;
     this.needs.journal.record('suspect-added', { target, fingerprints });
-    await this.needs.suspects.add({ target, fingerprints });
+    // The list holds the records once `add` has been called; the write to the table may take longer.
+    const written = this.needs.suspects.add({ target, fingerprints });
+    const suspects = fingerprints.flatMap((each) => this.needs.suspects.find(each) ?? []);
+    // The caller may send the request again through another entry host as soon as it has its answer;
+    // the next watch of that host would come too late.
+    await Promise.all([written, this.needs.tell({ suspects })]);
   }
 
   private async recordOnce(crash: Crash, fingerprints: readonly string[]): Promise<void> {
--- a/packages/entry/src/core/wiring.ts
+++ b/packages/entry/src/core/wiring.ts
@@ -36,7 +36,7 @@
 } from '@jacinthlug/protocol/controlClient';
 import type { ControlHandlers } from '@jacinthlug/protocol/controlRouter';
 import type { Member } from '@jacinthlug/protocol/members';
-import type { CancelNotice } from '@jacinthlug/protocol/messages';
+import type { CancelNotice, SuspectNotice } from '@jacinthlug/protocol/messages';
 import type { EntrySettings } from '@jacinthlug/settings/process/hostSettings';
 import { instanceCachingFactory, type DependencyContainer, type InjectionToken } from 'tsyringe';
 import type { Agent } from 'undici';
@@ -63,6 +63,9 @@
 /** Time limit of a notice that a job was cancelled. Unit: ms. */
 const NOTICE_LIMIT_MS = 1000;
 
+/** Longest wait for the other entry hosts to learn of suspects. Unit: ms. */
+const SUSPECT_NOTICE_LIMIT_MS = 300;
+
 /** Time limit of a question for load. Unit: ms. */
 const LOAD_LIMIT_MS = 500;
 
@@ -135,12 +138,33 @@
   });
 };
 
+/** Tells every other entry host of suspects, and waits for them only for a short time. */
+const tellSuspects =
+  (container: DependencyContainer) =>
+  async (notice: SuspectNotice): Promise<void> => {
+    const { name, fleetCredential } = container.resolve<EntrySettings>(tokens.settings);
+    const peers = container.resolve<Agent>(tokens.peers);
+    const others = container
+      .resolve<Membership>(tokens.membership)
+      .liveEntries()
+      .filter((entry) => entry.name !== name);
+    await Promise.all(
+      others.map(({ address }) => {
+        const client = openControlClient(address, fleetCredential, peers);
+        return callPeer(SUSPECT_NOTICE_LIMIT_MS, (signal) =>
+          client.suspects.learn.mutate(notice, { signal }),
+        );
+      }),
+    );
+  };
+
 const buildCrashes: Build<CrashRecorder> = (container) =>
   new CrashRecorder({
     name: container.resolve<EntrySettings>(tokens.settings).name,
     membership: container.resolve<Membership>(tokens.membership),
     suspects: container.resolve<SuspectList>(tokens.suspects),
     journal: container.resolve<Journal>(tokens.journal),
+    tell: tellSuspects(container),
     schedule: (task, delayMs) => setTimeout(task, delayMs).unref(),
   });
 
@@ -172,6 +196,11 @@
     watchConfiguration: (question) => follower.answer(question),
     shareRates: (question) => rates.answer(question),
     addSuspects: (report) => crashes.record(report),
+    learnSuspects({ suspects }) {
+      // Number 0 merges the records without taking over the number of another list.
+      container.resolve<SpreadSuspectList>(tokens.suspects).merge(0, suspects);
+      return Promise.resolve();
+    },
   };
   const { fleetCredential } = container.resolve<EntrySettings>(tokens.settings);
   return createInnerServer(handlers, fleetCredential);
--- a/packages/entry/test/steps/routing.steps.ts
+++ b/packages/entry/test/steps/routing.steps.ts
@@ -128,7 +128,15 @@
     this.recorders = new Map(
       members.map(({ name }) => [
         name,
-        new CrashRecorder({ name, membership, suspects, journal: silentJournal, schedule }),
+        new CrashRecorder({
+          name,
+          membership,
+          suspects,
+          journal: silentJournal,
+          // The hosts of the scenario share one list.
+          tell: () => Promise.resolve(),
+          schedule,
+        }),
       ]),
     );
   },
--- a/packages/protocol/src/controlRouter.ts
+++ b/packages/protocol/src/controlRouter.ts
@@ -5,6 +5,7 @@
   configurationWatch,
   crashReport,
   shareRequest,
+  suspectNotice,
   type CancelNotice,
   type ConfigurationState,
   type ConfigurationWatch,
@@ -12,6 +13,7 @@
   type LoadReport,
   type ShareAnswer,
   type ShareRequest,
+  type SuspectNotice,
 } from './messages.js';
 
 /** Handlers of the control procedures; a process leaves out those that it does not serve. */
@@ -21,6 +23,7 @@
   reportLoad?(): Promise<LoadReport>;
   cancelJob?(notice: CancelNotice): Promise<void>;
   addSuspects?(report: CrashReport): Promise<void>;
+  learnSuspects?(notice: SuspectNotice): Promise<void>;
 }
 
 /** What is known about a call before a procedure runs. */
@@ -73,6 +76,9 @@
       add: peerProcedure
         .input(crashReport)
         .mutation(({ input }) => served(handlers.addSuspects?.bind(handlers))(input)),
+      learn: peerProcedure
+        .input(suspectNotice)
+        .mutation(({ input }) => served(handlers.learnSuspects?.bind(handlers))(input)),
     }),
   });
 
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -157,3 +157,9 @@
 
 /** Requests that were running when a target crashed. */
 export type CrashReport = z.infer<typeof crashReport>;
+
+/** Schema of the notice of suspects. */
+export const suspectNotice = z.object({ suspects: z.array(suspect).max(1000) });
+
+/** Records of suspects that changed, told to other entry hosts at once. */
+export type SuspectNotice = z.infer<typeof suspectNotice>;
