--- a/packages/agent/test/features/checks.feature
+++ b/packages/agent/test/features/checks.feature
@@ -20,6 +20,11 @@
     When "foreign" is forwarded with the key of "lantern"
     Then "foreign" is refused with "account-mismatch" as "not run"
 
+  Scenario: A request without a key is refused unless its route is open
+    When "keyless" is forwarded without a key
+    Then "keyless" is refused with "key-missing" as "not run"
+    And the target was not given "keyless"
+
   Scenario: A running stream ends when its key is withdrawn
     Given "holder" runs without end
     When the key of "harbor" is withdrawn
--- a/packages/agent/test/steps/agent.steps.ts
+++ b/packages/agent/test/steps/agent.steps.ts
@@ -58,6 +58,7 @@
 /** What differs from a plain request, by the words of the step. */
 const variants: Record<string, Omit<Forwarded, 'id'>> = {
   'for a whole answer': { isStreamed: false },
+  'without a key': { isKeyless: true },
   'as a once request': { headers: { [innerHeaders.repeatable]: 'false' } },
   'as a suspect': { headers: { [innerHeaders.suspect]: 'true' } },
   'with a wait limit of 30 ms': { headers: { [innerHeaders.waitLimitMs]: '30' } },
--- a/packages/agent/test/support/AgentFixture.ts
+++ b/packages/agent/test/support/AgentFixture.ts
@@ -63,6 +63,7 @@
   readonly prompt?: string;
   readonly tokens?: number;
   readonly isStreamed?: boolean;
+  readonly isKeyless?: boolean;
   readonly model?: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly onFirstBytes?: () => void;
@@ -181,8 +182,9 @@
         'content-type': 'application/json',
         [innerHeaders.fleet]: FLEET_CREDENTIAL,
         [innerHeaders.request]: id,
-        [innerHeaders.account]: account,
-        [innerHeaders.key]: keyOf(account),
+        ...(request.isKeyless
+          ? {}
+          : { [innerHeaders.account]: account, [innerHeaders.key]: keyOf(account) }),
         [innerHeaders.service]: 'engines',
         [innerHeaders.route]: 'openai',
         [innerHeaders.repeatable]: 'true',
