Bound the reads of idle agents and let accounts take turns

With the first 20 jobs all claimed, each look of an idle agent made up to 60 reads; 630 agents looking every 5 s would have made 7,500 reads a second, where the table handles 2,000. A look now searches at most 6 jobs, one read each, and leaves out those without a free chunk for 20 s: 882 a second, computed.

Jobs due within the same hour are searched in turn by account; by due time alone the large job of one account held up the others.

The agent suite did not end when a simulated agent had been replaced: its target waited for ever. All targets are now closed after a scenario.

--- a/packages/agent/src/core/batch/createBatchWorker.ts
+++ b/packages/agent/src/core/batch/createBatchWorker.ts
@@ -14,6 +14,9 @@
 /** Part of a wait that is random, so that agents do not poll together. */
 const JITTER = 0.5;
 
+/** Longest wait after a claim that another agent won. Unit: ms. */
+const CONTENTION_MS = 1000;
+
 /** Wait before another look while the target has no spare capacity. Unit: ms. */
 const BUSY_POLL_MS = 500;
 
@@ -84,7 +87,11 @@
     if (!chunk || stopping.signal.aborted) return false;
     const claimed = await chunks.claim(chunk, holder);
     metrics.count('batch.claims', { outcome: claimed.isOk() ? 'claimed' : claimed.error.kind });
-    if (claimed.isErr()) return claimed.error.kind === 'lost';
+    if (claimed.isErr()) {
+      // Another agent was faster. Agents that meet at a job part again by waiting for random times.
+      if (claimed.error.kind === 'lost') await wait(CONTENTION_MS * random());
+      return claimed.error.kind === 'lost';
+    }
     const { job, index, fencing } = claimed.value;
     journal.record('chunk-claimed', { job: job.id, chunk: index, fencing });
     const run = new ChunkRun(dependencies, claimed.value, () => change.notify());
--- a/packages/agent/test/steps/batch.steps.ts
+++ b/packages/agent/test/steps/batch.steps.ts
@@ -28,6 +28,8 @@
   contents: string[];
   job: Job;
   agents: Map<string, SimulatedAgent>;
+  /** Targets of all agents, replaced ones included. */
+  targets: FakeTarget[];
 }
 
 const agentOf = ({ agents }: Scenario, name: string): SimulatedAgent => {
@@ -36,11 +38,16 @@
   return agent;
 };
 
-const startAgent = ({ bench, agents }: Scenario, name: string, holds = false): SimulatedAgent => {
+const startAgent = (
+  { bench, agents, targets }: Scenario,
+  name: string,
+  holds = false,
+): SimulatedAgent => {
   const clock = bench.time.openClock();
   const random = seededRandom(name.charCodeAt(0) + agents.size);
   const target = new FakeTarget(CONCURRENCY);
   target.holds = holds;
+  targets.push(target);
   const worker = createBatchWorker({
     target,
     chunks: bench.openChunks(clock, random),
@@ -84,10 +91,11 @@
 
 Before(function (this: Scenario) {
   this.agents = new Map();
+  this.targets = [];
 });
 
 After(function (this: Scenario) {
-  this.agents.forEach(({ target }) => target.close());
+  this.targets.forEach((target) => target.close());
 });
 
 Given(/^a job of (\d+) items(?: where item (.*))?$/, async function (this: Scenario, count, rest) {
--- a/packages/batch/src/ChunkStore.ts
+++ b/packages/batch/src/ChunkStore.ts
@@ -13,10 +13,10 @@
   type Unknown,
 } from './BatchFailure.js';
 import type { Clock } from './Clock.js';
-import type { Chunk, JobStore } from './JobStore.js';
+import type { Chunk, JobRows, JobStore } from './JobStore.js';
 import { manifest, manifestObject, type Manifest } from './manifest.js';
 import { isSuccess, type ResultLine } from './results/resultLine.js';
-import { chunkDigits, chunkKey, jobKey, queuePartition } from './rows/rowKeys.js';
+import { chunkDigits, chunkKey, dueAtOf, jobKey, queuePartition } from './rows/rowKeys.js';
 import {
   NO_ITEM,
   RELEASED,
@@ -28,6 +28,7 @@
   type Job,
   type Tally,
 } from './rows/rows.js';
+import { searchOrder, type QueuedJob } from './searchOrder.js';
 import { settleWrites } from './settleWrites.js';
 
 /** Validity of a claim from the sending of the claim or of its last renewal. Unit: ms. */
@@ -36,14 +37,17 @@
 /** Longest wait for the outcome of one write of a holder. Unit: ms. */
 const SETTLE_MS = 10_000;
 
-/** Jobs, by due time, that are searched for a free chunk first. */
-const FIRST_JOBS = 20;
-
-/** Queue rows that are read; jobs after the first are sampled, since the first may all be claimed. */
+/** Queue rows that are read at once. */
 const QUEUE_LIMIT = 200;
 
-/** Jobs after the first that are searched. */
-const SAMPLED_JOBS = 10;
+/**
+ * Jobs that one look searches at most. With {@link BUSY_MS} it bounds the reads of a fleet whose
+ * chunks are all claimed: 630 agents that look each 5 s make at most 882 reads a second.
+ */
+const JOBS_PER_LOOK = 6;
+
+/** How long a job without a free chunk is not searched again. Unit: ms. */
+const BUSY_MS = 20_000;
 
 /** The agent that claims. */
 export interface Holder {
@@ -91,7 +95,7 @@
 /** Chunk claims. */
 export interface ChunkStore {
   /**
-   * Looks for a free chunk among the jobs that are due first, and records completions it notices.
+   * Looks for a free chunk in the order of {@link searchOrder}, and records completions it notices.
    *
    * @param model - model of the jobs
    * @returns a chunk, chosen at random among the free ones of a job; nothing when there is none
@@ -240,43 +244,52 @@
   const pick = <Item>(items: readonly Item[]): Item | undefined =>
     items[Math.floor(random() * items.length)];
 
-  const findInJob = async (id: string): Promise<Result<FreeChunk | undefined, ReadFailure>> => {
-    const reported = await jobs.report(id);
-    if (reported.isErr()) {
-      return reported.error.kind === 'not-found' ? ok(undefined) : err(reported.error);
-    }
-    const { job, chunks } = reported.value;
-    if (job.state !== 'open') return ok(undefined);
+  /** Monotonic times until which jobs are taken to have no free chunk. */
+  const busyUntil = new Map<string, number>();
+
+  const rememberBusy = (id: string): void => {
+    busyUntil.forEach((until, job) => {
+      if (until <= clock.monotonic()) busyUntil.delete(job);
+    });
+    busyUntil.set(id, clock.monotonic() + BUSY_MS);
+  };
+
+  const isBusy = (id: string): boolean => (busyUntil.get(id) ?? 0) > clock.monotonic();
+
+  const pickFree = ({ job, chunks }: JobRows): FreeChunk | undefined => {
     const rows = new Map<number, Chunk>(chunks.map((chunk) => [chunk.index, chunk]));
     const free = Array.from({ length: job.chunks }, (_, index) => index).filter((index) => {
       const row = rows.get(index);
       return row === undefined || isFree(row);
     });
     const index = pick(free);
-    if (index === undefined) return ok(undefined);
+    if (index === undefined) return undefined;
     const former = rows.get(index);
-    return ok(former ? { job, index, former } : { job, index });
+    return former ? { job, index, former } : { job, index };
   };
 
-  const orderOfSearch = (ids: readonly string[]): string[] => {
-    const rest = ids.slice(FIRST_JOBS);
-    const sampled = Array.from({ length: Math.min(SAMPLED_JOBS, rest.length) }, () => {
-      const [id] = rest.splice(Math.floor(random() * rest.length), 1);
-      return id ?? [];
-    }).flat();
-    return [...ids.slice(0, FIRST_JOBS), ...sampled];
+  const findInJob = async (id: string): Promise<Result<FreeChunk | undefined, ReadFailure>> => {
+    const found = await jobs.readRows(id);
+    if (found.isErr()) return found.error.kind === 'not-found' ? ok(undefined) : err(found.error);
+    const { job, chunks } = found.value;
+    const isDone = chunks.filter(({ state }) => state === 'done').length === job.chunks;
+    if (job.state !== 'open' || isDone) return (await jobs.report(id)).map(() => undefined);
+    const free = pickFree(found.value);
+    if (!free) rememberBusy(id);
+    return ok(free);
   };
 
   const findFree: ChunkStore['findFree'] = async (model) => {
     const queued = await table.query({ pk: queuePartition(model), limit: QUEUE_LIMIT });
     if (queued.isErr()) return err(unreadable(queued.error));
-    const ids: string[] = [];
+    const waiting: QueuedJob[] = [];
     for (const row of queued.value) {
       const parsed = parseRow(queueRow, row);
       if (parsed.isErr()) return err(parsed.error);
-      ids.push(parsed.value.job);
+      waiting.push({ ...parsed.value, dueAt: dueAtOf(row) });
     }
-    for (const id of orderOfSearch(ids)) {
+    const searched = searchOrder(waiting, random).filter((id) => !isBusy(id));
+    for (const id of searched.slice(0, JOBS_PER_LOOK)) {
       const found = await findInJob(id);
       if (found.isErr() || found.value) return found;
     }
--- a/packages/batch/src/JobStore.ts
+++ b/packages/batch/src/JobStore.ts
@@ -81,11 +81,14 @@
   readonly index: number;
 }
 
-/** A job with what its chunks have come to. */
-export interface JobReport {
+/** A job and those of its chunks that were ever claimed, in order. */
+export interface JobRows {
   readonly job: Job;
-  /** Rows of the chunks that were ever claimed, in order. */
   readonly chunks: readonly Chunk[];
+}
+
+/** A job with what its chunks have come to. */
+export interface JobReport extends JobRows {
   /** Sum over the finished chunks. */
   readonly tally: Tally;
 }
@@ -114,6 +117,15 @@
    */
   get(id: string): Promise<Result<Job, ReadFailure>>;
 
+  /**
+   * Reads a job and its chunks in one call, without a common moment: the job may have ended before
+   * the last commit that is seen.
+   *
+   * @param id - job id
+   * @returns the rows, whoever owns the job
+   */
+  readRows(id: string): Promise<Result<JobRows, ReadFailure>>;
+
   /**
    * Reads a job and its chunks; records the completion when nobody has.
    *
@@ -203,11 +215,9 @@
     return parseRow(jobRow, found.value).map((row) => ({ ...row, id }));
   };
 
-  const readChunks = async (id: string): Promise<Result<Chunk[], ReadFailure>> => {
-    const found = await table.query({ pk: jobPartition(id), prefix: CHUNK_PREFIX });
-    if (found.isErr()) return err(unreadable(found.error));
+  const parseChunks = (rows: readonly Row[]): Result<Chunk[], ReadFailure> => {
     const chunks: Chunk[] = [];
-    for (const row of found.value) {
+    for (const row of rows) {
       const parsed = parseRow(chunkRow, row);
       if (parsed.isErr()) return err(parsed.error);
       chunks.push({ ...parsed.value, index: Number(row.sk.slice(CHUNK_PREFIX.length)) });
@@ -215,6 +225,21 @@
     return ok(chunks);
   };
 
+  const readChunks = async (id: string): Promise<Result<Chunk[], ReadFailure>> => {
+    const found = await table.query({ pk: jobPartition(id), prefix: CHUNK_PREFIX });
+    return found.isErr() ? err(unreadable(found.error)) : parseChunks(found.value);
+  };
+
+  const readRows: JobStore['readRows'] = async (id) => {
+    const found = await table.query({ pk: jobPartition(id) });
+    if (found.isErr()) return err(unreadable(found.error));
+    const own = found.value.find(({ sk }) => sk === jobKey(id).sk);
+    if (!own) return err({ kind: 'not-found' });
+    const chunks = parseChunks(found.value.filter(({ sk }) => sk.startsWith(CHUNK_PREFIX)));
+    if (chunks.isErr()) return err(chunks.error);
+    return parseRow(jobRow, own).map((row) => ({ job: { ...row, id }, chunks: chunks.value }));
+  };
+
   /** Ends an open job: no commit is possible afterwards, and agents find it no more. */
   const endJob = (
     job: Job,
@@ -417,5 +442,5 @@
     return err({ kind: 'unknown', message: 'the cancel could not be settled' });
   };
 
-  return { accept, get, report, list, cancel };
+  return { accept, get, readRows, report, list, cancel };
 };
--- a/packages/batch/src/rows/rowKeys.ts
+++ b/packages/batch/src/rows/rowKeys.ts
@@ -47,6 +47,9 @@
   sk: `${timeDigits(dueAt)}#${job}`,
 });
 
+/** Gives the due time of a queue row. */
+export const dueAtOf = ({ sk }: RowKey): number => Number(sk.slice(0, TIME_DIGITS));
+
 /** Key of a job in the list of its account. */
 export const accountJobKey = (account: string, createdAt: number, job: string): RowKey => ({
   pk: accountPartition(account),
--- a/packages/entry/test/steps/batch.steps.ts
+++ b/packages/entry/test/steps/batch.steps.ts
@@ -253,7 +253,8 @@
       ]),
       createBatch(this.other, input),
     ];
-    for (const call of calls) assert.equal((await failureOf(call)).code, 'not-found');
+    const failures = await Promise.all(calls.map(failureOf));
+    failures.forEach(({ code }) => assert.equal(code, 'not-found'));
     assert.deepEqual((await batches.list()).data, []);
     assert.deepEqual((await files.list()).data, []);
   },
