--- a/packages/entry/src/core/online/OnlineRunner.ts
+++ b/packages/entry/src/core/online/OnlineRunner.ts
@@ -12,6 +12,7 @@
 import { beginStream, cutStream, writeEvents, writeWhole } from './answerCaller.js';
 import type { OnlineRequest } from './OnlineRequest.js';
 import { superviseRequest } from './superviseRequest.js';
+import { watchKey } from './watchKey.js';
 
 /** Longest wait for the claim of a request that must not run without one. Unit: ms. */
 const CLAIM_LIMIT_MS = 3000;
@@ -140,7 +141,7 @@
     const abandon = superviseRequest(request, exchange.callerGone, claim !== undefined, controller);
     try {
       const forwarded = await this.needs.forwarder.forward(request, permit, controller.signal);
-      const ending = await this.answer(exchange, request, claim, forwarded);
+      const ending = await this.answer(exchange, request, claim, forwarded, controller);
       if (claim) await this.settleClaim(request, claim, ending);
       this.writeHeld(exchange, request, claim, ending);
       return ending;
@@ -154,6 +155,7 @@
     request: OnlineRequest,
     claim: Claim | undefined,
     forwarded: Forwarded,
+    controller: AbortController,
   ): Promise<Ending> {
     const { metrics } = this.needs;
     if (forwarded.kind === 'refused') {
@@ -161,7 +163,12 @@
     }
     metrics.count('requests.accepted', { route: request.route });
     if (forwarded.kind === 'answered') return { notRun: false, answer: forwarded.answer };
-    return this.relay(exchange, request, claim !== undefined, forwarded);
+    const endWatch = request.repeatable ? () => undefined : watchKey(request, controller);
+    try {
+      return await this.relay(exchange, request, claim !== undefined, forwarded);
+    } finally {
+      endWatch();
+    }
   }
 
   private async relay(
--- a/packages/entry/src/core/online/superviseRequest.ts
+++ b/packages/entry/src/core/online/superviseRequest.ts
@@ -26,7 +26,8 @@
   const onGone = () => controller.abort(new Abandoned({ kind: 'caller-gone' }));
   callerGone.addEventListener('abort', onGone);
   if (callerGone.aborted) onGone();
-  const endWatch = watchKey(request, controller);
+  // The outcome of a request that may run once is worth more than an early end; its streams are watched.
+  const endWatch = request.repeatable ? watchKey(request, controller) : () => undefined;
   return () => {
     clearTimeout(timer);
     callerGone.removeEventListener('abort', onGone);
--- a/packages/entry/test/features/access.feature
+++ b/packages/entry/test/features/access.feature
@@ -84,6 +84,20 @@
     Then the stream ends with an error event "key-unknown"
     And "engine-1" sees the request cancelled
 
+  Scenario: A stream of a request that may run once ends too when its key is withdrawn
+    Given "ledger-1" next holds a stream open
+    When the caller begins to send order "12"
+    And the key is withdrawn
+    And the pending answer has come
+    Then the stream ends with an error event "key-unknown"
+
+  Scenario: A request that may run once is not given up when its key is withdrawn
+    Given "ledger-1" next holds its answer
+    When the caller begins to send order "12"
+    And the key is withdrawn and 500 ms pass
+    And the held answers are given
+    Then the answer has status 200
+
   Scenario: A key that is withdrawn while the claim is written forwards nothing
     Given the key is withdrawn during the next write to the table
     When the caller sends order "12"
--- a/packages/entry/test/steps/online.steps.ts
+++ b/packages/entry/test/steps/online.steps.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
+import { setTimeout as sleep } from 'node:timers/promises';
 import {
   After,
   Given,
@@ -120,6 +121,12 @@
   this.follower.withdraw('h1');
 });
 
+When('the key is withdrawn and {int} ms pass', async function (this: Scenario, ms: number) {
+  this.follower.withdraw('h1');
+  // Nothing may happen, so there is no event to wait for; keys are looked at every 250 ms.
+  await sleep(ms);
+});
+
 When('the caller sends a chat', async function (this: Scenario) {
   await this.send('POST', '/v1/chat/completions', chatBody(false));
 });
