Measure the added latency of the path

npm run measure:path calls an engine stand-in directly and through the system, alternating in one run.

--- /dev/null
+++ b/packages/demo/src/measurePath.ts
@@ -0,0 +1,130 @@
+/**
+ * `npm run measure:path`: added latency of the system against calling an engine stand-in directly,
+ * requests a second through one entry host, and memory of each process.
+ */
+import { readFile } from 'node:fs/promises';
+import { build, type Histogram } from 'hdr-histogram-js';
+import { deployments } from './launch/deployments.js';
+import { startFleet, type Fleet } from './launch/Fleet.js';
+
+const ROUNDS = 5;
+const REQUESTS_PER_ROUND = 200;
+const THROUGHPUT_REQUESTS = 2000;
+const THROUGHPUT_CONCURRENCY = 16;
+const MICROS = 1000;
+const MIB_IN_KIB = 1024;
+
+const say = (line: string): void => {
+  process.stdout.write(`${line}\n`);
+};
+
+const chatOf = (index: number): string =>
+  JSON.stringify({
+    model: deployments.small.model,
+    messages: [{ role: 'user', content: `window ${index}` }],
+    max_tokens: 1,
+  });
+
+/** Sends one whole chat request. */
+const send = async (url: string, secret: string, index: number): Promise<void> => {
+  const response = await fetch(`${url}/v1/chat/completions`, {
+    method: 'POST',
+    headers: { authorization: `Bearer ${secret}`, 'content-type': 'application/json' },
+    body: chatOf(index),
+  });
+  await response.arrayBuffer();
+  if (!response.ok) throw new Error(`status ${response.status}`);
+};
+
+const recordRound = async (histogram: Histogram, call: (index: number) => Promise<void>) => {
+  for (let index = 0; index < REQUESTS_PER_ROUND; index += 1) {
+    const startedAt = performance.now();
+    await call(index);
+    histogram.recordValue(Math.round((performance.now() - startedAt) * MICROS));
+  }
+};
+
+const describe = (name: string, histogram: Histogram): string => {
+  const ms = (percentile: number) =>
+    (histogram.getValueAtPercentile(percentile) / MICROS).toFixed(2);
+  return `${name}: median ${ms(50)} ms, 99th ${ms(99)} ms, ${histogram.totalCount} requests`;
+};
+
+const residentMib = async (pid: number): Promise<number> => {
+  const status = await readFile(`/proc/${pid}/status`, 'utf8');
+  return Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? 0) / MIB_IN_KIB;
+};
+
+const raiseRates = async (fleet: Fleet): Promise<void> => {
+  const { url, credential } = fleet.operator;
+  const response = await fetch(`${url}/operator/v1/configuration`, {
+    headers: { authorization: `Bearer ${credential}` },
+  });
+  const { version, content } = (await response.json()) as {
+    version: number;
+    content: { declarations: { nodes: Record<string, { settings: Record<string, number> }> } };
+  };
+  const raised = { rate: 100_000, burst: 100_000 };
+  const nodes = Object.fromEntries(
+    Object.entries(content.declarations.nodes).map(([path, node]) => [
+      path,
+      path.startsWith('accounts') ? { ...node, settings: { ...node.settings, ...raised } } : node,
+    ]),
+  );
+  await fleet.operator.applyDeclarations(version, { nodes } as never);
+};
+
+const measureLatency = async (fleet: Fleet, entry: string, secret: string): Promise<void> => {
+  const direct = build();
+  const system = build();
+  const engine = fleet.standins.engines[0] ?? '';
+  for (let round = 0; round < ROUNDS; round += 1) {
+    await recordRound(direct, (index) => send(engine, '', index));
+    await recordRound(system, (index) => send(entry, secret, index));
+  }
+  say(describe('engine stand-in called directly', direct));
+  say(describe('through entry host and agent', system));
+};
+
+const measureThroughput = async (entry: string, secret: string): Promise<void> => {
+  const startedAt = performance.now();
+  let next = 0;
+  const work = async (): Promise<void> => {
+    while (next < THROUGHPUT_REQUESTS) {
+      next += 1;
+      await send(entry, secret, next);
+    }
+  };
+  await Promise.all(Array.from({ length: THROUGHPUT_CONCURRENCY }, work));
+  const seconds = (performance.now() - startedAt) / 1000;
+  say(
+    `one entry host, ${THROUGHPUT_CONCURRENCY} callers: ` +
+      `${Math.round(THROUGHPUT_REQUESTS / seconds)} requests/s`,
+  );
+};
+
+const fleet = await startFleet({
+  deployment: 'small',
+  verbose: false,
+  engineArgs: ['--token-ms', '1', '--token-ms-per-running', '0'],
+});
+try {
+  await raiseRates(fleet);
+  const entry = fleet.entries[0]?.url ?? '';
+  const secret = fleet.keys.get('web')?.secret ?? '';
+  const idle = await Promise.all(
+    [...fleet.entries, ...fleet.agents].map(async ({ name, process: { pid } }) => ({
+      name,
+      mib: await residentMib(pid),
+    })),
+  );
+  await measureLatency(fleet, entry, secret);
+  await measureThroughput(entry, secret);
+  for (const { name, process: child } of [...fleet.entries, ...fleet.agents]) {
+    const before = idle.find((host) => host.name === name)?.mib ?? 0;
+    const after = await residentMib(child.pid);
+    say(`${name}: resident ${before.toFixed(0)} MiB when ready, ${after.toFixed(0)} MiB after`);
+  }
+} finally {
+  await fleet.stop();
+}
