Pick the ports of a launched fleet outside the range of outgoing connections

One start of a fleet of 18 engines ended with an agent that never became ready. Ruled out: the time limit (the next start took 7 s of 30 s) and the configuration (all other processes had it). The ports came from the range that the kernel also uses for outgoing connections, so another process may take one before the agent listens. Ports now come from below that range.

--- a/packages/demo/src/launch/Fleet.ts
+++ b/packages/demo/src/launch/Fleet.ts
@@ -89,6 +89,8 @@
   readonly verbose: boolean;
   /** Further options of each engine stand-in. */
   readonly engineArgs?: readonly string[];
+  /** Number of engines; that of the deployment when absent. */
+  readonly engines?: number;
   /** Further settings of each agent. */
   readonly agentSettings?: Readonly<Record<string, unknown>>;
 }
@@ -100,7 +102,8 @@
  * @returns the running fleet
  */
 export const startFleet = async (options: FleetOptions): Promise<Fleet> => {
-  const deployment: Deployment = deployments[options.deployment];
+  const named: Deployment = deployments[options.deployment];
+  const deployment = { ...named, engines: options.engines ?? named.engines };
   const { failureDomains, region } = deployment;
   const tree = await readFolder(deploymentFolder(options.deployment));
   if (tree.isErr()) throw new Error(formatMistakes(tree.error));
--- a/packages/demo/src/launch/pickPorts.ts
+++ b/packages/demo/src/launch/pickPorts.ts
@@ -1,18 +1,26 @@
 /** Free ports for the processes of a fleet. */
-import { createServer, type AddressInfo } from 'node:net';
+import { createServer, type Server } from 'node:net';
 import { promisify } from 'node:util';
 
 const LOOPBACK = '127.0.0.1';
 
-const openServer = () =>
-  new Promise<ReturnType<typeof createServer>>((resolve, reject) => {
+/**
+ * Ports below the range from which the kernel takes the local ports of outgoing connections: a port of
+ * that range may be taken between the pick and the start of the process that is to listen on it.
+ */
+const FIRST_PORT = 15_000;
+const LAST_PORT = 30_000;
+const MAX_TRIES = 2000;
+
+const openServer = (port: number): Promise<Server | undefined> =>
+  new Promise((resolve) => {
     const server = createServer();
-    server.once('error', reject);
-    server.listen(0, LOOPBACK, () => resolve(server));
+    server.once('error', () => resolve(undefined));
+    server.listen(port, LOOPBACK, () => resolve(server));
   });
 
 /**
- * Picks ports that are free now.
+ * Picks ports that are free now, at random, so that fleets started at the same time rarely meet.
  *
  * All are held open until the last one is picked, so that no port comes twice.
  *
@@ -20,8 +28,13 @@
  * @returns the ports
  */
 export const pickPorts = async (count: number): Promise<number[]> => {
-  const servers = await Promise.all(Array.from({ length: count }, openServer));
-  const ports = servers.map((server) => (server.address() as AddressInfo).port);
-  await Promise.all(servers.map((server) => promisify(server.close.bind(server))()));
-  return ports;
+  const servers = new Map<number, Server>();
+  for (let tries = 0; servers.size < count && tries < MAX_TRIES; tries += 1) {
+    const port = FIRST_PORT + Math.floor(Math.random() * (LAST_PORT - FIRST_PORT));
+    const server = servers.has(port) ? undefined : await openServer(port);
+    if (server) servers.set(port, server);
+  }
+  await Promise.all([...servers.values()].map((server) => promisify(server.close.bind(server))()));
+  if (servers.size < count) throw new Error('too few free ports');
+  return [...servers.keys()];
 };
--- a/packages/demo/src/measurePath.ts
+++ b/packages/demo/src/measurePath.ts
@@ -2,17 +2,16 @@
  * `npm run measure:path`: added latency of the system against calling an engine stand-in directly,
  * requests a second through one entry host, and memory of each process.
  */
-import { readFile } from 'node:fs/promises';
 import { build, type Histogram } from 'hdr-histogram-js';
 import { deployments } from './launch/deployments.js';
 import { startFleet, type Fleet } from './launch/Fleet.js';
+import { readResidentMib } from './measure/readProcess.js';
 
 const ROUNDS = 5;
 const REQUESTS_PER_ROUND = 200;
 const THROUGHPUT_REQUESTS = 2000;
 const THROUGHPUT_CONCURRENCY = 16;
 const MICROS = 1000;
-const MIB_IN_KIB = 1024;
 
 const say = (line: string): void => {
   process.stdout.write(`${line}\n`);
@@ -50,11 +49,6 @@
   return `${name}: median ${ms(50)} ms, 99th ${ms(99)} ms, ${histogram.totalCount} requests`;
 };
 
-const residentMib = async (pid: number): Promise<number> => {
-  const status = await readFile(`/proc/${pid}/status`, 'utf8');
-  return Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? 0) / MIB_IN_KIB;
-};
-
 const raiseRates = async (fleet: Fleet): Promise<void> => {
   const { url, credential } = fleet.operator;
   const response = await fetch(`${url}/operator/v1/configuration`, {
@@ -115,14 +109,14 @@
   const idle = await Promise.all(
     [...fleet.entries, ...fleet.agents].map(async ({ name, process: { pid } }) => ({
       name,
-      mib: await residentMib(pid),
+      mib: await readResidentMib(pid),
     })),
   );
   await measureLatency(fleet, entry, secret);
   await measureThroughput(entry, secret);
   for (const { name, process: child } of [...fleet.entries, ...fleet.agents]) {
     const before = idle.find((host) => host.name === name)?.mib ?? 0;
-    const after = await residentMib(child.pid);
+    const after = await readResidentMib(child.pid);
     say(`${name}: resident ${before.toFixed(0)} MiB when ready, ${after.toFixed(0)} MiB after`);
   }
 } finally {
