Scale the search and the renewal of chunks with the lease

With a lease shorter than the former constants of 20 s and 2 s, a lapsed chunk stayed unclaimed longer than its lease and a failed renewal was not repeated in time. Both are now parts of the lease; the values at 60 s are unchanged.

--- a/packages/agent/src/core/batch/keepLease.ts
+++ b/packages/agent/src/core/batch/keepLease.ts
@@ -5,8 +5,8 @@
 /** Part of the remaining validity after which a lease is renewed, so that two renewals may fail. */
 const RENEW_AFTER = 1 / 3;
 
-/** Pause after a renewal that the table did not answer. Unit: ms. */
-const RETRY_MS = 2000;
+/** Part of the validity after which a renewal that the table did not answer is tried again. */
+const RETRY_AFTER = 1 / 30;
 
 /** Why a chunk is not held any more. */
 export type LeaseEnd = 'lost' | 'ended';
@@ -40,6 +40,7 @@
 ): Lease => {
   const stopping = new AbortController();
   let { heldUntil } = claim;
+  const retryMs = (heldUntil - clock.monotonic()) * RETRY_AFTER;
 
   const isHeld = (): boolean => !stopping.signal.aborted && clock.monotonic() < heldUntil;
 
@@ -71,7 +72,7 @@
       } else if (renewed.error.kind === 'lost' || renewed.error.kind === 'ended') {
         end(renewed.error.kind);
       } else {
-        renewAt = clock.monotonic() + RETRY_MS;
+        renewAt = clock.monotonic() + retryMs;
       }
     }
   };
--- a/packages/batch/src/ChunkStore.ts
+++ b/packages/batch/src/ChunkStore.ts
@@ -41,13 +41,16 @@
 const QUEUE_LIMIT = 200;
 
 /**
- * Jobs that one look searches at most. With {@link BUSY_MS} it bounds the reads of a fleet whose
+ * Jobs that one look searches at most. With {@link BUSY_PART} it bounds the reads of a fleet whose
  * chunks are all claimed: 630 agents that look each 5 s make at most 882 reads a second.
  */
 const JOBS_PER_LOOK = 6;
 
-/** How long a job without a free chunk is not searched again. Unit: ms. */
-const BUSY_MS = 20_000;
+/**
+ * A job without a free chunk is not searched again for this part of a lease, so a lapse goes
+ * unnoticed for no longer.
+ */
+const BUSY_PART = 1 / 3;
 
 /** The agent that claims. */
 export interface Holder {
@@ -254,7 +257,7 @@
     busyUntil.forEach((until, job) => {
       if (until <= clock.monotonic()) busyUntil.delete(job);
     });
-    busyUntil.set(id, clock.monotonic() + BUSY_MS);
+    busyUntil.set(id, clock.monotonic() + leaseMs * BUSY_PART);
   };
 
   const isBusy = (id: string): boolean => (busyUntil.get(id) ?? 0) > clock.monotonic();
