--- a/packages/entry/test/steps/online.steps.ts
+++ b/packages/entry/test/steps/online.steps.ts
@@ -1,6 +1,15 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
-import { After, Given, setWorldConstructor, Then, When, type DataTable } from '@cucumber/cucumber';
+import { setTimeout as sleep } from 'node:timers/promises';
+import {
+  After,
+  Given,
+  setDefaultTimeout,
+  setWorldConstructor,
+  Then,
+  When,
+  type DataTable,
+} from '@cucumber/cucumber';
 import { resultCodes, type ResultName } from '@jacinthlug/catalog/resultCodes';
 import { innerHeaders } from '@jacinthlug/protocol/headers';
 import { behaviours, refuseWith, type Behaviour, type FakeAgent } from '../fakes/FakeAgent.js';
@@ -9,6 +18,9 @@
 
 setWorldConstructor(Scenario);
 
+// Some scenarios wait for a lost host to be noticed, which takes seconds on a busy machine.
+setDefaultTimeout(30_000);
+
 After(async function (this: Scenario) {
   await this.close();
 });
@@ -109,6 +121,12 @@
   this.follower.withdraw('h1');
 });
 
+When('the key is withdrawn and {int} ms pass', async function (this: Scenario, ms: number) {
+  this.follower.withdraw('h1');
+  // Nothing may happen, so there is no event to wait for; keys are looked at every 250 ms.
+  await sleep(ms);
+});
+
 When('the caller sends a chat', async function (this: Scenario) {
   await this.send('POST', '/v1/chat/completions', chatBody(false));
 });
