--- a/packages/control/src/follower/createHeldConfiguration.ts
+++ b/packages/control/src/follower/createHeldConfiguration.ts
@@ -74,7 +74,6 @@
   const evidence = (): Evidence => ({
     now: clock.now(),
     self: self.name,
-    failureDomain: self.failureDomain,
     version: current?.version,
     highestSeen,
     provenAt,
@@ -143,7 +142,6 @@
       forgetOldAnswers();
       answers.set(peer.name, {
         peer: peer.name,
-        failureDomain: answer.failureDomain,
         calledAt,
         mode: answer.mode,
         version: answer.version,
--- a/packages/control/src/follower/mode.ts
+++ b/packages/control/src/follower/mode.ts
@@ -12,7 +12,6 @@
 /** The latest answer of a peer. */
 export interface PeerEvidence {
   readonly peer: string;
-  readonly failureDomain: string;
   /** Monotonic time at which the peer was called. Unit: ms. */
   readonly calledAt: number;
   readonly mode: ConfigurationMode;
@@ -27,7 +26,6 @@
   readonly now: number;
   /** Name of the deciding process. */
   readonly self: string;
-  readonly failureDomain: string;
   /** Version held; nothing before the first one. */
   readonly version: number | undefined;
   /** Highest version that any peer named. */
--- a/packages/control/test/steps/rates.steps.ts
+++ b/packages/control/test/steps/rates.steps.ts
@@ -86,6 +86,19 @@
   },
 );
 
+When(
+  'the account sends {float} times its rate for {int} s over all hosts, after {int} s on them',
+  async function (this: Scenario, times: number, seconds: number, before: number) {
+    this.traffic.start(() => (this.rate * times) / 9);
+    await this.fleet.run(before * 1000);
+    // The first requests of an account on a host wait for its first share.
+    this.traffic.waited = 0;
+    await this.fleet.run(seconds * 1000);
+    this.traffic.stop();
+    report(this);
+  },
+);
+
 When(
   'the account sends {float} times its rate through all hosts',
   async function (this: Scenario, times: number) {
@@ -102,6 +115,43 @@
   },
 );
 
+When(
+  'the account sends {int} times its rate, most of it through {string}',
+  async function (this: Scenario, times: number, name: string) {
+    const total = this.rate * times;
+    this.traffic.start((host) => (host === name ? total * 0.9 : (total * 0.1) / 8));
+    await this.fleet.run(15_000);
+  },
+);
+
+When('the home crashes while {string} is cut off', async function (this: Scenario, name: string) {
+  assert.notEqual(this.traffic.homeName(), name);
+  this.fleet.cutOff.add(name);
+  this.fleet.crash(this.traffic.homeName());
+  await this.fleet.run(30_000);
+  report(this);
+});
+
+When(
+  'the answers to {string} are lost while the account sends through all hosts',
+  async function (this: Scenario, name: string) {
+    this.fleet.deaf.add(name);
+    this.traffic.start(() => this.rate);
+    await this.fleet.run(30_000);
+    report(this);
+  },
+);
+
+When(
+  '{string} is paused for {int} s while the account sends nothing',
+  async function (this: Scenario, name: string, seconds: number) {
+    this.traffic.stop();
+    this.fleet.pause(name);
+    await this.fleet.run(seconds * 1000);
+    this.fleet.resume(name);
+  },
+);
+
 When('the account sends nothing for {int} s', async function (this: Scenario, seconds: number) {
   await this.fleet.run(seconds * 1000);
 });
--- /dev/null
+++ b/packages/entry/test/steps/operators.steps.ts
@@ -0,0 +1,207 @@
+import assert from 'node:assert/strict';
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import { App } from '@tinyhttp/app';
+import { openMetrics } from '@jacinthlug/catalog/Metrics';
+import { renderRefusal, type RefusalBody } from '@jacinthlug/catalog/refusalBody';
+import { refuse } from '@jacinthlug/catalog/resultCodes';
+import type { ConfigurationFollower } from '@jacinthlug/control/ConfigurationFollower';
+import type { Editor } from '@jacinthlug/control/edits/createEditor';
+import type { Membership } from '@jacinthlug/control/Membership';
+import type { Table } from '@jacinthlug/platform/Table';
+import { openCatalogue, type Catalogue } from '@jacinthlug/settings/tree/Catalogue';
+import { configurationContent } from '@jacinthlug/settings/tree/configuration';
+import { err, ok } from 'neverthrow';
+import { createOperatorEndpoints } from '../../src/core/operators/createOperatorEndpoints.js';
+
+interface Answer {
+  readonly status: number;
+  readonly body: RefusalBody & { id: string; secret: string; account: string; version: number };
+}
+
+interface Scenario {
+  server?: Server;
+  url: string;
+  versions: Catalogue[];
+  send: (path: string, text: string) => Promise<Answer>;
+  repeat: () => Promise<Answer>;
+  answers: Answer[];
+}
+
+const firstVersion = openCatalogue({
+  version: 1,
+  content: configurationContent.parse({
+    declarations: { nodes: { harbor: { kind: 'account' } } },
+    keys: {
+      old: { account: 'harbor', sha256: 'a'.repeat(64), state: 'granted', changedAt: 0 },
+    },
+  }),
+});
+
+/** An editor without a table: the rules of the commit are tested in the control package. */
+const createMemoryEditor = (versions: Catalogue[]): Editor => {
+  const latest = (): Catalogue => versions[versions.length - 1] ?? firstVersion;
+  const add = (content: Catalogue['configuration']['content']): number =>
+    versions.push(openCatalogue({ version: latest().version + 1, content }));
+  return {
+    read: () => Promise.resolve(ok(latest().configuration)),
+    commit({ baseVersion, content }) {
+      if (baseVersion !== latest().version) {
+        return Promise.resolve(err(refuse('configuration-conflict')));
+      }
+      add(content);
+      return Promise.resolve(ok(latest().version));
+    },
+    change({ apply }) {
+      const content = apply(latest().configuration.content);
+      if (content.isErr()) return Promise.resolve(err(content.error));
+      if (content.value !== 'unchanged') add(content.value);
+      return Promise.resolve(ok(latest().version));
+    },
+  };
+};
+
+const serve = (versions: Catalogue[]): App => {
+  const app = new App();
+  const endpoints = createOperatorEndpoints({
+    name: 'entry-1',
+    editor: createMemoryEditor(versions),
+    follower: {
+      inForce: () => ok(versions[versions.length - 1]),
+    } as unknown as ConfigurationFollower,
+    membership: {} as Membership,
+    table: {} as Table,
+    metrics: openMetrics('entry-1'),
+    fleetCredential: 'a fleet credential',
+    wallNow: () => 1,
+  });
+  endpoints.forEach(({ method, path, handle }) => {
+    const register = method === 'GET' ? app.get.bind(app) : app.post.bind(app);
+    register(path, async (request, response) => {
+      const exchange = {
+        request,
+        response,
+        requestId: 'r1',
+        deadline: performance.now() + 10_000,
+        callerGone: new AbortController().signal,
+      };
+      const outcome = await handle(exchange);
+      if (outcome.isOk()) return;
+      const { status, headers, body } = renderRefusal(outcome.error);
+      response.writeHead(status, headers).end(JSON.stringify(body));
+    });
+  });
+  return app;
+};
+
+const lastAnswer = ({ answers }: Scenario): Answer => {
+  const answer = answers[answers.length - 1];
+  assert.ok(answer);
+  return answer;
+};
+
+const latestVersion = ({ versions }: Scenario): Catalogue => {
+  const version = versions[versions.length - 1];
+  assert.ok(version);
+  return version;
+};
+
+Given('an entry host with the account {string}', async function (this: Scenario, _account: string) {
+  this.versions = [firstVersion];
+  this.answers = [];
+  const app = serve(this.versions);
+  const server = createServer((request, response) => {
+    void app.handler(request as never, response as never);
+  });
+  this.server = server;
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  this.url = `http://127.0.0.1:${port}`;
+  this.send = async (path, text) => {
+    const response = await fetch(`${this.url}${path}`, { method: 'POST', body: text });
+    return { status: response.status, body: (await response.json()) as Answer['body'] };
+  };
+});
+
+After(function (this: Scenario) {
+  this.server?.close();
+});
+
+When(
+  'an operator sends POST {string} with',
+  async function (this: Scenario, path: string, text: string) {
+    this.repeat = () => this.send(path, text);
+    this.answers.push(await this.repeat());
+  },
+);
+
+When('the same request is sent again', async function (this: Scenario) {
+  this.answers.push(await this.repeat());
+});
+
+When('the key is withdrawn', async function (this: Scenario) {
+  const { id } = lastAnswer(this).body;
+  const answer = await this.send(`/operator/v1/keys/${id}/withdraw`, '{ "token": "w1" }');
+  assert.equal(answer.status, 200);
+});
+
+Then(
+  'the answer is {int} with the version {int}',
+  function (this: Scenario, status: number, version: number) {
+    const answer = lastAnswer(this);
+    assert.equal(answer.status, status);
+    assert.equal(answer.body.version, version);
+  },
+);
+
+Then('the content of the version {int} keeps the keys', function (this: Scenario, version: number) {
+  const latest = latestVersion(this);
+  assert.equal(latest.version, version);
+  assert.deepEqual([...latest.accounts.keys()], ['quay']);
+  assert.deepEqual(Object.keys(latest.configuration.content.keys), ['old']);
+});
+
+Then('the refusal is {string}', function (this: Scenario, code: string) {
+  assert.equal(lastAnswer(this).body.error.code, code);
+});
+
+Then('it names the place {string}', function (this: Scenario, place: string) {
+  const facts = JSON.stringify(lastAnswer(this).body.error.facts);
+  assert.ok(facts.includes(`"path":"${place}`), facts);
+});
+
+Then(
+  'both answers carry the same working key of {string}',
+  function (this: Scenario, name: string) {
+    const [first, second] = this.answers;
+    assert.deepEqual(first, second);
+    assert.equal(latestVersion(this).findKey(first?.body.secret ?? '')?.account.name, name);
+  },
+);
+
+Then(
+  'the key is listed as {string} without its secret',
+  async function (this: Scenario, state: string) {
+    const { id } = lastAnswer(this).body;
+    const response = await fetch(`${this.url}/operator/v1/keys`);
+    const { keys } = (await response.json()) as { keys: { id: string; state: string }[] };
+    const listed = keys.find((key) => key.id === id);
+    assert.deepEqual(listed, { id, account: 'harbor', state, changedAt: 1 });
+  },
+);
+
+Then('the key does not work', function (this: Scenario) {
+  assert.equal(latestVersion(this).findKey(lastAnswer(this).body.secret), undefined);
+});
+
+Then('the same grant is refused with {string}', async function (this: Scenario, code: string) {
+  const answer = await this.repeat();
+  assert.equal(answer.body.error.code, code);
+});
+
+Then('the host {string} is drained', function (this: Scenario, host: string) {
+  assert.ok(latestVersion(this).isDrained(host));
+});
