--- a/tools/run-tests.js
+++ b/tools/run-tests.js
@@ -22,6 +22,16 @@
   );
 };
 
+/**
+ * Packages whose scenarios start fleets of processes. They run one after the other, as they would
+ * disturb each other.
+ */
+const ALONE = new Set(['bench', 'demo']);
+
+/** Suites that run at once besides those. */
+const AT_ONCE = 4;
+
+/** Runs the suite of a package; its output is printed whole when it ends. */
 const runCucumber = (name, messageFile) =>
   new Promise((resolve) => {
     const child = spawn(
@@ -36,9 +46,15 @@
         `message:${messageFile}`,
         `packages/${name}/test/features/**/*.feature`,
       ],
-      { stdio: ['ignore', 'inherit', 'inherit'] },
+      { stdio: ['ignore', 'pipe', 'pipe'] },
     );
-    child.on('close', resolve);
+    const output = [];
+    child.stdout.on('data', (chunk) => output.push(chunk));
+    child.stderr.on('data', (chunk) => output.push(chunk));
+    child.on('close', (exitCode) => {
+      console.log(`\n${name}\n${Buffer.concat(output)}`);
+      resolve(exitCode);
+    });
   });
 
 /** Reads the verdict of each scenario from the messages of one run. */
@@ -77,15 +93,20 @@
   const folder = await mkdtemp(join(tmpdir(), 'jacinthlug-test-'));
   const verdicts = [];
   let broken = false;
-  for (const name of names) {
-    console.log(`\n${name}`);
+  const runSuite = async (name) => {
     const messageFile = join(folder, `${name}.ndjson`);
     const exitCode = await runCucumber(name, messageFile);
     const found = existsSync(messageFile) ? readVerdicts(messageFile) : [];
     // A suite that ends badly without a failed scenario did not run as a whole.
     if (exitCode !== 0 && found.every(({ passed }) => passed)) broken = true;
     verdicts.push(...found);
-  }
+  };
+  const together = names.filter((name) => !ALONE.has(name));
+  const work = async () => {
+    for (let name = together.shift(); name; name = together.shift()) await runSuite(name);
+  };
+  await Promise.all(Array.from({ length: AT_ONCE }, work));
+  for (const name of names.filter((each) => ALONE.has(each))) await runSuite(name);
   await rm(folder, { recursive: true });
   const knownRed = readKnownRed();
   const failed = verdicts.filter(({ passed }) => !passed);
