Add a load and experiment tool on real processes

packages/bench reads an experiment file, starts a fleet of the launcher for each run, sends online requests open loop at seeded times, runs batch jobs and faults beside them, and reports medians, ranges and round-by-round ratios of variants that run alternating.

The launcher takes settings of entry hosts and of nodes of the declaration tree, and tells the tree that it applied; the tool needs both for variants and for rates and weights.

Batch items are counted in the request logs of the engines, as the counts of the batch API grow by whole chunks of 100 items.

--- /dev/null
+++ b/packages/bench/src/faults/runFault.ts
@@ -0,0 +1,89 @@
+/** Brings about one fault and ends it. */
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { Fleet, FleetHost } from '@jacinthlug/demo/launch/Fleet';
+import type { Fault } from '../experiment/experiment.js';
+
+const standinUrl = (fleet: Fleet, name: string): string => {
+  const { engines, services, table, objects, hosts } = fleet.standins;
+  const urls: Record<string, string> = { table, objects, hosts };
+  engines.forEach((url, index) => {
+    urls[`engine-${index + 1}`] = url;
+  });
+  services.forEach((url, index) => {
+    urls[`service-${index + 1}`] = url;
+  });
+  const url = urls[name];
+  if (url === undefined) throw new Error(`no stand-in "${name}"`);
+  return url;
+};
+
+const hostOf = (fleet: Fleet, name: string): FleetHost => {
+  const host = [...fleet.entries, ...fleet.agents].find((candidate) => candidate.name === name);
+  if (!host) throw new Error(`no process "${name}"`);
+  return host;
+};
+
+const setFaults = async (url: string, faults: object): Promise<void> => {
+  const response = await fetch(`${url}/_standin/faults`, {
+    method: 'POST',
+    headers: { 'content-type': 'application/json' },
+    body: JSON.stringify(faults),
+  });
+  if (!response.ok) throw new Error(`faults of ${url}: HTTP ${response.status}`);
+};
+
+/** Sets faults on stand-ins for a time. */
+const hold = async (urls: readonly string[], faults: object, forMs: number): Promise<void> => {
+  await Promise.all(urls.map((url) => setFaults(url, faults)));
+  await sleep(forMs);
+  await Promise.all(urls.map((url) => setFaults(url, { delayMs: 0, down: false })));
+};
+
+/** Ends a process with a signal and starts it again; a planned stop is awaited first. */
+const restart = async (host: FleetHost, forMs: number, end: () => unknown): Promise<void> => {
+  await Promise.all([end(), sleep(forMs)]);
+  host.restart();
+};
+
+const STOP_LIMIT_MS = 15_000;
+
+const injections: {
+  readonly [Kind in Fault['kind']]: (
+    fleet: Fleet,
+    fault: Extract<Fault, { kind: Kind }>,
+  ) => Promise<void>;
+} = {
+  slow: (fleet, { standin, delayMs, forMs }) =>
+    hold([standinUrl(fleet, standin)], { delayMs }, forMs),
+  cut: (fleet, { standin, forMs }) => hold([standinUrl(fleet, standin)], { down: true }, forMs),
+  platformDown: (fleet, { forMs }) =>
+    hold([fleet.standins.table, fleet.standins.objects], { down: true }, forMs),
+  kill: (fleet, { process, forMs }) => {
+    const host = hostOf(fleet, process);
+    return restart(host, forMs, () => host.process.signal('SIGKILL'));
+  },
+  terminate: (fleet, { process, forMs }) => {
+    const host = hostOf(fleet, process);
+    return restart(host, forMs, () => host.process.stop(STOP_LIMIT_MS));
+  },
+  async freeze(fleet, { process, forMs }) {
+    const host = hostOf(fleet, process);
+    host.process.signal('SIGSTOP');
+    await sleep(forMs);
+    host.process.signal('SIGCONT');
+  },
+};
+
+/**
+ * Brings about a fault at its time and ends it after its length.
+ *
+ * @param fleet - the fleet
+ * @param fault - the fault
+ * @param startAt - start of the load, monotonic. Unit: ms
+ * @returns when the fault has ended
+ */
+export const runFault = async (fleet: Fleet, fault: Fault, startAt: number): Promise<void> => {
+  await sleep(Math.max(0, startAt + fault.atMs - performance.now()));
+  const inject = injections[fault.kind] as (fleet: Fleet, fault: Fault) => Promise<void>;
+  await inject(fleet, fault);
+};
--- /dev/null
+++ b/packages/bench/src/load/runBatchJob.ts
@@ -0,0 +1,147 @@
+/** Submits a batch job and waits for its end. */
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { Fleet } from '@jacinthlug/demo/launch/Fleet';
+import { z } from 'zod';
+import type { BatchJobPlan } from '../experiment/experiment.js';
+import { openRandom } from '../schedule/openRandom.js';
+import { makeWords } from '../schedule/planSends.js';
+
+/** Marks the prompts of batch items, so that they can be told from online ones at the engines. */
+export const BATCH_MARK = 'bench-item';
+
+const POLL_MS = 250;
+
+/** How a job went. */
+export interface JobOutcome {
+  readonly account: string;
+  readonly items: number;
+  /** Time from submission to completion; absent when the run ended first. Unit: ms. */
+  readonly completedMs?: number;
+  readonly isLate: boolean;
+  /** Why the job was not accepted. */
+  readonly refusal?: string;
+}
+
+const created = z.object({ id: z.string() });
+const state = z.object({ status: z.string() });
+
+/** A job with its input file, made before the load starts so that it delays no request. */
+export interface PreparedJob {
+  readonly plan: BatchJobPlan;
+  readonly lines: string;
+  /** Base URL of the entry host that gets the job. */
+  readonly url: string;
+  readonly key: string;
+}
+
+const linesOf = (plan: BatchJobPlan, index: number, model: string, seed: number): string => {
+  const random = openRandom(seed, `job ${index}`);
+  const lines = Array.from({ length: plan.items }, (_, item) => {
+    const words = makeWords(`job${index}-${item}`, random.within(plan.promptTokens));
+    return JSON.stringify({
+      custom_id: `item-${item}`,
+      method: 'POST',
+      url: '/v1/chat/completions',
+      body: {
+        model,
+        max_tokens: random.within(plan.outputTokens),
+        messages: [{ role: 'user', content: [BATCH_MARK, ...words].join(' ') }],
+      },
+    });
+  });
+  return `${lines.join('\n')}\n`;
+};
+
+const readJson = async (response: Response): Promise<unknown> => {
+  const text = await response.text();
+  if (!response.ok) throw new Error(`HTTP ${response.status}: ${text.slice(0, 200)}`);
+  return JSON.parse(text) as unknown;
+};
+
+const submit = async (
+  url: string,
+  key: string,
+  lines: string,
+): Promise<z.infer<typeof created>> => {
+  const authorization = `Bearer ${key}`;
+  const form = new FormData();
+  form.set('purpose', 'batch');
+  form.set('file', new Blob([lines]), 'items.jsonl');
+  const file = created.parse(
+    await readJson(
+      await fetch(`${url}/v1/files`, { method: 'POST', headers: { authorization }, body: form }),
+    ),
+  );
+  return created.parse(
+    await readJson(
+      await fetch(`${url}/v1/batches`, {
+        method: 'POST',
+        headers: { authorization, 'content-type': 'application/json' },
+        body: JSON.stringify({
+          input_file_id: file.id,
+          endpoint: '/v1/chat/completions',
+          completion_window: '24h',
+        }),
+      }),
+    ),
+  );
+};
+
+/**
+ * Prepares a job.
+ *
+ * @param fleet - the fleet
+ * @param plan - the job
+ * @param index - number of the job in the experiment
+ * @param seed - seed of the experiment
+ * @returns the job, ready to be submitted
+ */
+export const prepareJob = (
+  fleet: Fleet,
+  plan: BatchJobPlan,
+  index: number,
+  seed: number,
+): PreparedJob => ({
+  plan,
+  lines: linesOf(plan, index, fleet.deployment.model, seed),
+  url: fleet.entries[index % fleet.entries.length]?.url ?? '',
+  key: fleet.keys.get(plan.account)?.secret ?? '',
+});
+
+/**
+ * Runs one job.
+ *
+ * @param job - the job
+ * @param startAt - start of the load, monotonic. Unit: ms
+ * @param endAt - when to stop waiting, monotonic. Unit: ms
+ * @returns how it went
+ */
+export const runBatchJob = async (
+  { plan, lines, url, key }: PreparedJob,
+  startAt: number,
+  endAt: number,
+): Promise<JobOutcome> => {
+  const { account, items, atMs, dueMs } = plan;
+  await sleep(Math.max(0, startAt + atMs - performance.now()));
+  const submittedAt = performance.now();
+  const dueAt = submittedAt + dueMs;
+  let id: string;
+  try {
+    ({ id } = await submit(url, key, lines));
+  } catch (fault) {
+    return { account, items, isLate: true, refusal: (fault as Error).message };
+  }
+  while (performance.now() < endAt) {
+    const headers = { authorization: `Bearer ${key}` };
+    // The entry host may be killed, or the platform down; the next poll asks again.
+    const answer = await fetch(`${url}/v1/batches/${id}`, { headers })
+      .then(readJson)
+      .catch(() => undefined);
+    const now = performance.now();
+    if (state.safeParse(answer).data?.status === 'completed') {
+      return { account, items, completedMs: now - submittedAt, isLate: now > dueAt };
+    }
+    await sleep(POLL_MS);
+  }
+  return { account, items, isLate: performance.now() > dueAt };
+};
--- /dev/null
+++ b/packages/bench/src/report/metrics.ts
@@ -0,0 +1,66 @@
+/** Catalogue of the metrics of a run. */
+
+/** What is told of a metric. */
+export interface Metric {
+  readonly title: string;
+  readonly unit: string;
+  readonly digits: number;
+  /** Whether the text chart shows it. */
+  readonly isCharted: boolean;
+}
+
+const ms = (title: string, isCharted = false): Metric => ({
+  title,
+  unit: 'ms',
+  digits: 1,
+  isCharted,
+});
+
+const count = (title: string): Metric => ({ title, unit: '', digits: 0, isCharted: false });
+
+/** Metrics by name, in the order of the report. */
+export const metrics = {
+  firstTokenP50: ms('first token, 50th'),
+  firstTokenP95: ms('first token, 95th'),
+  firstTokenP99: ms('first token, 99th', true),
+  betweenTokensP50: ms('between tokens, 50th'),
+  betweenTokensP95: ms('between tokens, 95th'),
+  betweenTokensP99: ms('between tokens, 99th', true),
+  wholeP50: ms('whole time, 50th'),
+  wholeP99: ms('whole time, 99th'),
+  sent: count('online requests'),
+  completed: count('completed'),
+  refused: count('refused'),
+  refusedWithinRate: count('refused although within rate'),
+  cut: count('streams cut'),
+  unanswered: count('unanswered'),
+  tokensPerSecond: {
+    title: 'online tokens served',
+    unit: '1/s',
+    digits: 0,
+    isCharted: true,
+  },
+  worstServed: {
+    title: 'worst-served account, served / due share',
+    unit: '',
+    digits: 3,
+    isCharted: true,
+  },
+  cachedShare: {
+    title: 'prompt tokens found in the prefix cache',
+    unit: '%',
+    digits: 1,
+    isCharted: false,
+  },
+  batchItemsPerSecond: { title: 'batch items', unit: '1/s', digits: 1, isCharted: true },
+  batchItemsCancelled: count('batch item runs cancelled'),
+  jobsCompleted: count('jobs completed'),
+  jobsLate: count('jobs late'),
+  sendLagP99: ms('lag of the load generator, 99th'),
+} as const satisfies Record<string, Metric>;
+
+/** Name of a metric. */
+export type MetricName = keyof typeof metrics;
+
+/** Names in the order of the report. */
+export const metricNames = Object.keys(metrics) as MetricName[];
--- /dev/null
+++ b/packages/bench/src/report/renderReport.ts
@@ -0,0 +1,176 @@
+/** Renders a report as Markdown with a text chart. */
+import type { Experiment } from '../experiment/experiment.js';
+import { metricNames, metrics, type MetricName } from './metrics.js';
+import type { RunFigures } from './RunFigures.js';
+import { ratioOf, spreadOf, type Spread } from './spread.js';
+
+/** All runs of an experiment. */
+export interface Report {
+  readonly experiment: Experiment;
+  /** Figures by variant, one for each round. */
+  readonly runs: Readonly<Record<string, readonly RunFigures[]>>;
+}
+
+const BAR_LENGTH = 40;
+const RATIO_DIGITS = 2;
+
+const formatSpread = (spread: Spread | undefined, digits: number): string => {
+  if (!spread) return '–';
+  const [median, min, max] = [spread.median, spread.min, spread.max].map((value) =>
+    value.toFixed(digits),
+  );
+  return min === max ? `${median}` : `${median} (${min}–${max})`;
+};
+
+const row = (cells: readonly string[]): string => `| ${cells.join(' | ')} |`;
+
+const table = (head: readonly string[], rows: readonly (readonly string[])[]): string =>
+  [row(head), row(head.map(() => '---')), ...rows.map(row)].join('\n');
+
+const valuesOf = (runs: readonly RunFigures[], name: MetricName): (number | undefined)[] =>
+  runs.map((run) => run.metrics[name]);
+
+const definedOf = (runs: readonly RunFigures[], name: MetricName): number[] =>
+  valuesOf(runs, name).filter((value) => value !== undefined);
+
+const labelOf = (name: MetricName): string => {
+  const { title, unit } = metrics[name];
+  return unit === '' ? title : `${title} (${unit})`;
+};
+
+const renderMetrics = ({ runs }: Report): string => {
+  const variants = Object.entries(runs);
+  const others = variants.slice(1);
+  // A variant without online requests or without batch has no figures to compare with.
+  const baseOf = (name: MetricName) =>
+    variants.find(([, own]) => definedOf(own, name).length > 0)?.[1] ?? [];
+  const rows = metricNames
+    .filter((name) => variants.some(([, own]) => definedOf(own, name).length > 0))
+    .map((name) => [
+      labelOf(name),
+      ...variants.map(([, own]) =>
+        formatSpread(spreadOf(definedOf(own, name)), metrics[name].digits),
+      ),
+      ...others.map(([, own]) => {
+        const base = baseOf(name);
+        if (own === base) return 'base';
+        return formatSpread(ratioOf(valuesOf(own, name), valuesOf(base, name)), RATIO_DIGITS);
+      }),
+    ]);
+  const heads = [...variants.map(([name]) => name), ...others.map(([name]) => `ratio, ${name}`)];
+  return table(['metric', ...heads], rows);
+};
+
+const renderChart = ({ runs }: Report): string => {
+  const variants = Object.entries(runs);
+  const width = Math.max(...variants.map(([name]) => name.length));
+  const blocks = metricNames
+    .filter((name) => metrics[name].isCharted)
+    .flatMap((name) => {
+      const medians = variants.map(([, own]) => spreadOf(definedOf(own, name))?.median);
+      const highest = Math.max(...medians.map((median) => median ?? 0));
+      if (highest === 0) return [];
+      const bars = variants.map(([variant], index) => {
+        const median = medians[index];
+        const bar = '#'.repeat(Math.round(((median ?? 0) / highest) * BAR_LENGTH));
+        const value = median === undefined ? '–' : median.toFixed(metrics[name].digits);
+        return `  ${variant.padEnd(width)} ${bar.padEnd(BAR_LENGTH)} ${value}`;
+      });
+      return [[labelOf(name), ...bars].join('\n')];
+    });
+  return ['```text', blocks.join('\n\n'), '```'].join('\n');
+};
+
+const renderCodes = ({ runs }: Report): string => {
+  const variants = Object.entries(runs);
+  const codes = [
+    ...new Set(variants.flatMap(([, own]) => own.flatMap((run) => Object.keys(run.codes)))),
+  ].sort();
+  if (codes.length === 0) return 'None.';
+  const rows = codes.map((code) => [
+    `\`${code}\``,
+    ...variants.map(([, own]) => formatSpread(spreadOf(own.map((run) => run.codes[code] ?? 0)), 0)),
+  ]);
+  return table(['ending', ...variants.map(([name]) => name)], rows);
+};
+
+const renderAccounts = ({ runs }: Report): string => {
+  const rows = Object.entries(runs).flatMap(([variant, own]) => {
+    const names = [
+      ...new Set(own.flatMap((run) => run.accounts.map(({ account }) => account))),
+    ].sort();
+    return names.map((name) => {
+      const figures = own.flatMap((run) => run.accounts.filter(({ account }) => account === name));
+      const cell = (values: readonly number[], digits: number) =>
+        formatSpread(spreadOf(values), digits);
+      return [
+        variant,
+        name,
+        String(figures[0]?.weight ?? ''),
+        cell(
+          figures.map(({ sent }) => sent),
+          0,
+        ),
+        cell(
+          figures.map(({ withinRate }) => withinRate),
+          0,
+        ),
+        cell(
+          figures.map(({ endings }) => endings.refused),
+          0,
+        ),
+        cell(
+          figures.flatMap(({ served, due }) => (due > 0 ? served / due : [])),
+          RATIO_DIGITS,
+        ),
+        cell(
+          figures.flatMap(({ firstTokenP99 }) => firstTokenP99 ?? []),
+          0,
+        ),
+      ];
+    });
+  });
+  return table(
+    [
+      'variant',
+      'account',
+      'weight',
+      'sent',
+      'within rate',
+      'refused',
+      'served / due',
+      'first token 99th (ms)',
+    ],
+    rows,
+  );
+};
+
+/**
+ * Renders a report.
+ *
+ * @param report - all runs of an experiment
+ * @returns Markdown
+ */
+export const renderReport = (report: Report): string => {
+  const { name, question, deployment, seed, durationMs, warmUpMs, rounds } = report.experiment;
+  return [
+    `# ${name}`,
+    question,
+    [
+      `Deployment \`${deployment}\`, seed ${seed}, ${durationMs} ms of load of which the first`,
+      `${warmUpMs} ms are not counted, rounds: ${rounds}. Each value is the median over the rounds,`,
+      'with the range in brackets; ratios are to the first variant that has the metric, taken round by',
+      'round.',
+    ].join('\n'),
+    '## Metrics',
+    renderMetrics(report),
+    '## Chart of medians',
+    renderChart(report),
+    '## Refusals, cuts and missing answers',
+    renderCodes(report),
+    '## Accounts',
+    'The due share divides the tokens served by weight; what an account does not ask for within its\nrate goes to the others.',
+    renderAccounts(report),
+    '',
+  ].join('\n\n');
+};
--- /dev/null
+++ b/packages/bench/src/report/spread.ts
@@ -0,0 +1,41 @@
+/** Median and range over rounds. */
+
+/** Median and range. */
+export interface Spread {
+  readonly median: number;
+  readonly min: number;
+  readonly max: number;
+}
+
+/**
+ * Computes median and range.
+ *
+ * @param values - one for each round
+ * @returns undefined without values
+ */
+export const spreadOf = (values: readonly number[]): Spread | undefined => {
+  if (values.length === 0) return undefined;
+  const sorted = [...values].sort((left, right) => left - right);
+  const middle = Math.floor(sorted.length / 2);
+  const upper = sorted[middle] ?? 0;
+  const lower = sorted.length % 2 === 0 ? (sorted[middle - 1] ?? 0) : upper;
+  return { median: (lower + upper) / 2, min: sorted[0] ?? 0, max: sorted.at(-1) ?? 0 };
+};
+
+/**
+ * Computes the ratios of two variants round by round, so that noise of a round meets both.
+ *
+ * @param values - values by round; undefined where a run had no sample
+ * @param base - values of the base variant by round
+ * @returns undefined when no round has a ratio
+ */
+export const ratioOf = (
+  values: readonly (number | undefined)[],
+  base: readonly (number | undefined)[],
+): Spread | undefined =>
+  spreadOf(
+    values.flatMap((value, round) => {
+      const divisor = base[round];
+      return value === undefined || divisor === undefined || divisor === 0 ? [] : value / divisor;
+    }),
+  );
--- a/packages/demo/src/launch/Fleet.ts
+++ b/packages/demo/src/launch/Fleet.ts
@@ -5,6 +5,7 @@
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { readFolder } from '@jacinthlug/settings/tree/readFolder';
+import type { Declaration, Declarations } from '@jacinthlug/settings/tree/declarations';
 import { formatMistakes } from '@jacinthlug/settings/file/parseJsonc';
 import type { Deployment, DeploymentName } from './deployments.js';
 import { deployments } from './deployments.js';
@@ -54,6 +55,8 @@
 /** A running fleet. */
 export interface Fleet {
   readonly deployment: Deployment;
+  /** The declaration tree that was applied. */
+  readonly declarations: Declarations;
   readonly entries: readonly FleetHost[];
   readonly agents: readonly FleetHost[];
   readonly standins: {
@@ -91,8 +94,25 @@
   readonly engineArgs?: readonly string[];
   /** Further settings of each agent. */
   readonly agentSettings?: Readonly<Record<string, unknown>>;
+  /** Further settings of each entry host. */
+  readonly entrySettings?: Readonly<Record<string, unknown>>;
+  /** Settings of nodes of the declaration tree that replace those of the files, by path. */
+  readonly nodeSettings?: Readonly<Record<string, Declaration['settings']>>;
 }
 
+const overrideNodes = (
+  tree: Declarations,
+  overrides: NonNullable<FleetOptions['nodeSettings']>,
+): Declarations => {
+  const nodes = { ...tree.nodes };
+  Object.entries(overrides).forEach(([path, settings]) => {
+    const node = nodes[path];
+    if (!node) throw new Error(`no node "${path}" is declared`);
+    nodes[path] = { ...node, settings: { ...node.settings, ...settings } };
+  });
+  return { nodes };
+};
+
 /**
  * Starts a fleet and waits until it is ready.
  *
@@ -104,6 +124,7 @@
   const { failureDomains, region } = deployment;
   const tree = await readFolder(deploymentFolder(options.deployment));
   if (tree.isErr()) throw new Error(formatMistakes(tree.error));
+  const wanted = overrideNodes(tree.value, options.nodeSettings ?? {});
 
   const targets = deployment.engines + deployment.services;
   const ports = await pickPorts(3 + targets * 2 + ENTRY_HOSTS * 2);
@@ -210,6 +231,7 @@
         name,
         domainAt(index),
         {
+          ...options.entrySettings,
           outer: { host: LOOPBACK, port },
           operatorCredentialSha256: createHash('sha256').update(operatorCredential).digest('hex'),
         },
@@ -252,7 +274,7 @@
     const operator = openOperator(firstUrl, operatorCredential);
     await waitForSuccess(`${firstUrl}/healthz`, READY_LIMIT_MS);
     await waitUntil('first configuration', READY_LIMIT_MS, async () => {
-      await operator.applyDeclarations(0, tree.value);
+      await operator.applyDeclarations(0, wanted);
       return true;
     });
     await Promise.all([
@@ -274,6 +296,7 @@
     );
     return {
       deployment,
+      declarations: wanted,
       entries,
       agents,
       standins: { engines, services, table, objects, hosts },
