Compare refusals within the rate by account, not by request

An ideal token bucket and the fleet pass different requests of an account that sends five times its rate.

--- a/packages/bench/src/report/summarizeRun.ts
+++ b/packages/bench/src/report/summarizeRun.ts
@@ -105,6 +105,13 @@
   return ratios.length > 0 ? Math.min(...ratios) : undefined;
 };
 
+/**
+ * Counts the refusals by which an account got less than an ideal token bucket would have passed.
+ * Which ones of an account over its rate pass is left to chance, so they are not compared one by one.
+ */
+const refusedWithinRateOf = ({ sent, withinRate, endings }: AccountFigures): number =>
+  Math.max(0, withinRate - (sent - endings.refused));
+
 const cachedShareOf = (chats: readonly ChatRecord[]): number | undefined => {
   const prompts = sumOf(chats, ({ outcome }) => outcome.promptTokens);
   if (prompts === 0) return undefined;
@@ -127,9 +134,6 @@
   const between = percentilesOf(chats.flatMap(({ outcome }) => outcome.gapsMs));
   const completed = chats.filter(({ outcome }) => outcome.ending === 'completed');
   const whole = percentilesOf(completed.map(({ outcome }) => outcome.wholeMs));
-  const refusedWithin = chats.filter(
-    ({ outcome, isWithinRate }) => outcome.ending === 'refused' && isWithinRate,
-  );
   const accounts = summarizeAccounts(observation);
   const hasOnline = chats.length > 0;
   const hasJobs = jobs.length > 0;
@@ -146,7 +150,7 @@
       ...(hasOnline && {
         sent: chats.length,
         ...countEndings(chats),
-        refusedWithinRate: refusedWithin.length,
+        refusedWithinRate: sumOf(accounts, refusedWithinRateOf),
         tokensPerSecond: sumOf(chats, ({ outcome }) => outcome.tokens) / seconds,
       }),
       worstServed: worstServedOf(accounts),
--- a/packages/bench/test/features/report.feature
+++ b/packages/bench/test/features/report.feature
@@ -36,6 +36,16 @@
       | refused: rate-exceeded | 1 |
       | cut: no-end            | 1 |
 
+  Scenario: An account over its rate that gets its rate has no refusal within the rate
+    Given these requests
+      | account | within | asked | ending    | code          | tokens | first token |
+      | web     | yes    | 10    | refused   | rate-exceeded | 0      |             |
+      | web     | no     | 10    | completed |               | 10     | 20          |
+      | support | yes    | 10    | refused   | rate-exceeded | 0      |             |
+    Then the metrics are
+      | refused           | 2 |
+      | refusedWithinRate | 1 |
+
   Scenario: Medians, ranges and ratios round by round
     Given the rounds of "base" have a first token 99th of 10, 20, 40
     And the rounds of "other" have a first token 99th of 20, 30, 40
