Let the fakes of the table share their rows, conditions and transactions

Three packages had a table in memory of their own, and they differed from the table service and from each other: two remembered the failure of a cancelled transaction under its token, and one held "missing" to be false on an absent row. The shared one judges a cancelled token anew and holds "missing" on an absent row, as the service does. Also builds batch input lines in one place.

--- a/packages/demo/src/measure/measureFleet.ts
+++ b/packages/demo/src/measure/measureFleet.ts
@@ -1,6 +1,7 @@
 /** Cost of a whole fleet of real processes: idle, and for a batch job. */
 import { setTimeout as sleep } from 'node:timers/promises';
 import OpenAI from 'openai';
+import { batchLines } from '../launch/batchLines.js';
 import { startFleet, type Fleet, type FleetHost } from '../launch/Fleet.js';
 import { waitUntil } from '../launch/waitUntil.js';
 import { readProcessorSeconds, readResidentMib } from './readProcess.js';
@@ -85,18 +86,8 @@
     apiKey: fleet.keys.get(account)?.secret ?? '',
     maxRetries: 0,
   });
-  const lines = Array.from({ length: items }, (_, index) =>
-    JSON.stringify({
-      custom_id: `item-${index}`,
-      method: 'POST',
-      url: '/v1/chat/completions',
-      body: {
-        model: fleet.deployment.model,
-        max_tokens: 1,
-        messages: [{ role: 'user', content: `window ${index}` }],
-      },
-    }),
-  );
+  const { model } = fleet.deployment;
+  const lines = batchLines(model, items, 1, (index) => `window ${index}`);
   const file = await client.files.create({
     purpose: 'batch',
     file: new File([lines.join('\n')], 'items.jsonl'),
--- a/packages/demo/src/walkthrough/batchJob.ts
+++ b/packages/demo/src/walkthrough/batchJob.ts
@@ -1,6 +1,7 @@
 /** A batch job of 200 items, two of them impossible, through the unmodified `openai` client. */
 import { setTimeout as sleep } from 'node:timers/promises';
 import OpenAI, { toFile } from 'openai';
+import { batchLines } from '../launch/batchLines.js';
 import { callerOf, type Step } from './Step.js';
 
 const ITEMS = 200;
@@ -8,22 +9,8 @@
 const LIMIT_MS = 120_000;
 const POLL_MS = 250;
 
-const lineOf = (model: string, index: number): string =>
-  JSON.stringify({
-    custom_id: `item-${index}`,
-    method: 'POST',
-    url: '/v1/chat/completions',
-    body: {
-      model,
-      max_tokens: 8,
-      messages: [
-        {
-          role: 'user',
-          content: `${IMPOSSIBLE.has(index) ? '__impossible__ ' : ''}window ${index}`,
-        },
-      ],
-    },
-  });
+const contentOf = (index: number): string =>
+  `${IMPOSSIBLE.has(index) ? '__impossible__ ' : ''}window ${index}`;
 
 const idsOf = (text: string): string[] =>
   text
@@ -37,9 +24,7 @@
   async run(fleet) {
     const { url, key } = callerOf(fleet, 1, 1);
     const client = new OpenAI({ baseURL: `${url}/v1`, apiKey: key.secret, maxRetries: 0 });
-    const lines = Array.from({ length: ITEMS }, (_, index) =>
-      lineOf(fleet.deployment.model, index),
-    );
+    const lines = batchLines(fleet.deployment.model, ITEMS, 8, contentOf);
     const file = await client.files.create({
       purpose: 'batch',
       file: await toFile(Buffer.from(`${lines.join('\n')}\n`), 'windows.jsonl'),
--- a/packages/demo/test/support/batchJobs.ts
+++ b/packages/demo/test/support/batchJobs.ts
@@ -1,6 +1,7 @@
 /** Batch jobs of scenarios, through the unmodified `openai` client. */
 import OpenAI from 'openai';
 import { entryOf, keyOf, seenBy, type FleetWorld, type SeenRequest } from './FleetWorld.js';
+import { batchLines } from '../../src/launch/batchLines.js';
 import type { Fleet } from '../../src/launch/Fleet.js';
 
 const ACCOUNT = 'surveyors';
@@ -22,18 +23,7 @@
  * @returns lines in the format of a batch input file
  */
 export const jobItems = (fleet: Fleet, count: number, tokens: number): string[] =>
-  Array.from({ length: count }, (_, index) =>
-    JSON.stringify({
-      custom_id: `item-${index}`,
-      method: 'POST',
-      url: '/v1/chat/completions',
-      body: {
-        model: fleet.deployment.model,
-        max_tokens: tokens,
-        messages: [{ role: 'user', content: `${MARK} ${index}` }],
-      },
-    }),
-  );
+  batchLines(fleet.deployment.model, count, tokens, (index) => `${MARK} ${index}`);
 
 /**
  * Submits a job through entry host 2.
--- a/packages/entry/test/fakes/FakeTable.ts
+++ b/packages/entry/test/fakes/FakeTable.ts
@@ -1,22 +1,7 @@
 /** A table in memory whose answers can be lost, late or refused. */
-import type {
-  Attributes,
-  Condition,
-  Row,
-  RowKey,
-  Table,
-  TableFailure,
-  Write,
-} from '@jacinthlug/platform/Table';
-import { errAsync, okAsync, type ResultAsync } from 'neverthrow';
-
-const nameOf = ({ pk, sk }: RowKey): string => `${pk}\n${sk}`;
-
-const holds = (attributes: Attributes | undefined, condition: Condition): boolean => {
-  if (condition.kind === 'absent') return attributes === undefined;
-  if (condition.kind !== 'equals') throw new Error('the claims use no other conditions');
-  return attributes?.[condition.attribute] === condition.value;
-};
+import type { Row, RowKey, Table, TableFailure, Write } from '@jacinthlug/platform/Table';
+import { RowStore } from '@jacinthlug/platform/testing/RowStore';
+import { errAsync, okAsync, type Result, type ResultAsync } from 'neverthrow';
 
 const unknown: TableFailure = { kind: 'unknown', message: 'no answer' };
 
@@ -24,7 +9,7 @@
 
 /** A table in memory. */
 export class FakeTable {
-  readonly rows = new Map<string, Attributes>();
+  private readonly store = new RowStore();
 
   /** Refuses every call. */
   down = false;
@@ -38,10 +23,12 @@
   /** Called once, before the next write takes effect. */
   duringWrite: (() => void) | undefined;
 
-  private readonly outcomes = new Map<string, TableFailure | undefined>();
-
   private readonly late: (() => void)[] = [];
 
+  get rows(): Map<string, Row> {
+    return this.store.rows;
+  }
+
   /** Gives the table as one host sees it; a host whose link is cut gets no answers. */
   asTable(link: { isCut: boolean }): Table {
     const reach = <Answer>(call: () => ResultAsync<Answer, TableFailure>) =>
@@ -63,8 +50,7 @@
 
   private get(key: RowKey): ResultAsync<Row | undefined, TableFailure> {
     if (this.down) return errAsync(unavailable);
-    const attributes = this.rows.get(nameOf(key));
-    return okAsync(attributes && { ...key, attributes });
+    return okAsync(this.store.get(key));
   }
 
   private transact(writes: readonly Write[], token: string): ResultAsync<void, TableFailure> {
@@ -74,12 +60,12 @@
       this.late.push(() => this.apply(writes, token));
       return errAsync(unknown);
     }
-    const failure = this.apply(writes, token);
+    const result = this.apply(writes, token);
     if (this.lostAnswers > 0) {
       this.lostAnswers -= 1;
       return errAsync(unknown);
     }
-    return failure ? errAsync(failure) : okAsync(undefined);
+    return result.asyncAndThen(() => okAsync(undefined));
   }
 
   private settle(
@@ -94,27 +80,10 @@
     );
   }
 
-  private apply(writes: readonly Write[], token: string): TableFailure | undefined {
+  private apply(writes: readonly Write[], token: string): Result<void, TableFailure> {
     const { duringWrite } = this;
     this.duringWrite = undefined;
     duringWrite?.();
-    if (this.outcomes.has(token)) return this.outcomes.get(token);
-    const failed = writes.flatMap((write, index) => {
-      const attributes = this.rows.get(nameOf(write.key));
-      const conditions = write.conditions ?? [];
-      return conditions.every((each) => holds(attributes, each)) ? [] : [index];
-    });
-    const failure: TableFailure | undefined =
-      failed.length > 0 ? { kind: 'conflict', failed } : undefined;
-    if (!failure) writes.forEach((write) => this.write(write));
-    this.outcomes.set(token, failure);
-    return failure;
-  }
-
-  private write(write: Write): void {
-    const name = nameOf(write.key);
-    if (write.kind === 'delete') this.rows.delete(name);
-    if (write.kind === 'put') this.rows.set(name, write.attributes);
-    if (write.kind === 'update') this.rows.set(name, { ...this.rows.get(name), ...write.set });
+    return this.store.transact(writes, token);
   }
 }
--- a/packages/entry/test/steps/claims.steps.ts
+++ b/packages/entry/test/steps/claims.steps.ts
@@ -24,7 +24,7 @@
 };
 
 const claimStates = ({ table }: Scenario): unknown[] =>
-  [...table.rows.values()].map(({ state }) => state);
+  [...table.rows.values()].map(({ attributes }) => attributes.state);
 
 Given(/^claims (can|cannot) be written$/, function (this: Scenario, verb: string) {
   this.table.down = verb === 'cannot';
@@ -60,8 +60,9 @@
 });
 
 When('the claim says that its request ended {int} s ago', function (this: Scenario, age: number) {
-  this.table.rows.forEach((attributes, name) => {
-    this.table.rows.set(name, { ...attributes, endsBy: Date.now() - age * 1000 });
+  this.table.rows.forEach((row, name) => {
+    const attributes = { ...row.attributes, endsBy: Date.now() - age * 1000 };
+    this.table.rows.set(name, { ...row, attributes });
   });
 });
 
--- /dev/null
+++ b/packages/platform/test/fakes/RowStore.ts
@@ -0,0 +1,95 @@
+/** Rows of a table in memory, with conditions and transactions; fakes of the table add their faults. */
+import assert from 'node:assert/strict';
+import { err, ok, type Result } from 'neverthrow';
+import type { Condition, Row, RowKey, RowQuery, TableFailure, Write } from '../../src/Table.js';
+
+/** Largest transaction of the table service. */
+const MAX_WRITES = 100;
+
+/** Longest token of the table service. */
+const MAX_TOKEN = 36;
+
+type ConditionOf<Kind> = Extract<Condition, { kind: Kind }>;
+
+const checks: {
+  readonly [Kind in Condition['kind']]: (
+    row: Row | undefined,
+    condition: ConditionOf<Kind>,
+  ) => boolean;
+} = {
+  absent: (row) => row === undefined,
+  present: (row) => row !== undefined,
+  equals: (row, { attribute, value }) => row?.attributes[attribute] === value,
+  less: (row, { attribute, value }) => {
+    const held = row?.attributes[attribute];
+    return typeof held === 'number' && held < value;
+  },
+  missing: (row, { attribute }) => row?.attributes[attribute] === undefined,
+};
+
+const holds = (row: Row | undefined, condition: Condition): boolean => {
+  // Each entry takes its own condition; the compiler cannot follow the look-up by kind.
+  const check = checks[condition.kind] as (held: Row | undefined, each: Condition) => boolean;
+  return check(row, condition);
+};
+
+const nameOf = ({ pk, sk }: RowKey): string => JSON.stringify([pk, sk]);
+
+/** Rows of a table in memory. */
+export class RowStore {
+  readonly rows = new Map<string, Row>();
+
+  /** Transactions that took effect, by token. */
+  private readonly applied = new Map<string, string>();
+
+  get(key: RowKey): Row | undefined {
+    return structuredClone(this.rows.get(nameOf(key)));
+  }
+
+  query({ pk, prefix = '', limit, descending }: RowQuery): Row[] {
+    const found = [...this.rows.values()]
+      .filter((row) => row.pk === pk && row.sk.startsWith(prefix))
+      .sort((left, right) => (left.sk < right.sk ? -1 : 1));
+    if (descending) found.reverse();
+    return structuredClone(found.slice(0, limit));
+  }
+
+  /**
+   * Applies a transaction. A repeat with the token of one that took effect changes nothing; one that
+   * failed is judged anew, as the table service does.
+   */
+  transact(writes: readonly Write[], token: string): Result<void, TableFailure> {
+    assert.ok(writes.length <= MAX_WRITES && token.length <= MAX_TOKEN);
+    const text = JSON.stringify(writes);
+    const earlier = this.applied.get(token);
+    assert.ok(earlier === undefined || earlier === text, 'token used for another transaction');
+    if (earlier !== undefined) return ok(undefined);
+    const result = this.apply(writes);
+    if (result.isOk()) this.applied.set(token, text);
+    return result;
+  }
+
+  private apply(writes: readonly Write[]): Result<void, TableFailure> {
+    const names = writes.map(({ key }) => nameOf(key));
+    assert.equal(new Set(names).size, names.length, 'two writes on one row');
+    const failed = writes.flatMap(({ key, conditions = [] }, index) => {
+      const row = this.rows.get(nameOf(key));
+      return conditions.every((condition) => holds(row, condition)) ? [] : [index];
+    });
+    if (failed.length > 0) return err({ kind: 'conflict', failed });
+    writes.forEach((write) => this.write(write));
+    return ok(undefined);
+  }
+
+  private write(write: Write): void {
+    const name = nameOf(write.key);
+    if (write.kind === 'delete') this.rows.delete(name);
+    if (write.kind === 'put') {
+      this.rows.set(name, structuredClone({ ...write.key, attributes: write.attributes }));
+    }
+    if (write.kind === 'update') {
+      const attributes = { ...this.rows.get(name)?.attributes, ...write.set };
+      this.rows.set(name, structuredClone({ ...write.key, attributes }));
+    }
+  }
+}
