Remove HomeLease.isHeld, which nothing calls any more

The task that renewed one lease asked it; since all leases of a process are renewed by one transaction, no code or scenario does. No behaviour changes; type check, lint and the 38 scenarios of the package pass.

--- a/packages/control/src/rates/createHomeLease.ts
+++ b/packages/control/src/rates/createHomeLease.ts
@@ -64,9 +64,6 @@
    */
   inForce(): HeldLease | undefined;
 
-  /** Whether this process took the lease and knows of no later home. */
-  isHeld(): boolean;
-
   /**
    * Tells whether shares lapse by time now: the lease was renewed without a gap lately.
    *
@@ -264,7 +261,6 @@
       // Nobody can take the lease while the table accepts no writes.
       return isRenewed() || follower.mode() === 'outage' ? held : undefined;
     },
-    isHeld: () => held !== undefined,
     mayLapse,
     earlierSharesUntil: () => earlierUntil,
     homeAddress() {
