--- a/packages/agent/src/core/orders/FencingNumber.ts
+++ b/packages/agent/src/core/orders/FencingNumber.ts
@@ -1,6 +1,6 @@
 /** The fencing number for orders to one target, kept in the table row `order#<target>`. */
 import { randomUUID } from 'node:crypto';
-import type { Row, Table, TableFailure } from '@jacinthlug/platform/Table';
+import type { Row, Table, TableFailure } from '@jacinthlug/backing/Table';
 import { err, ok, type Result } from 'neverthrow';
 
 /** A number that this process took. */
--- a/packages/agent/src/wiring/openCollaborators.ts
+++ b/packages/agent/src/wiring/openCollaborators.ts
@@ -8,9 +8,9 @@
 import { createPeerCalls } from '@jacinthlug/control/peers/createPeerCalls';
 import { createSuspectList } from '@jacinthlug/control/suspects/createSuspectList';
 import { systemClock } from '@jacinthlug/control/time/Clock';
-import { DynamoTable } from '@jacinthlug/platform/DynamoTable';
-import { PrometheusHostList } from '@jacinthlug/platform/PrometheusHostList';
-import { S3ObjectStore } from '@jacinthlug/platform/S3ObjectStore';
+import { DynamoTable } from '@jacinthlug/backing/DynamoTable';
+import { PrometheusHostList } from '@jacinthlug/backing/PrometheusHostList';
+import { S3ObjectStore } from '@jacinthlug/backing/S3ObjectStore';
 import type { Member } from '@jacinthlug/protocol/members';
 import type { AgentSettings } from '@jacinthlug/settings/process/hostSettings';
 import { createBatchWorker } from '../core/batch/createBatchWorker.js';
--- a/packages/agent/src/wiring/tokens.ts
+++ b/packages/agent/src/wiring/tokens.ts
@@ -3,7 +3,7 @@
 import type { Metrics } from '@jacinthlug/catalog/Metrics';
 import type { ConfigurationFollower } from '@jacinthlug/control/ConfigurationFollower';
 import type { Membership } from '@jacinthlug/control/Membership';
-import type { Table } from '@jacinthlug/platform/Table';
+import type { Table } from '@jacinthlug/backing/Table';
 import type { AgentSettings } from '@jacinthlug/settings/process/hostSettings';
 import type { InjectionToken } from 'tsyringe';
 import type { Agent as Connections } from 'undici';
--- a/packages/agent/test/support/createFakeTable.ts
+++ b/packages/agent/test/support/createFakeTable.ts
@@ -1,5 +1,5 @@
 /** Fake of the table for rows that are put with a condition on their number. */
-import type { Row, RowKey, Table, Write } from '@jacinthlug/platform/Table';
+import type { Row, RowKey, Table, Write } from '@jacinthlug/backing/Table';
 import { errAsync, okAsync } from 'neverthrow';
 
 const unused = () => errAsync({ kind: 'unavailable' as const, message: 'not served by the fake' });
--- a/packages/batch/src/BatchFailure.ts
+++ b/packages/batch/src/BatchFailure.ts
@@ -1,6 +1,6 @@
 /** Why a call to the job store failed. */
-import type { ObjectFailure } from '@jacinthlug/platform/ObjectStore';
-import type { TableFailure } from '@jacinthlug/platform/Table';
+import type { ObjectFailure } from '@jacinthlug/backing/ObjectStore';
+import type { TableFailure } from '@jacinthlug/backing/Table';
 
 /** Nothing was written, or nothing could be read. */
 export interface Unavailable {
--- a/packages/batch/src/ChunkStore.ts
+++ b/packages/batch/src/ChunkStore.ts
@@ -1,7 +1,7 @@
 /** Chunk claims with fencing numbers and leases, renewal, commit and release. */
 import { randomUUID } from 'node:crypto';
-import type { ObjectStore } from '@jacinthlug/platform/ObjectStore';
-import type { Condition, Table, TableFailure, Write } from '@jacinthlug/platform/Table';
+import type { ObjectStore } from '@jacinthlug/backing/ObjectStore';
+import type { Condition, Table, TableFailure, Write } from '@jacinthlug/backing/Table';
 import { err, ok, type Result } from 'neverthrow';
 import {
   objectUnavailable,
--- a/packages/batch/src/FileStore.ts
+++ b/packages/batch/src/FileStore.ts
@@ -2,8 +2,8 @@
 import { createHash, randomUUID } from 'node:crypto';
 import type { Readable } from 'node:stream';
 import { setImmediate as nextTurn } from 'node:timers/promises';
-import type { ObjectStore } from '@jacinthlug/platform/ObjectStore';
-import type { Table } from '@jacinthlug/platform/Table';
+import type { ObjectStore } from '@jacinthlug/backing/ObjectStore';
+import type { Table } from '@jacinthlug/backing/Table';
 import { err, ok, type Result } from 'neverthrow';
 import {
   objectUnavailable,
--- a/packages/batch/src/JobStore.ts
+++ b/packages/batch/src/JobStore.ts
@@ -1,7 +1,7 @@
 /** Jobs: acceptance, look-up, progress, completion and cancellation. */
 import { createHash, randomUUID } from 'node:crypto';
-import type { ObjectStore } from '@jacinthlug/platform/ObjectStore';
-import type { Row, Table, TableFailure, Write } from '@jacinthlug/platform/Table';
+import type { ObjectStore } from '@jacinthlug/backing/ObjectStore';
+import type { Row, Table, TableFailure, Write } from '@jacinthlug/backing/Table';
 import { err, ok, type Result } from 'neverthrow';
 import {
   objectUnavailable,
--- a/packages/batch/src/results/resultFiles.ts
+++ b/packages/batch/src/results/resultFiles.ts
@@ -1,6 +1,6 @@
 /** Output and error files of jobs, put together from the results of their chunks. */
 import { Readable } from 'node:stream';
-import type { ObjectStore } from '@jacinthlug/platform/ObjectStore';
+import type { ObjectStore } from '@jacinthlug/backing/ObjectStore';
 import { err, ok, type Result } from 'neverthrow';
 import { objectUnavailable, type ReadFailure } from '../BatchFailure.js';
 import type { Chunk, JobReport } from '../JobStore.js';
--- a/packages/batch/src/rows/rowKeys.ts
+++ b/packages/batch/src/rows/rowKeys.ts
@@ -1,5 +1,5 @@
 /** Keys of the rows that the job store owns. */
-import type { RowKey } from '@jacinthlug/platform/Table';
+import type { RowKey } from '@jacinthlug/backing/Table';
 
 const TIME_DIGITS = 14;
 const CHUNK_DIGITS = 6;
--- a/packages/batch/src/settleWrites.ts
+++ b/packages/batch/src/settleWrites.ts
@@ -1,6 +1,6 @@
 /** Writes to the table whose outcome is settled by token, then by read-back. */
 import { randomUUID } from 'node:crypto';
-import type { Table, TableFailure, Write } from '@jacinthlug/platform/Table';
+import type { Table, TableFailure, Write } from '@jacinthlug/backing/Table';
 import { err, ok, type Result } from 'neverthrow';
 
 /** A write that is settled. */
--- a/packages/batch/test/fakes/MemoryObjects.ts
+++ b/packages/batch/test/fakes/MemoryObjects.ts
@@ -1,6 +1,6 @@
 /** An object store in memory. */
 import { Readable } from 'node:stream';
-import type { ByteRange, ObjectFailure, ObjectStore } from '@jacinthlug/platform/ObjectStore';
+import type { ByteRange, ObjectFailure, ObjectStore } from '@jacinthlug/backing/ObjectStore';
 import { errAsync, okAsync, type ResultAsync } from 'neverthrow';
 
 const PIECE_BYTES = 65_536;
--- a/packages/batch/test/fakes/MemoryTable.ts
+++ b/packages/batch/test/fakes/MemoryTable.ts
@@ -1,6 +1,6 @@
 /** A table in memory, with the faults of the platform's table service. */
-import type { Row, RowKey, RowQuery, Table, TableFailure, Write } from '@jacinthlug/platform/Table';
-import { RowStore } from '@jacinthlug/platform/testing/RowStore';
+import type { Row, RowKey, RowQuery, Table, TableFailure, Write } from '@jacinthlug/backing/Table';
+import { RowStore } from '@jacinthlug/backing/testing/RowStore';
 import { err, errAsync, okAsync, ResultAsync, type Result } from 'neverthrow';
 
 export class MemoryTable implements Table {
--- a/packages/catalog/src/Journal.ts
+++ b/packages/catalog/src/Journal.ts
@@ -1,4 +1,4 @@
-/** Structured logs: numbered events of the catalogue, written by bunyan to standard error. */
+/** Structured logs: numbered events of the catalogue, written by bunyan. */
 import bunyan from 'bunyan';
 import { logEvents, type LogEventName } from './logEvents.js';
 
@@ -18,13 +18,15 @@
  *
  * @param processName - name of the process, as in its settings
  * @param level - least severity that is written
+ * @param stream - where the lines go
  * @returns the journal
  */
 export const openJournal = (
   processName: string,
   level: bunyan.LogLevelString = 'info',
+  stream: NodeJS.WritableStream = process.stderr,
 ): Journal => {
-  const logger = bunyan.createLogger({ name: processName, level, stream: process.stderr });
+  const logger = bunyan.createLogger({ name: processName, level, stream });
   return {
     record(name, facts = {}) {
       const event = logEvents[name];
@@ -33,5 +35,40 @@
   };
 };
 
+/** Lines a second that a bounded journal writes on average: several times those of a busy host. */
+const LINES_PER_SECOND = 200;
+
+/** Lines that a bounded journal writes at once. */
+const LINES_AT_ONCE = 1000;
+
+/**
+ * Bounds the volume of a journal. What is dropped is counted, and the count is written when there is
+ * room again.
+ *
+ * @param journal - the journal to write to
+ * @param now - monotonic time. Unit: ms
+ * @returns a journal that drops lines beyond the bound
+ */
+export const boundJournal = (journal: Journal, now = () => performance.now()): Journal => {
+  let room = LINES_AT_ONCE;
+  let filledAt = now();
+  let dropped = 0;
+  return {
+    record(name, facts) {
+      const time = now();
+      room = Math.min(LINES_AT_ONCE, room + ((time - filledAt) / 1000) * LINES_PER_SECOND);
+      filledAt = time;
+      if (room < 1) {
+        dropped += 1;
+        return;
+      }
+      if (dropped > 0) journal.record('lines-dropped', { lines: dropped });
+      dropped = 0;
+      room -= 1;
+      journal.record(name, facts);
+    },
+  };
+};
+
 /** A journal that writes nothing, for tests and tools. */
 export const silentJournal: Journal = { record: () => undefined };
--- a/packages/catalog/src/resultCodes.ts
+++ b/packages/catalog/src/resultCodes.ts
@@ -135,6 +135,15 @@
     run: 'not run',
     retryAfterSeconds: 1,
   },
+  'job-over-limit': {
+    number: 1104,
+    title: 'Too many tokens waiting',
+    message: 'The batch job does not fit in what the client account may have waiting on the route.',
+    hint: 'Come back when earlier jobs have completed.',
+    status: 429,
+    run: 'not run',
+    retryAfterSeconds: 2,
+  },
   // 1200: targets.
   'no-target': {
     number: 1201,
--- a/packages/control/src/edits/createEditor.ts
+++ b/packages/control/src/edits/createEditor.ts
@@ -2,7 +2,7 @@
 import { randomUUID } from 'node:crypto';
 import type { Journal } from '@jacinthlug/catalog/Journal';
 import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
-import type { Table, Write } from '@jacinthlug/platform/Table';
+import type { Table, Write } from '@jacinthlug/backing/Table';
 import type { Configuration, ConfigurationContent } from '@jacinthlug/settings/tree/configuration';
 import { err, ok, type Result } from 'neverthrow';
 import {
--- a/packages/control/src/follower/FollowerParts.ts
+++ b/packages/control/src/follower/FollowerParts.ts
@@ -1,8 +1,8 @@
 /** What the follower of the configuration is made of. */
 import type { Journal } from '@jacinthlug/catalog/Journal';
 import type { Metrics } from '@jacinthlug/catalog/Metrics';
-import type { HostList } from '@jacinthlug/platform/HostList';
-import type { Table } from '@jacinthlug/platform/Table';
+import type { HostList } from '@jacinthlug/backing/HostList';
+import type { Table } from '@jacinthlug/backing/Table';
 import type { Member } from '@jacinthlug/protocol/members';
 import type { SpreadMembership } from '../membership/createMembership.js';
 import type { PeerCalls } from '../peers/PeerCalls.js';
--- a/packages/control/src/follower/configurationRows.ts
+++ b/packages/control/src/follower/configurationRows.ts
@@ -1,6 +1,6 @@
 /** Rows of the configuration in the table. */
 import { gunzipSync, gzipSync } from 'node:zlib';
-import type { Attributes, Row, RowKey, Table } from '@jacinthlug/platform/Table';
+import type { Attributes, Row, RowKey, Table } from '@jacinthlug/backing/Table';
 import { suspect, type Suspect } from '@jacinthlug/protocol/messages';
 import {
   configurationContent,
--- a/packages/control/src/follower/readTable.ts
+++ b/packages/control/src/follower/readTable.ts
@@ -1,5 +1,5 @@
 /** Reads the configuration from the table. */
-import type { Table } from '@jacinthlug/platform/Table';
+import type { Table } from '@jacinthlug/backing/Table';
 import type { SpreadSuspectList } from '../suspects/createSuspectList.js';
 import type { Clock } from '../time/Clock.js';
 import { readHead, readVersion } from './configurationRows.js';
--- a/packages/control/src/membership/pollHostList.ts
+++ b/packages/control/src/membership/pollHostList.ts
@@ -1,6 +1,6 @@
 /** Reads the platform's host list while this process is a watcher. */
 import type { Journal } from '@jacinthlug/catalog/Journal';
-import type { HostList } from '@jacinthlug/platform/HostList';
+import type { HostList } from '@jacinthlug/backing/HostList';
 import type { Membership } from '../Membership.js';
 import type { Clock } from '../time/Clock.js';
 
--- a/packages/control/src/rates/createHomeLease.ts
+++ b/packages/control/src/rates/createHomeLease.ts
@@ -1,7 +1,7 @@
 /** The lease of the home of one shard (design 5.2). */
 import { randomUUID } from 'node:crypto';
 import type { Journal } from '@jacinthlug/catalog/Journal';
-import type { Attributes, Condition, Row, Table, Write } from '@jacinthlug/platform/Table';
+import type { Attributes, Condition, Row, Table, Write } from '@jacinthlug/backing/Table';
 import { z } from 'zod';
 import type { Follower } from '../follower/createFollower.js';
 import type { Clock } from '../time/Clock.js';
--- a/packages/control/src/rates/createHomeRoute.ts
+++ b/packages/control/src/rates/createHomeRoute.ts
@@ -1,5 +1,5 @@
 /** Finds the home of a shard. */
-import type { Table } from '@jacinthlug/platform/Table';
+import type { Table } from '@jacinthlug/backing/Table';
 import { z } from 'zod';
 import { leaseKey } from './shards.js';
 
--- a/packages/control/src/rates/createRateShares.ts
+++ b/packages/control/src/rates/createRateShares.ts
@@ -3,7 +3,7 @@
 import type { Journal } from '@jacinthlug/catalog/Journal';
 import type { Metrics } from '@jacinthlug/catalog/Metrics';
 import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
-import type { Table } from '@jacinthlug/platform/Table';
+import type { Table } from '@jacinthlug/backing/Table';
 import type { Member } from '@jacinthlug/protocol/members';
 import type { ShareAnswer, ShareRequest } from '@jacinthlug/protocol/messages';
 import type { Account } from '@jacinthlug/settings/tree/Catalogue';
--- a/packages/control/src/rates/renewLeases.ts
+++ b/packages/control/src/rates/renewLeases.ts
@@ -1,6 +1,6 @@
 /** Renews all home leases that a process holds by one transaction. */
 import { randomUUID } from 'node:crypto';
-import type { Table } from '@jacinthlug/platform/Table';
+import type { Table } from '@jacinthlug/backing/Table';
 import type { Clock } from '../time/Clock.js';
 import type { LeaseRenewal } from './createHomeLease.js';
 
--- a/packages/control/src/rates/shards.ts
+++ b/packages/control/src/rates/shards.ts
@@ -1,6 +1,6 @@
 /** Shards of client accounts and the entry hosts that may become their homes. */
 import { createHash } from 'node:crypto';
-import type { RowKey } from '@jacinthlug/platform/Table';
+import type { RowKey } from '@jacinthlug/backing/Table';
 import { rendezvousOrder } from '../peers/rendezvous.js';
 
 /** Number of shards. */
--- a/packages/control/src/suspects/createSuspectList.ts
+++ b/packages/control/src/suspects/createSuspectList.ts
@@ -1,6 +1,6 @@
 /** The suspect list of a process: in the head row of the table and spread with the configuration. */
 import { randomUUID } from 'node:crypto';
-import type { Table } from '@jacinthlug/platform/Table';
+import type { Table } from '@jacinthlug/backing/Table';
 import type { Suspect } from '@jacinthlug/protocol/messages';
 import { headKey, readHead, type Head } from '../follower/configurationRows.js';
 import type { SuspectList } from '../SuspectList.js';
--- a/packages/control/test/fakes/FakeTable.ts
+++ b/packages/control/test/fakes/FakeTable.ts
@@ -1,6 +1,6 @@
 /** A table in memory that can be down, cut off from one process, or lose answers. */
-import type { Row, RowKey, Table, TableFailure, Write } from '@jacinthlug/platform/Table';
-import { RowStore } from '@jacinthlug/platform/testing/RowStore';
+import type { Row, RowKey, Table, TableFailure, Write } from '@jacinthlug/backing/Table';
+import { RowStore } from '@jacinthlug/backing/testing/RowStore';
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 import type { Clock } from '../../src/time/Clock.js';
 import type { Simulation } from './Simulation.js';
--- a/packages/control/test/fakes/Fleet.ts
+++ b/packages/control/test/fakes/Fleet.ts
@@ -1,7 +1,7 @@
 /** A fleet of simulated processes with a network that loses and delays messages. */
 import { openMetrics } from '@jacinthlug/catalog/Metrics';
 import type { Journal } from '@jacinthlug/catalog/Journal';
-import type { HostList } from '@jacinthlug/platform/HostList';
+import type { HostList } from '@jacinthlug/backing/HostList';
 import type { Member } from '@jacinthlug/protocol/members';
 import type { PeerFailure } from '@jacinthlug/protocol/controlClient';
 import { err, errAsync, ok, okAsync, type Result } from 'neverthrow';
--- a/packages/entry/src/core/batches/BatchDependencies.ts
+++ b/packages/entry/src/core/batches/BatchDependencies.ts
@@ -3,7 +3,7 @@
 import type { FileStore } from '@jacinthlug/batch/FileStore';
 import type { JobStore } from '@jacinthlug/batch/JobStore';
 import type { Journal } from '@jacinthlug/catalog/Journal';
-import type { ObjectStore } from '@jacinthlug/platform/ObjectStore';
+import type { ObjectStore } from '@jacinthlug/backing/ObjectStore';
 import type { CancelNotice } from '@jacinthlug/protocol/messages';
 
 /** What the file and batch endpoints work on. */
--- a/packages/entry/src/core/claims/BackgroundWrites.ts
+++ b/packages/entry/src/core/claims/BackgroundWrites.ts
@@ -1,5 +1,5 @@
 /** Writes that are repeated until the table tells their outcome. */
-import type { Table, TableFailure, Write } from '@jacinthlug/platform/Table';
+import type { Table, TableFailure, Write } from '@jacinthlug/backing/Table';
 import type { Result } from 'neverthrow';
 import { setTimeout as sleep } from 'node:timers/promises';
 
--- a/packages/entry/src/core/claims/ClaimStore.ts
+++ b/packages/entry/src/core/claims/ClaimStore.ts
@@ -2,7 +2,7 @@
 import { randomUUID } from 'node:crypto';
 import type { Journal } from '@jacinthlug/catalog/Journal';
 import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
-import type { Row, RowKey, Table, TableFailure, Write } from '@jacinthlug/platform/Table';
+import type { Row, RowKey, Table, TableFailure, Write } from '@jacinthlug/backing/Table';
 import type { Identity } from '../online/OnlineRequest.js';
 import type { BackgroundWrites } from './BackgroundWrites.js';
 import { fromRow, toAttributes, type RecordedAnswer } from './RecordedAnswer.js';
--- a/packages/entry/src/core/claims/RecordedAnswer.ts
+++ b/packages/entry/src/core/claims/RecordedAnswer.ts
@@ -1,7 +1,7 @@
 /** Answers as they are kept in claims. */
 import { promisify } from 'node:util';
 import { gunzip, gzip } from 'node:zlib';
-import type { Attributes, Row } from '@jacinthlug/platform/Table';
+import type { Attributes, Row } from '@jacinthlug/backing/Table';
 
 const compress = promisify(gzip);
 
--- a/packages/entry/src/core/operators/OperatorDeps.ts
+++ b/packages/entry/src/core/operators/OperatorDeps.ts
@@ -2,7 +2,7 @@
 import type { Editor } from '@jacinthlug/control/edits/createEditor';
 import type { ConfigurationFollower } from '@jacinthlug/control/ConfigurationFollower';
 import type { Membership } from '@jacinthlug/control/Membership';
-import type { Table } from '@jacinthlug/platform/Table';
+import type { Table } from '@jacinthlug/backing/Table';
 import type { Metrics } from '@jacinthlug/catalog/Metrics';
 
 /** What the operators' interface needs. */
--- a/packages/entry/src/wiring/registerCollaborators.ts
+++ b/packages/entry/src/wiring/registerCollaborators.ts
@@ -21,11 +21,11 @@
   type SpreadSuspectList,
 } from '@jacinthlug/control/suspects/createSuspectList';
 import { systemClock } from '@jacinthlug/control/time/Clock';
-import { DynamoTable } from '@jacinthlug/platform/DynamoTable';
-import type { ObjectStore } from '@jacinthlug/platform/ObjectStore';
-import { PrometheusHostList } from '@jacinthlug/platform/PrometheusHostList';
-import { S3ObjectStore } from '@jacinthlug/platform/S3ObjectStore';
-import type { Table } from '@jacinthlug/platform/Table';
+import { DynamoTable } from '@jacinthlug/backing/DynamoTable';
+import type { ObjectStore } from '@jacinthlug/backing/ObjectStore';
+import { PrometheusHostList } from '@jacinthlug/backing/PrometheusHostList';
+import { S3ObjectStore } from '@jacinthlug/backing/S3ObjectStore';
+import type { Table } from '@jacinthlug/backing/Table';
 import {
   callPeer,
   openControlClient,
--- a/packages/entry/src/wiring/registerOnlinePath.ts
+++ b/packages/entry/src/wiring/registerOnlinePath.ts
@@ -7,7 +7,7 @@
 import type { RateShares } from '@jacinthlug/control/RateShares';
 import type { SuspectList } from '@jacinthlug/control/SuspectList';
 import type { SpreadSuspectList } from '@jacinthlug/control/suspects/createSuspectList';
-import type { Table } from '@jacinthlug/platform/Table';
+import type { Table } from '@jacinthlug/backing/Table';
 import { callPeer, openControlClient } from '@jacinthlug/protocol/controlClient';
 import type { ControlHandlers } from '@jacinthlug/protocol/controlRouter';
 import type { SuspectNotice } from '@jacinthlug/protocol/messages';
--- a/packages/entry/test/fakes/FakeTable.ts
+++ b/packages/entry/test/fakes/FakeTable.ts
@@ -1,6 +1,6 @@
 /** A table in memory whose answers can be lost, late or refused. */
-import type { Row, RowKey, Table, TableFailure, Write } from '@jacinthlug/platform/Table';
-import { RowStore } from '@jacinthlug/platform/testing/RowStore';
+import type { Row, RowKey, Table, TableFailure, Write } from '@jacinthlug/backing/Table';
+import { RowStore } from '@jacinthlug/backing/testing/RowStore';
 import { errAsync, okAsync, type Result, type ResultAsync } from 'neverthrow';
 
 const unknown: TableFailure = { kind: 'unknown', message: 'no answer' };
--- a/packages/entry/test/steps/operators.steps.ts
+++ b/packages/entry/test/steps/operators.steps.ts
@@ -9,7 +9,7 @@
 import type { ConfigurationFollower } from '@jacinthlug/control/ConfigurationFollower';
 import type { Editor } from '@jacinthlug/control/edits/createEditor';
 import type { Membership } from '@jacinthlug/control/Membership';
-import type { Table } from '@jacinthlug/platform/Table';
+import type { Table } from '@jacinthlug/backing/Table';
 import { openCatalogue, type Catalogue } from '@jacinthlug/settings/tree/Catalogue';
 import { configurationContent } from '@jacinthlug/settings/tree/configuration';
 import { err, ok } from 'neverthrow';
--- /dev/null
+++ b/packages/serving/src/batch/HeldJob.ts
@@ -0,0 +1,129 @@
+/** A job that this host runs: its items, and the results that are not listed yet. */
+import type { Journal } from '@jacinthlug/catalog/Journal';
+import { systemClock } from '@jacinthlug/control/time/Clock';
+import type { Route } from '../configuration/ServingConfiguration.js';
+import type { KnownJob } from './JobBook.js';
+import { isOpen, type ItemState, type JobInput, type JobRecord } from './JobRecord.js';
+import type { JobStore, NewResult } from './JobStore.js';
+import { ItemTask } from './ItemTask.js';
+
+/** Results of one transaction, which holds at most 100 entries and 1 MB. */
+const RESULTS_AT_ONCE = 16;
+
+/** Pause after a write that the store refused. Unit: ms. */
+const REFUSED_PAUSE_MS = 200;
+
+/** What a held job needs. */
+export interface HeldJobNeeds {
+  readonly jobs: JobStore;
+  readonly journal: Journal;
+  /** Name and incarnation of this host. */
+  readonly holder: readonly [string, number];
+}
+
+/** A job in the hands of this host. */
+export class HeldJob {
+  readonly tasks = new Map<number, ItemTask>();
+
+  /** Monotonic time at which all results are due. Unit: ms. */
+  readonly due: number;
+
+  private readonly finished: NewResult[] = [];
+
+  private writing = false;
+
+  constructor(
+    private job: KnownJob,
+    readonly route: Route,
+    input: JobInput,
+    private readonly needs: HeldJobNeeds,
+  ) {
+    const { record } = job;
+    const ageMs = Date.now() - record.submittedAt;
+    this.due = performance.now() - ageMs + route.completionTargetMs;
+    const listed = new Set(record.listed.map(([index]) => index));
+    input.forEach((item, index) => {
+      if (!listed.has(index)) this.tasks.set(index, new ItemTask(index, item, route.attempts));
+    });
+  }
+
+  /**
+   * Gives the newest known state of the job.
+   *
+   * @returns its record
+   */
+  get record(): JobRecord {
+    return this.job.record;
+  }
+
+  /**
+   * Tells whether this host still runs the job.
+   *
+   * @returns whether the job is open and held by this process
+   */
+  get isHeld(): boolean {
+    const { holder } = this.record;
+    const [name, incarnation] = this.needs.holder;
+    return isOpen(this.record) && holder?.[0] === name && holder[1] === incarnation;
+  }
+
+  /**
+   * Takes a newer state; runs of a job that is no longer held are cancelled.
+   *
+   * @param job - state from the store
+   */
+  take(job: KnownJob): void {
+    if (job.revision <= this.job.revision) return;
+    this.job = job;
+    if (!this.isHeld) this.cancelRuns();
+  }
+
+  /** Cancels all runs; what they have put out is kept. */
+  cancelRuns(): void {
+    this.tasks.forEach(({ run }) => run?.controller.abort());
+  }
+
+  /**
+   * Takes the final state of an item and lists it.
+   *
+   * @param task - the item
+   * @param state - its final state
+   */
+  finish(task: ItemTask, state: ItemState): void {
+    this.tasks.delete(task.index);
+    this.finished.push({
+      index: task.index,
+      item: task.item.id,
+      state,
+      text: state === 'completed' ? task.answer.text : '',
+    });
+    void this.write();
+  }
+
+  /** Lists finished items, several in one transaction, until none is left. */
+  private async write(): Promise<void> {
+    if (this.writing) return;
+    this.writing = true;
+    while (this.finished.length > 0 && this.isHeld) await this.writeOnce();
+    this.writing = false;
+  }
+
+  private async writeOnce(): Promise<void> {
+    const results = this.finished.slice(0, RESULTS_AT_ONCE);
+    const listed = await this.needs.jobs.list(this.job, results);
+    if (listed.isErr()) {
+      this.needs.journal.record('results-delayed', {
+        job: this.record.id,
+        results: results.length,
+        kind: listed.error.kind,
+      });
+      await systemClock.sleep(REFUSED_PAUSE_MS);
+      return;
+    }
+    if (listed.value.revision > this.job.revision) this.job = listed.value;
+    const present = new Set(this.record.listed.map(([index]) => index));
+    const rest = this.finished.filter(({ index }) => !present.has(index));
+    this.finished.splice(0, this.finished.length, ...rest);
+    if (!this.isHeld) this.cancelRuns();
+  }
+}
--- /dev/null
+++ b/packages/serving/src/batch/ItemTask.ts
@@ -0,0 +1,86 @@
+/** An item of a job that this host holds, from its first run to its result. */
+import type { Target } from '../fleet/Target.js';
+import type { AttemptEnd } from '../online/sendOnce.js';
+import { ItemAnswer } from './ItemAnswer.js';
+import type { ItemState, JobItem } from './JobRecord.js';
+
+/** First pause after a run that broke off, doubled with each further one. Unit: ms. */
+const FIRST_PAUSE_MS = 100;
+
+/** Longest pause between runs: an item that breaks its targets must not do so often. Unit: ms. */
+const LONGEST_PAUSE_MS = 8000;
+
+/** A run in progress. */
+export interface ItemRun {
+  readonly target: Target;
+  readonly controller: AbortController;
+  /** Monotonic time. Unit: ms. */
+  readonly startedAt: number;
+}
+
+/** What a run says about its item. */
+type Verdict = 'completed' | 'failed' | 'impossible' | 'again';
+
+const verdictsByStatus = new Map<number, Verdict>([
+  [200, 'completed'],
+  [422, 'impossible'],
+  [500, 'failed'],
+]);
+
+/** One item. */
+export class ItemTask {
+  answer = new ItemAnswer();
+
+  run: ItemRun | undefined;
+
+  /** Answers of 500. */
+  failures = 0;
+
+  /** Runs that broke off without an event, one after the other. */
+  private breaks = 0;
+
+  /** Monotonic time before which the item is not run. Unit: ms. */
+  notBefore = 0;
+
+  constructor(
+    readonly index: number,
+    readonly item: JobItem,
+    /** Answers of 500 after which the item is given up. */
+    private readonly attempts: number,
+  ) {}
+
+  /**
+   * Tells whether the item waits for a run.
+   *
+   * @param now - monotonic time. Unit: ms
+   * @returns whether it may start
+   */
+  isWaiting(now: number): boolean {
+    return this.run === undefined && this.notBefore <= now;
+  }
+
+  /**
+   * Digests the end of a run.
+   *
+   * @param end - how it ended
+   * @param sizeBefore - events that the item had when the run began
+   * @param now - monotonic time. Unit: ms
+   * @returns the final state, or nothing when the item must run again
+   */
+  finishRun(end: AttemptEnd, sizeBefore: number, now: number): ItemState | undefined {
+    this.run = undefined;
+    const verdict =
+      end.kind === 'complete' ? (verdictsByStatus.get(end.status) ?? 'again') : 'again';
+    if (verdict === 'completed') return 'completed';
+    if (verdict === 'impossible') return 'dead-lettered';
+    if (verdict === 'failed') {
+      this.failures += 1;
+      if (this.failures >= this.attempts) return 'dead-lettered';
+    }
+    if (end.kind === 'given-up') return undefined;
+    this.breaks = this.answer.size > sizeBefore ? 0 : this.breaks + 1;
+    const pauseMs = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** this.breaks);
+    this.notBefore = now + pauseMs;
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/serving/src/batch/JobStore.ts
@@ -0,0 +1,420 @@
+/** Acceptance, end and results of batch jobs in the store. */
+import { randomUUID } from 'node:crypto';
+import type { ObjectStore } from '@jacinthlug/backing/ObjectStore';
+import type { Journal } from '@jacinthlug/catalog/Journal';
+import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
+import { systemClock, type Clock } from '@jacinthlug/control/time/Clock';
+import { err, ok, type Result } from 'neverthrow';
+import type { RecordKey, RecordStore, StoreFailure, StoredRecord } from '../store/RecordStore.js';
+import type { JobBook, KnownJob } from './JobBook.js';
+import {
+  admissionKey,
+  JOBS_TABLE,
+  jobKey,
+  partitionOf,
+  resultKey,
+  resultRange,
+} from './jobKeys.js';
+import {
+  jobInput,
+  resultRecord,
+  type ItemResult,
+  type JobInput,
+  type JobRecord,
+  type ResultRecord,
+} from './JobRecord.js';
+
+/** How long a write without an answer is repeated before the caller is told so. Unit: ms. */
+const SETTLE_MS = 2500;
+
+/** Pause before a write is repeated. Unit: ms. */
+const REPEAT_PAUSE_MS = 100;
+
+/**
+ * Largest output that is kept in a row. Rows hold 65,536 bytes, which is 49,152 before base64, and the
+ * JSON around the text needs some. Unit: bytes.
+ */
+const ROW_TEXT_BYTES = 40_000;
+
+/** Results of one answer to a caller, which may be at most 1 MB. Unit: bytes. */
+const ANSWER_BYTES = 900_000;
+
+/** Objects with job input that are kept in memory. */
+const CACHED_INPUTS = 16;
+
+/** A batch job as a caller submits it. */
+export interface Submission {
+  readonly id: string;
+  readonly account: string;
+  readonly route: string;
+  readonly host: string;
+  readonly items: JobInput;
+  /** Most tokens that the account may have waiting on the route; 0 is no limit. */
+  readonly waitingTokens: number;
+}
+
+/** What the job store needs. */
+export interface JobStoreNeeds {
+  readonly store: RecordStore;
+  readonly objects: ObjectStore;
+  readonly book: JobBook;
+  readonly journal: Journal;
+  readonly clock?: Clock;
+}
+
+/** How a result is written. */
+export type NewResult = ItemResult & { readonly index: number };
+
+const encode = (content: unknown): Buffer => Buffer.from(JSON.stringify(content));
+
+const sameKey = (a: RecordKey, b: RecordKey): boolean =>
+  a.table === b.table && a.partition === b.partition && a.key === b.key;
+
+const findRecord = (records: readonly StoredRecord[], key: RecordKey): StoredRecord | undefined =>
+  records.find((record) => sameKey(record, key));
+
+/** Whether all these results stand in a job's list from a position on. */
+const holdsResults = (job: JobRecord, from: number, results: readonly NewResult[]): boolean =>
+  results.every(({ index }, offset) => job.listed[from + offset]?.[0] === index);
+
+/** Keeps batch jobs in the store. */
+export class JobStore {
+  private readonly admissions = new Map<string, number>();
+
+  private readonly inputs = new Map<string, JobInput>();
+
+  private readonly clock: Clock;
+
+  constructor(private readonly needs: JobStoreNeeds) {
+    this.clock = needs.clock ?? systemClock;
+  }
+
+  /**
+   * Accepts a batch job, once however often it is submitted.
+   *
+   * @param submission - the job
+   * @param holder - name and incarnation of the host that will run its items
+   * @returns nothing when the store holds the whole job, or a refusal
+   */
+  async accept(
+    submission: Submission,
+    holder: readonly [string, number],
+  ): Promise<Result<void, Refusal>> {
+    const { book, objects, store } = this.needs;
+    const { id, account, route, host, items } = submission;
+    const deadline = this.clock.now() + SETTLE_MS;
+    const input = `${JOBS_TABLE}-${id}-${randomUUID()}`;
+    const record: JobRecord = {
+      id,
+      account,
+      route,
+      host,
+      submittedAt: Date.now(),
+      items: items.map((item) => [item.id, item.tokens]),
+      input,
+      holder: [...holder],
+      listed: [],
+      endedAt: null,
+    };
+    const key = jobKey(account, id);
+    const admission = admissionKey(account, route);
+    let stored = false;
+    let unsettled = false;
+    for (;;) {
+      if (book.find(account, id)) return ok(undefined);
+      if (this.exceedsLimit(submission)) {
+        // An unanswered write may still be applied, so "not run" could not be promised.
+        return err(unsettled ? refuse('deadline-passed') : refuse('job-over-limit'));
+      }
+      if (!stored) {
+        const put = await objects.put(input, encode(items));
+        if (put.isErr()) return err(refuse('platform-unavailable', { retryAfterSeconds: 0.5 }));
+        stored = true;
+        this.remember(input, items);
+      }
+      const written = await store.commit({
+        conditions: [
+          { ...key, revision: 0 },
+          { ...admission, revision: this.admissions.get(admission.key) ?? 0 },
+        ],
+        writes: [
+          { ...key, value: encode(record) },
+          { ...admission, value: encode({ job: id }) },
+        ],
+      });
+      if (written.isOk()) {
+        this.admissions.set(admission.key, written.value);
+        book.put({ record, revision: written.value });
+        return ok(undefined);
+      }
+      const failure = written.error;
+      unsettled ||= failure.kind === 'unknown';
+      if (failure.kind === 'conflict') {
+        const existing = findRecord(failure.records, key);
+        if (existing && book.take(existing)) return ok(undefined);
+        this.admissions.set(admission.key, findRecord(failure.records, admission)?.revision ?? 0);
+        await this.refresh(account);
+      } else if (!unsettled) {
+        return err(refuse('platform-unavailable', { retryAfterSeconds: 0.5 }));
+      } else {
+        await this.clock.sleep(REPEAT_PAUSE_MS);
+      }
+      if (this.clock.now() > deadline) {
+        return err(unsettled ? refuse('deadline-passed') : refuse('platform-unavailable'));
+      }
+    }
+  }
+
+  /**
+   * Finds a job, asking the store when this host does not know it.
+   *
+   * @param account - name of the account
+   * @param id - id of the job
+   * @param trustBook - whether this host's knowledge is recent
+   * @returns the job; nothing when there is none; a refusal when the store cannot be asked
+   */
+  async find(
+    account: string,
+    id: string,
+    trustBook: boolean,
+  ): Promise<Result<KnownJob | undefined, Refusal>> {
+    const { book } = this.needs;
+    const known = book.find(account, id);
+    if (known && trustBook) return ok(known);
+    const refreshed = await this.readJob(account, id);
+    if (refreshed.isOk()) return ok(refreshed.value);
+    return err(refuse('platform-unavailable', { retryAfterSeconds: 0.5 }));
+  }
+
+  /**
+   * Ends a job.
+   *
+   * @param account - name of the account
+   * @param id - id of the job
+   * @returns whether there is such a job, or a refusal
+   */
+  async end(account: string, id: string): Promise<Result<boolean, Refusal>> {
+    const changed = await this.change(account, id, (record) =>
+      record.endedAt === null ? { ...record, endedAt: Date.now() } : undefined,
+    );
+    if (changed.isErr()) {
+      return err(
+        changed.error.kind === 'unknown'
+          ? refuse('deadline-passed')
+          : refuse('platform-unavailable'),
+      );
+    }
+    return ok(changed.value !== undefined);
+  }
+
+  /**
+   * Changes the row of a job under the condition that nobody else did, until it succeeds.
+   *
+   * @param account - name of the account
+   * @param id - id of the job
+   * @param edit - gives the new state, or nothing when none is needed
+   * @returns the state in force; nothing when there is no such job
+   */
+  async change(
+    account: string,
+    id: string,
+    edit: (record: JobRecord) => JobRecord | undefined,
+  ): Promise<Result<KnownJob | undefined, StoreFailure>> {
+    const { book, store } = this.needs;
+    const key = jobKey(account, id);
+    const deadline = this.clock.now() + SETTLE_MS;
+    let known = book.find(account, id);
+    if (!known) {
+      const read = await this.readJob(account, id);
+      if (read.isErr()) return err(read.error);
+      known = read.value;
+    }
+    for (;;) {
+      if (!known) return ok(undefined);
+      const next = edit(known.record);
+      if (!next) return ok(known);
+      const written = await store.commit({
+        conditions: [{ ...key, revision: known.revision }],
+        writes: [{ ...key, value: encode(next) }],
+      });
+      if (written.isOk()) return ok(book.put({ record: next, revision: written.value }));
+      const failure = written.error;
+      if (failure.kind === 'conflict') {
+        const present = findRecord(failure.records, key);
+        known = present && book.take(present);
+      } else if (this.clock.now() > deadline) {
+        return err(failure);
+      } else {
+        await this.clock.sleep(REPEAT_PAUSE_MS);
+      }
+    }
+  }
+
+  /**
+   * Lists results of a job after those that it has. The job's row fences it: whoever is no longer the
+   * holder, or whose job has ended, lists nothing.
+   *
+   * @param job - the job as its holder knows it
+   * @param results - results of unlisted items
+   * @returns the state in force, with or without the results; a failure when the store did not settle it
+   */
+  async list(
+    job: KnownJob,
+    results: readonly NewResult[],
+  ): Promise<Result<KnownJob, StoreFailure>> {
+    const { store, book } = this.needs;
+    const { record } = job;
+    const from = record.listed.length;
+    const key = jobKey(record.account, record.id);
+    const rows: { key: RecordKey; content: ResultRecord }[] = [];
+    for (const [offset, { item, state, text }] of results.entries()) {
+      const stored = await this.storeText(item, text);
+      if (stored.isErr()) return err(stored.error);
+      rows.push({
+        key: resultKey(record.account, record.id, from + offset),
+        content: { item, state, ...stored.value },
+      });
+    }
+    const next: JobRecord = {
+      ...record,
+      listed: [
+        ...record.listed,
+        ...results.map(({ index, state }): [number, ItemResult['state']] => [index, state]),
+      ],
+    };
+    const written = await store.commit({
+      conditions: [{ ...key, revision: job.revision }],
+      writes: [
+        { ...key, value: encode(next) },
+        ...rows.map((row) => ({ ...row.key, value: encode(row.content) })),
+      ],
+    });
+    if (written.isOk()) return ok(book.put({ record: next, revision: written.value }));
+    if (written.error.kind !== 'conflict') return err(written.error);
+    const present = findRecord(written.error.records, key);
+    const known = present && book.take(present);
+    // An earlier write without an answer may have been applied meanwhile.
+    if (known && holdsResults(known.record, from, results)) return ok(known);
+    return known ? ok(known) : err(written.error);
+  }
+
+  /**
+   * Reads results.
+   *
+   * @param job - the job
+   * @param after - position of the first result
+   * @returns results in order, at least one when there is one
+   */
+  async readResults(job: JobRecord, after: number): Promise<Result<ItemResult[], Refusal>> {
+    if (after >= job.listed.length) return ok([]);
+    const range = resultRange(job.account, job.id, after, job.listed.length);
+    const page = await this.needs.store.read(range);
+    if (page.isErr()) return err(refuse('platform-unavailable', { retryAfterSeconds: 0.5 }));
+    const results: ItemResult[] = [];
+    let size = 0;
+    for (const { value } of page.value.records) {
+      const { item, state, text, object } = resultRecord.parse(JSON.parse(value.toString()));
+      const content = text ?? (await this.loadText(object));
+      if (content === undefined) return err(refuse('platform-unavailable'));
+      size += Buffer.byteLength(content);
+      if (results.length > 0 && size > ANSWER_BYTES) break;
+      results.push({ item, state, text: content });
+    }
+    return ok(results);
+  }
+
+  /**
+   * Loads the content of a job's items.
+   *
+   * @param name - name of the object
+   * @returns the items, or why they cannot be loaded
+   */
+  async loadInput(name: string): Promise<Result<JobInput, Refusal>> {
+    const cached = this.inputs.get(name);
+    if (cached) return ok(cached);
+    const object = await this.needs.objects.get(name);
+    if (object.isErr()) return err(refuse('platform-unavailable', { retryAfterSeconds: 0.5 }));
+    const input = jobInput.parse(JSON.parse(object.value.toString()));
+    this.remember(name, input);
+    return ok(input);
+  }
+
+  /**
+   * Removes a job with its results and its input.
+   *
+   * @param job - a job that nobody may read any more
+   */
+  async remove({ record, revision }: KnownJob): Promise<void> {
+    const { store, objects, book } = this.needs;
+    const key = jobKey(record.account, record.id);
+    const results = record.listed.map((_, position) =>
+      resultKey(record.account, record.id, position),
+    );
+    // A transaction holds at most 100 entries; the job's row goes last, so that a rest is found again.
+    for (let start = 0; start < results.length; start += 90) {
+      const removals = results.slice(start, start + 90);
+      const part = await store.commit({ conditions: [], writes: [], removals });
+      if (part.isErr()) return;
+    }
+    await objects.remove(record.input);
+    const removed = await store.commit({
+      conditions: [{ ...key, revision }],
+      writes: [],
+      removals: [key],
+    });
+    if (removed.isOk()) book.forget(record.account, record.id);
+    this.needs.journal.record('job-removed', {
+      job: record.id,
+      outcome: removed.isOk() ? 'removed' : removed.error.kind,
+    });
+  }
+
+  private exceedsLimit({ account, route, items, waitingTokens }: Submission): boolean {
+    if (waitingTokens === 0) return false;
+    const tokens = items.reduce((sum, item) => sum + item.tokens, 0);
+    return this.needs.book.waitingTokens(account, route) + tokens > waitingTokens;
+  }
+
+  /** Reads an account's jobs anew, after another host has accepted one. */
+  private async refresh(account: string): Promise<void> {
+    const page = await this.needs.store.read({
+      table: JOBS_TABLE,
+      partition: partitionOf(account),
+      from: `${account}/`,
+      to: `${account}0`,
+    });
+    if (page.isOk()) page.value.records.forEach((record) => this.needs.book.take(record));
+  }
+
+  private async readJob(
+    account: string,
+    id: string,
+  ): Promise<Result<KnownJob | undefined, StoreFailure>> {
+    const { table, partition, key } = jobKey(account, id);
+    const page = await this.needs.store.read({ table, partition, from: key, to: `${key}\u0001` });
+    return page.map(({ records }) => records[0] && this.needs.book.take(records[0]));
+  }
+
+  private async storeText(
+    item: string,
+    text: string,
+  ): Promise<Result<Pick<ResultRecord, 'text' | 'object'>, StoreFailure>> {
+    if (Buffer.byteLength(JSON.stringify(text)) <= ROW_TEXT_BYTES) return ok({ text });
+    const object = `results-${item}-${randomUUID()}`;
+    const put = await this.needs.objects.put(object, text);
+    if (put.isErr()) return err({ kind: 'unavailable', message: 'object store' });
+    return ok({ object });
+  }
+
+  private async loadText(object: string | undefined): Promise<string | undefined> {
+    if (object === undefined) return undefined;
+    const content = await this.needs.objects.get(object);
+    return content.isOk() ? content.value.toString() : undefined;
+  }
+
+  private remember(name: string, input: JobInput): void {
+    this.inputs.set(name, input);
+    const [oldest] = this.inputs.keys();
+    if (this.inputs.size > CACHED_INPUTS && oldest !== undefined) this.inputs.delete(oldest);
+  }
+}
--- /dev/null
+++ b/packages/serving/src/batch/jobKeys.ts
@@ -0,0 +1,90 @@
+/** Where jobs and results are in the store. */
+import type { RecordKey, RecordRange } from '../store/RecordStore.js';
+
+/** Table of the jobs' rows; every host follows it. */
+export const JOBS_TABLE = 'jobs';
+
+const RESULTS_TABLE = 'results';
+
+const ADMISSIONS_TABLE = 'admissions';
+
+/** Partitions of the jobs. A partition takes 200 transactions a second. */
+const PARTITIONS = 16;
+
+const digitsOf = (position: number): string => String(position).padStart(5, '0');
+
+/**
+ * Gives the partition of an account's jobs: one for all its jobs, so that an acceptance can be
+ * conditional on the account's other acceptances.
+ *
+ * @param account - name of the account
+ * @returns name of the partition
+ */
+export const partitionOf = (account: string): string => {
+  let hash = 0;
+  for (let index = 0; index < account.length; index += 1) {
+    hash = (hash * 31 + account.charCodeAt(index)) % 65_521;
+  }
+  return `p${hash % PARTITIONS}`;
+};
+
+/**
+ * Gives the key of a job's row.
+ *
+ * @param account - name of the account
+ * @param job - id of the job
+ * @returns the key
+ */
+export const jobKey = (account: string, job: string): RecordKey => ({
+  table: JOBS_TABLE,
+  partition: partitionOf(account),
+  key: `${account}/${job}`,
+});
+
+/**
+ * Gives the key of the row that changes with each acceptance of an account on a route.
+ *
+ * @param account - name of the account
+ * @param route - name of the route
+ * @returns the key
+ */
+export const admissionKey = (account: string, route: string): RecordKey => ({
+  table: ADMISSIONS_TABLE,
+  partition: partitionOf(account),
+  key: `${account}/${route}`,
+});
+
+/**
+ * Gives the key of a result's row.
+ *
+ * @param account - name of the account
+ * @param job - id of the job
+ * @param position - position in the job's results
+ * @returns the key
+ */
+export const resultKey = (account: string, job: string, position: number): RecordKey => ({
+  table: RESULTS_TABLE,
+  partition: partitionOf(account),
+  key: `${account}/${job}/${digitsOf(position)}`,
+});
+
+/**
+ * Gives the range of a job's results.
+ *
+ * @param account - name of the account
+ * @param job - id of the job
+ * @param from - first position
+ * @param to - first position after the range
+ * @returns the range
+ */
+export const resultRange = (
+  account: string,
+  job: string,
+  from: number,
+  to: number,
+): RecordRange => ({
+  table: RESULTS_TABLE,
+  partition: partitionOf(account),
+  from: resultKey(account, job, from).key,
+  to: resultKey(account, job, to).key,
+});
--- /dev/null
+++ b/packages/serving/src/configuration/Directory.ts
@@ -0,0 +1,69 @@
+/** Finds routes and accounts in one version of the configuration. */
+import type { Account, Route, Service, ServingConfiguration } from './ServingConfiguration.js';
+
+/** Indexes of one version. */
+export class Directory {
+  private readonly routesByHost = new Map<string, Route[]>();
+
+  private readonly accountsByKey = new Map<string, Account>();
+
+  private readonly services: ReadonlyMap<string, Service>;
+
+  private readonly routes: ReadonlyMap<string, Route>;
+
+  constructor(readonly configuration: ServingConfiguration) {
+    configuration.routes.forEach((route) => {
+      const routes = this.routesByHost.get(route.host) ?? [];
+      routes.push(route);
+      this.routesByHost.set(route.host, routes);
+    });
+    // The longest prefix wins, so it is tried first.
+    this.routesByHost.forEach((routes) => routes.sort((a, b) => b.prefix.length - a.prefix.length));
+    configuration.accounts.forEach((account) =>
+      account.keys.forEach((key) => this.accountsByKey.set(key, account)),
+    );
+    this.services = new Map(configuration.services.map((service) => [service.name, service]));
+    this.routes = new Map(configuration.routes.map((route) => [route.name, route]));
+  }
+
+  /**
+   * Finds the route of a request.
+   *
+   * @param host - value of the `Host` header
+   * @param path - path with or without a query
+   * @returns the route with the longest matching prefix
+   */
+  findRoute(host: string, path: string): Route | undefined {
+    return this.routesByHost.get(host)?.find(({ prefix }) => path.startsWith(prefix));
+  }
+
+  /**
+   * Finds a route by its name.
+   *
+   * @param name - name of the route
+   * @returns the route
+   */
+  routeNamed(name: string): Route | undefined {
+    return this.routes.get(name);
+  }
+
+  /**
+   * Finds the account of a key.
+   *
+   * @param key - key of a caller
+   * @returns the account that holds it
+   */
+  findAccount(key: string): Account | undefined {
+    return this.accountsByKey.get(key);
+  }
+
+  /**
+   * Finds a service by its name.
+   *
+   * @param name - name of the service
+   * @returns the service
+   */
+  findService(name: string): Service | undefined {
+    return this.services.get(name);
+  }
+}
--- /dev/null
+++ b/packages/serving/src/fleet/Members.ts
@@ -0,0 +1,233 @@
+/** The hosts of the fleet: their rows in the store, and which of them are heard. */
+import type { Journal } from '@jacinthlug/catalog/Journal';
+import type { LoadReport } from '@jacinthlug/protocol/loadReport';
+import { z } from 'zod';
+import type { RecordChange, RecordStore, StoredRecord } from '../store/RecordStore.js';
+import type { TableListener } from '../store/TableFollower.js';
+import type { HostIdentity } from './HostIdentity.js';
+
+/** Table of the hosts' rows. */
+export const MEMBERS_TABLE = 'members';
+
+/**
+ * Silence after which a host's share of the rates is not used by others, and its batch jobs are taken
+ * over. Reports come every 250 ms at least, so three may be lost. Unit: ms.
+ */
+const HEARD_WITHIN_MS = 1000;
+
+/** Contact with the store below which a host can record results. Unit: ms. */
+const STORE_WITHIN_MS = 3500;
+
+/**
+ * Silence after which the row of a host is removed. A host without contact to the store stops taking
+ * keyed requests after 4.5 s, so its share of the rates is free by then. Unit: ms.
+ */
+const FORGET_AFTER_MS = 10_000;
+
+const memberRow = z.object({
+  address: z.string(),
+  port: z.int(),
+  incarnation: z.number(),
+  failureDomain: z.string(),
+});
+
+type MemberRow = z.infer<typeof memberRow>;
+
+/** A host as its row describes it. */
+export interface Member extends MemberRow {
+  readonly name: string;
+  readonly revision: number;
+}
+
+interface Heard {
+  readonly incarnation: number;
+  readonly sequence: number;
+  /** Monotonic time of the last report. Unit: ms. */
+  readonly at: number;
+  readonly storeAgeMs: number;
+}
+
+/** What the members need. */
+export interface MembersNeeds {
+  readonly identity: HostIdentity;
+  readonly store: RecordStore;
+  readonly journal: Journal;
+}
+
+/** Keeps the rows of all hosts and when each was heard. */
+export class Members implements TableListener {
+  private readonly members = new Map<string, Member>();
+
+  private readonly heard = new Map<string, Heard>();
+
+  /** Monotonic time at which a member was first missed. Unit: ms. */
+  private readonly listedAt = new Map<string, number>();
+
+  private registering = false;
+
+  constructor(private readonly needs: MembersNeeds) {}
+
+  replace(records: readonly StoredRecord[]): void {
+    this.members.clear();
+    records.forEach((record) => this.put(record));
+    this.keepOwnRow();
+  }
+
+  apply(changes: readonly RecordChange[]): void {
+    changes.forEach((change) => {
+      if (change.kind === 'written') this.put(change.record);
+      else this.members.delete(change.key.key);
+    });
+    this.keepOwnRow();
+  }
+
+  /**
+   * Takes a report of another host.
+   *
+   * @param report - the report
+   * @param now - monotonic time. Unit: ms
+   * @returns whether it is newer than the reports before it
+   */
+  hear(report: LoadReport, now = performance.now()): boolean {
+    const { host, incarnation, sequence, storeAgeMs } = report;
+    const before = this.heard.get(host);
+    if (before && incarnation < before.incarnation) return false;
+    if (before?.incarnation === incarnation && sequence <= before.sequence) return false;
+    this.heard.set(host, { incarnation, sequence, at: now, storeAgeMs });
+    return true;
+  }
+
+  /**
+   * Lists the other hosts.
+   *
+   * @returns their rows
+   */
+  get peers(): Member[] {
+    return [...this.members.values()].filter(({ name }) => name !== this.needs.identity.name);
+  }
+
+  /**
+   * Tells which part of all rates this host's group may use.
+   *
+   * @param now - monotonic time. Unit: ms
+   * @returns members heard, with this one, divided by all members
+   */
+  share(now = performance.now()): number {
+    const { peers } = this;
+    const heard = peers.filter(({ name }) => this.isHeard(name, now)).length;
+    return (1 + heard) / (1 + peers.length);
+  }
+
+  /**
+   * Tells whether another host's process can still do its work.
+   *
+   * @param name - name of the host
+   * @param incarnation - the process that is meant
+   * @param now - monotonic time. Unit: ms
+   * @returns whether it is heard and reaches the store
+   */
+  isAtWork(name: string, incarnation: number, now = performance.now()): boolean {
+    const { identity } = this.needs;
+    if (name === identity.name) return incarnation === identity.incarnation;
+    const heard = this.heard.get(name);
+    if (!heard || !this.isHeard(name, now)) return false;
+    return heard.incarnation === incarnation && heard.storeAgeMs < STORE_WITHIN_MS;
+  }
+
+  /**
+   * Lists the names of the hosts that can take over work.
+   *
+   * @param now - monotonic time. Unit: ms
+   * @returns this host and every other one that is heard and reaches the store
+   */
+  atWork(now = performance.now()): string[] {
+    const { identity } = this.needs;
+    const others = this.peers
+      .filter(({ name, incarnation }) => this.isAtWork(name, incarnation, now))
+      .map(({ name }) => name);
+    return [identity.name, ...others];
+  }
+
+  /**
+   * Removes the rows of hosts that have been silent for long.
+   *
+   * @param now - monotonic time. Unit: ms
+   * @returns names of hosts that are not heard, whose loads no longer count
+   */
+  async dropSilent(now = performance.now()): Promise<string[]> {
+    const silent = this.peers.filter(({ name }) => !this.isHeard(name, now));
+    for (const member of silent) {
+      const since = this.heard.get(member.name)?.at ?? this.listedAt.get(member.name) ?? now;
+      if (now - since > FORGET_AFTER_MS) await this.remove(member);
+    }
+    return silent.map(({ name }) => name);
+  }
+
+  /** Removes this host's row, so that its share of the rates is free at once. */
+  async leave(): Promise<void> {
+    const own = this.members.get(this.needs.identity.name);
+    this.registering = true;
+    if (own) await this.remove(own);
+  }
+
+  private isHeard(name: string, now: number): boolean {
+    return now - (this.heard.get(name)?.at ?? Number.NEGATIVE_INFINITY) < HEARD_WITHIN_MS;
+  }
+
+  private put(record: StoredRecord): void {
+    let content: unknown;
+    try {
+      content = JSON.parse(record.value.toString());
+    } catch {
+      content = undefined;
+    }
+    const row = memberRow.safeParse(content);
+    if (!row.success) {
+      this.needs.journal.record('record-unreadable', { table: MEMBERS_TABLE, key: record.key });
+      return;
+    }
+    if (!this.members.has(record.key)) this.listedAt.set(record.key, performance.now());
+    this.members.set(record.key, { ...row.data, name: record.key, revision: record.revision });
+  }
+
+  private async remove({ name, revision }: Member): Promise<void> {
+    const key = { table: MEMBERS_TABLE, partition: '', key: name };
+    const removed = await this.needs.store.commit({
+      conditions: [{ ...key, revision }],
+      writes: [],
+      removals: [key],
+    });
+    this.needs.journal.record('member-removed', {
+      member: name,
+      outcome: removed.isOk() ? 'removed' : removed.error.kind,
+    });
+  }
+
+  /** Writes this host's row when it is missing or an earlier process wrote it. */
+  private keepOwnRow(): void {
+    const { identity, store, journal } = this.needs;
+    const own = this.members.get(identity.name);
+    if (this.registering || own?.incarnation === identity.incarnation) return;
+    this.registering = true;
+    const { address, port, incarnation, failureDomain } = identity;
+    const row: MemberRow = { address, port, incarnation, failureDomain };
+    const key = { table: MEMBERS_TABLE, partition: '', key: identity.name };
+    void store
+      .commit({
+        conditions: [{ ...key, revision: own?.revision ?? 0 }],
+        writes: [{ ...key, value: Buffer.from(JSON.stringify(row)) }],
+      })
+      .then((written) => {
+        this.registering = false;
+        journal.record('member-registered', {
+          incarnation,
+          outcome: written.isOk() ? 'written' : written.error.kind,
+        });
+      });
+  }
+
+  /** Tries again to write the own row when an earlier try failed. */
+  retryRegistration(): void {
+    this.keepOwnRow();
+  }
+}
--- /dev/null
+++ b/packages/serving/src/http/CallerServer.ts
@@ -0,0 +1,89 @@
+/** HTTP server for callers, with a stop that cuts no request. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { CallerLimits } from '../configuration/ServingConfiguration.js';
+
+/** How long a stopping host goes on taking connections: balancers need some seconds to notice. Unit: ms. */
+const NOTICE_MS = 3000;
+
+/** Limits until the configuration is known. */
+const FIRST_LIMITS: CallerLimits = {
+  headerBytes: 16_384,
+  bodyBytes: 4_194_304,
+  headerTimeoutMs: 5000,
+  idleTimeoutMs: 15_000,
+};
+
+/** Handles one request of a caller; never rejects. */
+export type CallerHandler = (message: IncomingMessage, response: ServerResponse) => Promise<void>;
+
+/** Where to listen. */
+export interface ListenAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Takes the requests of callers. */
+export class CallerServer {
+  private readonly server: Server;
+
+  private stopping = false;
+
+  private running = 0;
+
+  constructor(handler: CallerHandler) {
+    this.server = createServer({ maxHeaderSize: FIRST_LIMITS.headerBytes }, (message, response) => {
+      this.running += 1;
+      if (this.stopping) response.setHeader('connection', 'close');
+      response.once('close', () => {
+        this.running -= 1;
+      });
+      void handler(message, response);
+    });
+    this.limit(FIRST_LIMITS);
+  }
+
+  /**
+   * Takes the limits of a configuration.
+   *
+   * @param limits - limits on what callers send
+   */
+  limit({ headerTimeoutMs, idleTimeoutMs }: CallerLimits): void {
+    this.server.headersTimeout = headerTimeoutMs;
+    // The body may take as long again; requests have deadlines of their own.
+    this.server.requestTimeout = headerTimeoutMs + idleTimeoutMs;
+    this.server.keepAliveTimeout = idleTimeoutMs;
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @param address - where
+   */
+  async listen({ host, port }: ListenAddress): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen({ host, port, backlog: 1024 }, resolve);
+    });
+  }
+
+  /**
+   * Takes requests until balancers have noticed the stop, then ends the running ones.
+   *
+   * @param deadline - monotonic time at which the process ends in any case. Unit: ms
+   */
+  async stop(deadline: number): Promise<void> {
+    this.stopping = true;
+    await this.wait(NOTICE_MS, deadline);
+    this.server.close();
+    this.server.closeIdleConnections();
+    while (this.running > 0 && performance.now() < deadline) await this.wait(20, deadline);
+    this.server.closeIdleConnections();
+  }
+
+  private async wait(ms: number, deadline: number): Promise<void> {
+    const waitMs = Math.max(0, Math.min(ms, deadline - performance.now()));
+    await new Promise((resolve) => {
+      setTimeout(resolve, waitMs);
+    });
+  }
+}
--- /dev/null
+++ b/packages/serving/src/http/readBody.ts
@@ -0,0 +1,32 @@
+/** Reads the body of a caller's request whole. */
+import type { IncomingMessage } from 'node:http';
+import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
+import { err, ok, type Result } from 'neverthrow';
+
+/**
+ * Reads a body.
+ *
+ * @param message - the request
+ * @param limitBytes - largest body. Unit: bytes
+ * @returns the body, nothing when the caller went away before its end, or a refusal
+ */
+export const readBody = async (
+  message: IncomingMessage,
+  limitBytes: number,
+): Promise<Result<Buffer | undefined, Refusal>> => {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  try {
+    for await (const chunk of message as AsyncIterable<Buffer>) {
+      size += chunk.length;
+      if (size > limitBytes) {
+        return err(refuse('body-too-large', { detail: `The limit is ${limitBytes} bytes.` }));
+      }
+      chunks.push(chunk);
+    }
+  } catch {
+    // The connection broke; nobody waits for an answer.
+    return ok(undefined);
+  }
+  return ok(Buffer.concat(chunks, size));
+};
--- /dev/null
+++ b/packages/serving/src/online/CallerAnswer.ts
@@ -0,0 +1,66 @@
+/** The answer that a caller gets, which may come from several targets one after the other. */
+import type { ServerResponse } from 'node:http';
+import type { AnswerSink } from './AnswerSink.js';
+import { EventSequence } from './EventSplitter.js';
+
+/** Writes one answer to a caller. */
+export class CallerAnswer implements AnswerSink {
+  private readonly events = new EventSequence();
+
+  private splits = false;
+
+  constructor(
+    private readonly response: ServerResponse,
+    /** Whether only whole events are passed on, so that another target can continue the stream. */
+    private readonly byEvent: boolean,
+  ) {}
+
+  get started(): boolean {
+    return this.response.headersSent;
+  }
+
+  get lastEventId(): string | undefined {
+    return this.events.lastEventId;
+  }
+
+  get isTorn(): boolean {
+    return this.splits && this.events.isTorn;
+  }
+
+  /**
+   * Tells whether another target may go on with the answer.
+   *
+   * @returns whether nothing was passed on, or whole events only
+   */
+  get canContinue(): boolean {
+    return !this.started || this.splits;
+  }
+
+  /** Writes status and headers of the first target only. */
+  begin(status: number, headers: Record<string, string | string[]>): void {
+    this.splits = this.byEvent && status === 200;
+    this.events.beginAnswer();
+    if (!this.started) this.response.writeHead(status, headers);
+  }
+
+  write(chunk: Buffer): boolean {
+    if (!this.splits) return this.response.write(chunk);
+    const events = this.events.push(chunk);
+    if (events.length === 0) return true;
+    return this.response.write(Buffer.concat(events.map(({ bytes }) => bytes)));
+  }
+
+  onceDrained(resume: () => void): void {
+    this.response.once('drain', resume);
+  }
+
+  /** Ends the answer as complete. */
+  end(): void {
+    this.response.end();
+  }
+
+  /** Breaks the connection, so that the answer does not look complete. */
+  cut(): void {
+    this.response.destroy();
+  }
+}
--- /dev/null
+++ b/packages/serving/src/online/RequestLife.ts
@@ -0,0 +1,54 @@
+/** How long a request lives: until its deadline, or until its caller goes away. */
+import type { ServerResponse } from 'node:http';
+
+/** Why a request was given up. */
+export type GiveUpCause = 'deadline' | 'caller-gone';
+
+/** Life of one request. */
+export class RequestLife {
+  private readonly controller = new AbortController();
+
+  private readonly timer: NodeJS.Timeout;
+
+  /** Why the request was given up; absent while it lives. */
+  cause: GiveUpCause | undefined;
+
+  constructor(
+    response: ServerResponse,
+    /** Monotonic time. Unit: ms. */
+    readonly deadline: number,
+  ) {
+    this.timer = setTimeout(() => this.giveUp('deadline'), deadline - performance.now());
+    response.once('close', () => {
+      if (!response.writableFinished) this.giveUp('caller-gone');
+    });
+  }
+
+  /**
+   * Gives the signal that is aborted when the request is given up.
+   *
+   * @returns the signal
+   */
+  get signal(): AbortSignal {
+    return this.controller.signal;
+  }
+
+  /**
+   * Tells how much time is left.
+   *
+   * @returns time to the deadline. Unit: ms
+   */
+  get leftMs(): number {
+    return this.deadline - performance.now();
+  }
+
+  /** Ends the watch. */
+  end(): void {
+    clearTimeout(this.timer);
+  }
+
+  private giveUp(cause: GiveUpCause): void {
+    this.cause ??= cause;
+    this.controller.abort();
+  }
+}
--- /dev/null
+++ b/packages/serving/src/online/admitCaller.ts
@@ -0,0 +1,56 @@
+/** Checks a caller's request against the configuration. */
+import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
+import { err, ok, type Result } from 'neverthrow';
+import type { ConfigurationView } from '../configuration/ConfigurationView.js';
+import type { Account, Route } from '../configuration/ServingConfiguration.js';
+import type { CallerHead } from '../http/Dialect.js';
+
+/** A request that the configuration allows. */
+export interface AdmittedCaller {
+  readonly route: Route;
+  /** Absent on open routes. */
+  readonly account: Account | undefined;
+}
+
+/** Refuses what is unknown: a version that may be outdated proves nothing about it. */
+const refuseUnknown = (view: ConfigurationView, code: 'route-unknown' | 'key-unknown'): Refusal =>
+  view.isCurrent ? refuse(code) : refuse('configuration-unconfirmed');
+
+/**
+ * Finds the account of a key.
+ *
+ * @param view - the configuration
+ * @param key - key of the caller
+ * @returns the account, or a refusal
+ */
+export const identifyAccount = (
+  view: ConfigurationView,
+  key: string | undefined,
+): Result<Account, Refusal> => {
+  const { directory } = view;
+  if (!directory || !view.trustsKeys) return err(refuse('configuration-unconfirmed'));
+  const account = key === undefined ? undefined : directory.findAccount(key);
+  return account ? ok(account) : err(refuseUnknown(view, 'key-unknown'));
+};
+
+/**
+ * Finds route and account of a request.
+ *
+ * @param view - the configuration
+ * @param head - what the request says of itself
+ * @returns route and account, or a refusal
+ */
+export const admitCaller = (
+  view: ConfigurationView,
+  head: CallerHead,
+): Result<AdmittedCaller, Refusal> => {
+  const { directory } = view;
+  if (!directory) return err(refuse('configuration-unconfirmed'));
+  const route = directory.findRoute(head.host, head.path);
+  if (!route) return err(refuseUnknown(view, 'route-unknown'));
+  // Deployments without accounts have no keys to check.
+  if (route.open || directory.configuration.accounts.length === 0) {
+    return ok({ route, account: undefined });
+  }
+  return identifyAccount(view, head.key).map((account) => ({ route, account }));
+};
--- /dev/null
+++ b/packages/serving/src/rates/AccountRates.ts
@@ -0,0 +1,138 @@
+/** Rates and bursts of all accounts over the whole fleet. */
+import type { LoadReport } from '@jacinthlug/protocol/loadReport';
+import type { Account, ServingConfiguration } from '../configuration/ServingConfiguration.js';
+import { FleetBucket, type RateLimit } from './FleetBucket.js';
+
+/**
+ * How much of the tolerated excess is used, so that a caller within its rate is not refused for
+ * different clocks. The window tolerates a tenth and 20 requests; late reports need the rest.
+ */
+const TOLERANCE = { rate: 1.04, burst: 1.04, requests: 6 } as const;
+
+/** Seconds of the window over which the excess is judged. */
+const WINDOW_SECONDS = 5;
+
+/**
+ * Part of the window's limit with which a bucket starts when earlier use is unknown: the excess that
+ * the window tolerates, so that a fleet that loses all its buckets at once stays within it.
+ */
+const UNKNOWN_START = 0.08;
+
+/** What is known of another host's use. */
+interface PeerUse {
+  readonly incarnation: number;
+  readonly used: ReadonlyMap<string, number>;
+}
+
+/** What the rates need to know of the fleet. */
+export interface RateFleet {
+  /**
+   * Tells which part of the rate this host and the hosts that it hears may use together.
+   *
+   * @returns heard members with this one, divided by all members
+   */
+  readonly share: () => number;
+  /** Start of this process. Unit: ms since 1970. */
+  readonly incarnation: number;
+  /** Whether the whole system starts for the first time, so that nothing can have been used. */
+  readonly firstStart: boolean;
+}
+
+const limitOf = ({ rate, burst }: Account): RateLimit => ({
+  rate: rate * TOLERANCE.rate,
+  burst: burst * TOLERANCE.burst + TOLERANCE.requests,
+});
+
+/** Counts requests against the rates of accounts. */
+export class AccountRates {
+  private readonly buckets = new Map<string, FleetBucket>();
+
+  private readonly peers = new Map<string, PeerUse>();
+
+  constructor(private readonly fleet: RateFleet) {}
+
+  /**
+   * Takes the limits of a new configuration.
+   *
+   * @param configuration - the version in force
+   * @param now - monotonic time. Unit: ms
+   */
+  configure(configuration: ServingConfiguration, now = performance.now()): void {
+    const limited = configuration.accounts.filter(({ rate }) => rate > 0);
+    const names = new Set(limited.map(({ name }) => name));
+    [...this.buckets.keys()]
+      .filter((name) => !names.has(name))
+      .forEach((name) => this.buckets.delete(name));
+    limited.forEach((account) => {
+      const limit = limitOf(account);
+      const bucket = this.buckets.get(account.name);
+      if (bucket) bucket.change(limit);
+      else this.buckets.set(account.name, new FleetBucket(limit, this.startLevel(account), now));
+    });
+  }
+
+  /**
+   * Counts a request.
+   *
+   * @param account - account of the caller
+   * @param now - monotonic time. Unit: ms
+   * @returns 0 when admitted, else the time until there is room. Unit: ms
+   */
+  take(account: Account, now = performance.now()): number {
+    const bucket = this.buckets.get(account.name);
+    return bucket ? bucket.take(this.fleet.share(), now) : 0;
+  }
+
+  /**
+   * Gives back the count of a request that provably has not run.
+   *
+   * @param account - account of the caller
+   */
+  putBack(account: Account): void {
+    this.buckets.get(account.name)?.putBack();
+  }
+
+  /**
+   * Debits what another host reports.
+   *
+   * @param report - its newest report
+   */
+  hear({ host, incarnation, rates }: LoadReport): void {
+    const before = this.peers.get(host);
+    const used = new Map(rates.map(([account, count]) => [account, count]));
+    this.peers.set(host, { incarnation, used });
+    const known = before?.incarnation === incarnation;
+    // What an older process admitted before this one started is not held against the new bucket.
+    if (!known && incarnation < this.fleet.incarnation) return;
+    used.forEach((count, account) => {
+      const counted = known ? (before.used.get(account) ?? 0) : 0;
+      if (count !== counted) this.buckets.get(account)?.debit(count - counted);
+    });
+  }
+
+  /**
+   * Lists this host's use for a report.
+   *
+   * @returns account and count of each account in use
+   */
+  ownUse(): [string, number][] {
+    return [...this.buckets.entries()]
+      .filter(([, { used }]) => used > 0)
+      .map(([account, { used }]) => [account, used]);
+  }
+
+  /**
+   * Tells whether other hosts must learn of the use of an account at once.
+   *
+   * @param account - account of the caller
+   * @returns whether its bucket runs low
+   */
+  isLow(account: Account): boolean {
+    return this.buckets.get(account.name)?.isLow ?? false;
+  }
+
+  private startLevel({ rate, burst }: Account): number {
+    if (this.fleet.firstStart) return Number.POSITIVE_INFINITY;
+    return UNKNOWN_START * (rate * WINDOW_SECONDS + burst);
+  }
+}
--- /dev/null
+++ b/packages/serving/src/rates/FleetBucket.ts
@@ -0,0 +1,88 @@
+/** Token bucket of one account that counts what all hosts admit. */
+
+/** Limit of an account. */
+export interface RateLimit {
+  /** Requests per second. */
+  readonly rate: number;
+  readonly burst: number;
+}
+
+/** Time to earn a token, for the case in which none is there. Unit: ms. */
+export type WaitMs = number;
+
+/** Bucket of an account on one host. */
+export class FleetBucket {
+  private level: number;
+
+  /** Monotonic time up to which tokens are earned. Unit: ms. */
+  private earnedUntil: number;
+
+  /** Requests that this host admitted. */
+  used = 0;
+
+  constructor(
+    private limit: RateLimit,
+    level: number,
+    now: number,
+  ) {
+    this.level = Math.min(level, limit.burst);
+    this.earnedUntil = now;
+  }
+
+  /**
+   * Takes a new limit; a smaller burst holds at once.
+   *
+   * @param limit - limit of the account
+   */
+  change(limit: RateLimit): void {
+    this.limit = limit;
+    this.level = Math.min(this.level, limit.burst);
+  }
+
+  /**
+   * Admits one request, or tells when there will be room.
+   *
+   * @param share - part of the rate that this host's group may use, between 0 and 1
+   * @param now - monotonic time. Unit: ms
+   * @returns 0 when admitted, else the time until a token is earned. Unit: ms
+   */
+  take(share: number, now: number): WaitMs {
+    this.earn(share, now);
+    if (this.level >= 1) {
+      this.level -= 1;
+      this.used += 1;
+      return 0;
+    }
+    return ((1 - this.level) / Math.max(this.limit.rate * share, 0.001)) * 1000;
+  }
+
+  /** Gives back the token of a request that provably has not run. */
+  putBack(): void {
+    this.level += 1;
+    this.used -= 1;
+  }
+
+  /**
+   * Debits what another host admitted; the bucket may go below zero.
+   *
+   * @param requests - requests since its last report
+   */
+  debit(requests: number): void {
+    this.level -= requests;
+  }
+
+  /**
+   * Tells whether the bucket is so low that other hosts must learn of each request at once.
+   *
+   * @returns whether less than half of the burst is left
+   */
+  get isLow(): boolean {
+    return this.level < this.limit.burst / 2;
+  }
+
+  private earn(share: number, now: number): void {
+    const earned = ((now - this.earnedUntil) / 1000) * this.limit.rate * share;
+    this.earnedUntil = now;
+    this.level = Math.min(this.limit.burst * Math.max(share, 0), this.level + earned);
+  }
+}
--- /dev/null
+++ b/packages/serving/src/routing/TargetRouter.ts
@@ -0,0 +1,91 @@
+/** What this host knows of the targets of a service, put together for choices. */
+import type { HostIdentity } from '../fleet/HostIdentity.js';
+import type { Target } from '../fleet/Target.js';
+import type { TargetList } from '../fleet/TargetList.js';
+import {
+  chooseBatchTarget,
+  chooseTarget,
+  shareOfExcess,
+  type Candidate,
+  type Chosen,
+} from './chooseTarget.js';
+import type { LoadBook } from './LoadBook.js';
+import type { TargetHealth } from './TargetHealth.js';
+
+/** What the router needs. */
+export interface TargetRouterNeeds {
+  readonly identity: HostIdentity;
+  readonly targets: TargetList;
+  readonly loads: LoadBook;
+  readonly health: TargetHealth;
+}
+
+/** Chooses targets. */
+export class TargetRouter {
+  constructor(private readonly needs: TargetRouterNeeds) {}
+
+  /**
+   * Chooses the target of an online request.
+   *
+   * @param service - name of the service
+   * @param excluded - identities of targets that failed the request before
+   * @returns the target, or why there is none
+   */
+  choose(service: string, excluded: ReadonlySet<string>): Chosen {
+    const { failureDomain } = this.needs.identity;
+    const candidates = this.candidatesOf(service);
+    return chooseTarget({ candidates, failureDomain, excluded, random: Math.random });
+  }
+
+  /**
+   * Chooses the target of a batch item.
+   *
+   * @param service - name of the service
+   * @param reserve - slots of each target that are kept free for online requests
+   * @returns the target, or nothing when no slot is to spare
+   */
+  chooseForBatch(service: string, reserve: number): Target | undefined {
+    const { failureDomain } = this.needs.identity;
+    const candidates = this.candidatesOf(service);
+    return chooseBatchTarget({ candidates, failureDomain, reserve, random: Math.random });
+  }
+
+  /**
+   * Tells how many of this host's batch items must leave a target.
+   *
+   * @param target - the target
+   * @returns number of items
+   */
+  excessOn(target: Target): number {
+    const { loads, identity } = this.needs;
+    return shareOfExcess({
+      slots: target.slots,
+      load: loads.totalLoad(target.id),
+      holders: loads.batchHolders(target.id, identity.name),
+      ownName: identity.name,
+    });
+  }
+
+  /**
+   * Tells whether another usable target of the service exists.
+   *
+   * @param service - name of the service
+   * @param excluded - identities that do not count
+   * @returns whether a request could go elsewhere
+   */
+  hasAlternative(service: string, excluded: ReadonlySet<string>): boolean {
+    return this.candidatesOf(service).some(
+      ({ target, usable }) => usable && !excluded.has(target.id),
+    );
+  }
+
+  private candidatesOf(service: string): Candidate[] {
+    const { targets, loads, health } = this.needs;
+    return targets.readyOf(service).map((target) => ({
+      target,
+      load: loads.totalLoad(target.id),
+      usable: health.isUsable(target.id),
+      silentFor: loads.silentFor(target.id),
+    }));
+  }
+}
--- /dev/null
+++ b/packages/serving/src/store/TableFollower.ts
@@ -0,0 +1,137 @@
+/** Follows the changes of a table by held reads, one loop for each table. */
+import type { Journal } from '@jacinthlug/catalog/Journal';
+import { systemClock, type Clock } from '@jacinthlug/control/time/Clock';
+import { ageOf, readMoment, type Moment } from '../time/Moment.js';
+import type { RecordChange, RecordStore, StoreFailure, StoredRecord } from './RecordStore.js';
+
+/** First pause after a failed call, doubled with each further one. Unit: ms. */
+const FIRST_PAUSE_MS = 50;
+
+/** Longest pause after a failed call: short against the bounds on configuration. Unit: ms. */
+const LONGEST_PAUSE_MS = 400;
+
+/** What a follower tells about its table. */
+export interface TableListener {
+  /**
+   * Takes the whole table, at the start and after lost history.
+   *
+   * @param records - every record
+   * @param revision - revision of the store from which changes follow
+   */
+  replace(records: readonly StoredRecord[], revision: number): void;
+
+  /**
+   * Takes changes in their order.
+   *
+   * @param changes - at least one change
+   */
+  apply(changes: readonly RecordChange[]): void;
+}
+
+/** What a follower needs. */
+export interface TableFollowerNeeds {
+  readonly store: RecordStore;
+  readonly journal: Journal;
+  readonly clock?: Clock;
+}
+
+/** Keeps a listener up to date with one table. */
+export class TableFollower {
+  /** Revision up to which the listener knows every change. */
+  revision = 0;
+
+  /** When the last answered read was sent: what the listener knows was in force then. */
+  private provenAt: Moment | undefined;
+
+  /** When the store last came back after failed calls. */
+  private returnedAt: Moment | undefined;
+
+  private failures = 0;
+
+  private running = true;
+
+  constructor(
+    private readonly table: string,
+    /** How long one read may be held. Unit: ms. */
+    private readonly holdMs: number,
+    private readonly listener: TableListener,
+    private readonly needs: TableFollowerNeeds,
+  ) {}
+
+  /**
+   * Tells how old the proof is that the listener's state is current.
+   *
+   * @returns age. Unit: ms
+   */
+  get age(): number {
+    return ageOf(this.provenAt);
+  }
+
+  /**
+   * Tells how long ago the store came back after failed calls.
+   *
+   * @returns age; infinite when it never failed. Unit: ms
+   */
+  get sinceReturn(): number {
+    return this.failures > 0 ? 0 : ageOf(this.returnedAt);
+  }
+
+  /** Ends the loop with the call that is in flight. */
+  stop(): void {
+    this.running = false;
+  }
+
+  /** Follows the table until it is stopped. */
+  async run(): Promise<void> {
+    const clock = this.needs.clock ?? systemClock;
+    while (this.running) {
+      const sentAt = readMoment();
+      const failure = this.provenAt ? await this.followOnce() : await this.readOnce();
+      if (!failure) {
+        this.succeed(sentAt);
+      } else if (failure.kind === 'history-lost') {
+        this.provenAt = undefined;
+        this.needs.journal.record('history-lost', { table: this.table, revision: this.revision });
+      } else {
+        this.fail(failure);
+        const pauseMs = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** (this.failures - 1));
+        await clock.sleep(pauseMs * (0.5 + Math.random()));
+      }
+    }
+  }
+
+  private async readOnce(): Promise<StoreFailure | undefined> {
+    const page = await this.needs.store.readTable(this.table);
+    if (page.isErr()) return page.error;
+    this.revision = page.value.revision;
+    this.listener.replace(page.value.records, page.value.revision);
+    return undefined;
+  }
+
+  private async followOnce(): Promise<StoreFailure | undefined> {
+    const page = await this.needs.store.follow(this.table, this.revision, this.holdMs);
+    if (page.isErr()) return page.error;
+    this.revision = Math.max(this.revision, page.value.revision);
+    if (page.value.changes.length > 0) this.listener.apply(page.value.changes);
+    return undefined;
+  }
+
+  private succeed(sentAt: Moment): void {
+    this.provenAt = sentAt;
+    if (this.failures === 0) return;
+    this.failures = 0;
+    this.returnedAt = readMoment();
+    this.needs.journal.record('store-regained', { table: this.table });
+  }
+
+  private fail(failure: StoreFailure): void {
+    this.failures += 1;
+    if (this.failures > 1) return;
+    this.needs.journal.record('store-lost', {
+      table: this.table,
+      kind: failure.kind,
+      ...('message' in failure && { cause: failure.message }),
+      provenMsAgo: Math.round(this.age),
+    });
+  }
+}
--- /dev/null
+++ b/packages/serving/src/wiring/createHost.ts
@@ -0,0 +1,244 @@
+/** Puts the parts of a serving host together. */
+import type { ObjectStore } from '@jacinthlug/backing/ObjectStore';
+import type { Journal } from '@jacinthlug/catalog/Journal';
+import type { Metrics } from '@jacinthlug/catalog/Metrics';
+import { BatchWorker } from '../batch/BatchWorker.js';
+import { JobBook } from '../batch/JobBook.js';
+import { JOBS_TABLE } from '../batch/jobKeys.js';
+import { JobStore } from '../batch/JobStore.js';
+import { ConfigurationView } from '../configuration/ConfigurationView.js';
+import type { ServingConfiguration } from '../configuration/ServingConfiguration.js';
+import type { HostIdentity } from '../fleet/HostIdentity.js';
+import { LoadExchange } from '../fleet/LoadExchange.js';
+import { Members, MEMBERS_TABLE } from '../fleet/Members.js';
+import type { Target } from '../fleet/Target.js';
+import { TargetList } from '../fleet/TargetList.js';
+import type { Dialect } from '../http/Dialect.js';
+import { TargetClient } from '../http/TargetClient.js';
+import { OnlinePath } from '../online/OnlinePath.js';
+import { AccountRates } from '../rates/AccountRates.js';
+import { LoadBook } from '../routing/LoadBook.js';
+import { TargetHealth } from '../routing/TargetHealth.js';
+import { TargetRouter } from '../routing/TargetRouter.js';
+import type { RecordChange, RecordStore, StoredRecord } from '../store/RecordStore.js';
+import { TableFollower, type TableListener } from '../store/TableFollower.js';
+
+/** Hold of reads of configuration and targets: short against the bounds on both. Unit: ms. */
+const URGENT_HOLD_MS = 1000;
+
+/** Hold of reads of members and jobs. Unit: ms. */
+const RELAXED_HOLD_MS = 2000;
+
+/** How often silent members and unused connections are looked for. Unit: ms. */
+const UPKEEP_MS = 1000;
+
+/** Age of the configuration's proof above which the host reports that it is not ready. Unit: ms. */
+const READY_WITHIN_MS = 3000;
+
+/** Where the deployment keeps what others write. */
+export interface ForeignTables {
+  readonly configurationTable: string;
+  /** Decodes the row of the configuration; nothing for other or unreadable rows. */
+  readonly decodeConfiguration: (record: StoredRecord) => ServingConfiguration | undefined;
+  readonly targetsTable: string;
+  /** Decodes the row of a target; nothing for unreadable rows. */
+  readonly decodeTarget: (record: StoredRecord) => Target | undefined;
+}
+
+/** What a host needs from its deployment. */
+export interface HostNeeds {
+  readonly identity: HostIdentity;
+  /** Whether the whole system starts for the first time. */
+  readonly firstStart: boolean;
+  /** How long batch jobs are kept after their acceptance. Unit: ms. */
+  readonly keepJobsMs: number;
+  readonly store: RecordStore;
+  readonly objects: ObjectStore;
+  readonly dialect: Dialect;
+  readonly tables: ForeignTables;
+  readonly journal: Journal;
+  readonly metrics: Metrics;
+}
+
+/** A serving host. */
+export interface Host {
+  readonly identity: HostIdentity;
+  readonly view: ConfigurationView;
+  readonly online: OnlinePath;
+  readonly jobs: JobStore;
+  readonly book: JobBook;
+  /** Tells how old the knowledge of jobs is. Unit: ms. */
+  readonly jobsAge: () => number;
+  /** Whether balancers should send callers here. */
+  readonly isReady: () => boolean;
+  start(): Promise<void>;
+  /** Hands batch jobs over; called while callers' requests still run. */
+  handOver(): Promise<void>;
+  /** Leaves the fleet; called when no request runs any more. */
+  stop(): Promise<void>;
+}
+
+/** Feeds decoded configuration rows into the view. */
+const listenToConfiguration = (view: ConfigurationView, tables: ForeignTables): TableListener => {
+  const take = (record: StoredRecord): void => {
+    const configuration = tables.decodeConfiguration(record);
+    if (configuration) view.take(configuration);
+  };
+  return {
+    replace: (records) => records.forEach(take),
+    apply: (changes) =>
+      changes.forEach((change) => {
+        if (change.kind === 'written') take(change.record);
+      }),
+  };
+};
+
+/** Feeds decoded targets into the list. */
+const listenToTargets = (
+  targets: TargetList,
+  tables: ForeignTables,
+  sinceReturn: () => number,
+): TableListener => {
+  const applyOne = (change: RecordChange): void => {
+    const target = change.kind === 'written' ? tables.decodeTarget(change.record) : undefined;
+    if (target) targets.put(target);
+    // An unreadable row names no target to use, like a removed one.
+    else
+      targets.remove(change.kind === 'written' ? change.record.key : change.key.key, sinceReturn());
+  };
+  return {
+    replace: (records) => {
+      const decoded = records.map(tables.decodeTarget).filter((target) => target !== undefined);
+      targets.replace(decoded, sinceReturn());
+    },
+    apply: (changes) => changes.forEach(applyOne),
+  };
+};
+
+/**
+ * Creates a host.
+ *
+ * @param needs - what the deployment provides
+ * @returns the host, not started
+ */
+export const createHost = (needs: HostNeeds): Host => {
+  const { identity, store, objects, dialect, tables, journal, metrics } = needs;
+  const view = new ConfigurationView(journal);
+  const targets = new TargetList(journal);
+  const loads = new LoadBook();
+  const health = new TargetHealth(journal);
+  const members = new Members({ identity, store, journal });
+  const client = new TargetClient();
+  const router = new TargetRouter({ identity, targets, loads, health });
+  const { incarnation } = identity;
+  const rates = new AccountRates({
+    share: () => members.share(),
+    incarnation,
+    firstStart: needs.firstStart,
+  });
+  const book = new JobBook(journal);
+  const jobs = new JobStore({ store, objects, book, journal });
+
+  const followerNeeds = { store, journal };
+  const configurationFollower = new TableFollower(
+    tables.configurationTable,
+    URGENT_HOLD_MS,
+    listenToConfiguration(view, tables),
+    followerNeeds,
+  );
+  view.follower = configurationFollower;
+  const targetsFollower: TableFollower = new TableFollower(
+    tables.targetsTable,
+    URGENT_HOLD_MS,
+    listenToTargets(targets, tables, () => targetsFollower.sinceReturn),
+    followerNeeds,
+  );
+  const membersFollower = new TableFollower(MEMBERS_TABLE, RELAXED_HOLD_MS, members, followerNeeds);
+  const jobsFollower = new TableFollower(JOBS_TABLE, RELAXED_HOLD_MS, book, followerNeeds);
+  const followers = [configurationFollower, targetsFollower, membersFollower, jobsFollower];
+
+  const worker = new BatchWorker({
+    identity,
+    view,
+    members,
+    targets,
+    router,
+    loads,
+    health,
+    client,
+    dialect,
+    book,
+    jobs,
+    journal,
+    metrics,
+    keepMs: needs.keepJobsMs,
+    storeAge: () => configurationFollower.age,
+  });
+  const exchange = new LoadExchange({
+    identity,
+    members,
+    journal,
+    describe: () => ({
+      storeAgeMs: Math.min(Math.round(configurationFollower.age), Number.MAX_SAFE_INTEGER),
+      loads: loads.ownLoads(),
+      rates: rates.ownUse(),
+      silent: health.paused(),
+    }),
+    onReport: (report) => {
+      loads.hear(report);
+      rates.hear(report);
+      worker.wake();
+    },
+  });
+  const online = new OnlinePath({
+    view,
+    router,
+    loads,
+    health,
+    rates,
+    client,
+    dialect,
+    journal,
+    metrics,
+    onLowRate: () => exchange.reportNow(),
+  });
+  view.onChange(({ configuration }) => rates.configure(configuration));
+  loads.onOwnChange(() => {
+    exchange.report();
+    worker.wake();
+  });
+
+  let upkeepTimer: NodeJS.Timeout | undefined;
+  let stopping = false;
+  const upkeep = async (): Promise<void> => {
+    members.retryRegistration();
+    (await members.dropSilent()).forEach((name) => loads.forget(name));
+    client.sweep((id) => targets.find(id) !== undefined);
+  };
+
+  return {
+    identity,
+    view,
+    online,
+    jobs,
+    book,
+    jobsAge: () => jobsFollower.age,
+    isReady: () => !stopping && view.directory !== undefined && view.age < READY_WITHIN_MS,
+    async start() {
+      await exchange.start();
+      followers.forEach((follower) => void follower.run());
+      upkeepTimer = setInterval(() => void upkeep(), UPKEEP_MS);
+      worker.start();
+    },
+    async handOver() {
+      stopping = true;
+      await worker.stop();
+    },
+    async stop() {
+      clearInterval(upkeepTimer);
+      followers.forEach((follower) => follower.stop());
+      await members.leave();
+      exchange.stop();
+    },
+  };
+};
