Test routing, rates, streams and batch jobs of the serving core

Rates are checked against the window of the promise with late and lost reports, separated groups and restarts of all hosts; jobs against lost and late answers of the store. No behaviour changes besides HeldJob.settled, which the tests wait for.

--- a/packages/serving/src/batch/BatchWorker.ts
+++ b/packages/serving/src/batch/BatchWorker.ts
@@ -171,11 +171,7 @@
   ): boolean {
     const { members, identity } = this.needs;
     if (holder && members.isAtWork(holder[0], holder[1])) return false;
-    return this.firstOf(id, atWork) === identity.name;
-  }
-
-  private firstOf(id: string, atWork: readonly string[]): string | undefined {
-    return rendezvousOrder(id, atWork)[0];
+    return rendezvousOrder(id, atWork)[0] === identity.name;
   }
 
   private async takeOver({ record }: KnownJob): Promise<void> {
@@ -200,7 +196,8 @@
     const { jobs, identity, keepMs } = this.needs;
     const { record } = job;
     if (isOpen(record) || Date.now() - record.submittedAt < keepMs) return;
-    if (this.firstOf(record.id, atWork) !== identity.name || this.loading.has(record.id)) return;
+    if (this.loading.has(record.id) || rendezvousOrder(record.id, atWork)[0] !== identity.name)
+      return;
     this.loading.add(record.id);
     void jobs.remove(job).finally(() => this.loading.delete(record.id));
   }
--- a/packages/serving/src/batch/HeldJob.ts
+++ b/packages/serving/src/batch/HeldJob.ts
@@ -30,7 +30,8 @@
 
   private readonly finished: NewResult[] = [];
 
-  private writing = false;
+  /** The write in progress. */
+  private writing: Promise<void> | undefined;
 
   constructor(
     private job: KnownJob,
@@ -97,15 +98,22 @@
       state,
       text: state === 'completed' ? task.answer.text : '',
     });
-    void this.write();
+    this.writing ??= this.writeAll();
+  }
+
+  /**
+   * Waits for the write in progress.
+   *
+   * @returns when every finished item is listed, or the job is no longer held
+   */
+  async settled(): Promise<void> {
+    await this.writing;
   }
 
   /** Lists finished items, several in one transaction, until none is left. */
-  private async write(): Promise<void> {
-    if (this.writing) return;
-    this.writing = true;
+  private async writeAll(): Promise<void> {
     while (this.finished.length > 0 && this.isHeld) await this.writeOnce();
-    this.writing = false;
+    this.writing = undefined;
   }
 
   private async writeOnce(): Promise<void> {
--- a/packages/serving/src/batch/ItemAnswer.ts
+++ b/packages/serving/src/batch/ItemAnswer.ts
@@ -1,12 +1,17 @@
 /** The output of a batch item, put together from the answers of one or more runs. */
 import type { AnswerSink } from '../online/AnswerSink.js';
-import { EventSequence } from '../online/EventSplitter.js';
+import { EventSequence } from '../online/EventSequence.js';
+
+const callNow = (resume: () => void): void => resume();
 
 /** Collects the output of an item. */
 export class ItemAnswer implements AnswerSink {
   /** A run of an item may answer with any status; only streams count as output. */
   readonly started = false;
 
+  /** Never called, as every write can be taken. */
+  readonly onceDrained: AnswerSink['onceDrained'] = callNow;
+
   private readonly events = new EventSequence();
 
   private readonly data: string[] = [];
@@ -51,8 +56,4 @@
     });
     return true;
   }
-
-  onceDrained(resume: () => void): void {
-    resume();
-  }
 }
--- a/packages/serving/src/http/CallerServer.ts
+++ b/packages/serving/src/http/CallerServer.ts
@@ -1,10 +1,14 @@
 /** HTTP server for callers, with a stop that cuts no request. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { systemClock } from '@jacinthlug/control/time/Clock';
 import type { CallerLimits } from '../configuration/ServingConfiguration.js';
 
 /** How long a stopping host goes on taking connections: balancers need some seconds to notice. Unit: ms. */
 const NOTICE_MS = 3000;
 
+/** How often a stopping host looks whether requests still run. Unit: ms. */
+const DRAIN_CHECK_MS = 20;
+
 /** Limits until the configuration is known. */
 const FIRST_LIMITS: CallerLimits = {
   headerBytes: 16_384,
@@ -22,6 +26,8 @@
   readonly port: number;
 }
 
+const sleepUntil = (time: number): Promise<void> => systemClock.sleep(time - performance.now());
+
 /** Takes the requests of callers. */
 export class CallerServer {
   private readonly server: Server;
@@ -73,17 +79,11 @@
    */
   async stop(deadline: number): Promise<void> {
     this.stopping = true;
-    await this.wait(NOTICE_MS, deadline);
+    await sleepUntil(Math.min(performance.now() + NOTICE_MS, deadline));
     this.server.close();
     this.server.closeIdleConnections();
-    while (this.running > 0 && performance.now() < deadline) await this.wait(20, deadline);
+    while (this.running > 0 && performance.now() < deadline)
+      await systemClock.sleep(DRAIN_CHECK_MS);
     this.server.closeIdleConnections();
   }
-
-  private async wait(ms: number, deadline: number): Promise<void> {
-    const waitMs = Math.max(0, Math.min(ms, deadline - performance.now()));
-    await new Promise((resolve) => {
-      setTimeout(resolve, waitMs);
-    });
-  }
 }
--- a/packages/serving/src/http/TargetClient.ts
+++ b/packages/serving/src/http/TargetClient.ts
@@ -38,7 +38,7 @@
   resume(): void;
 }
 
-class Aborted extends Error {}
+const createAbort = (): Error => new Error('request was given up');
 
 /** Sends requests to targets. */
 export class TargetClient {
@@ -62,7 +62,7 @@
     };
     this.poolOf(target).dispatch(
       {
-        method: request.method as Dispatcher.HttpMethod,
+        method: request.method,
         path: request.path,
         headers: request.headers,
         body: request.body,
@@ -72,7 +72,7 @@
       {
         onRequestStart(given) {
           controller = given;
-          if (ended) given.abort(new Aborted('request was given up'));
+          if (ended) given.abort(createAbort());
           else listener.sent();
         },
         onResponseStart(_, status, headers) {
@@ -93,8 +93,8 @@
     );
     return {
       abort: () => {
-        fail(new Aborted('request was given up'));
-        controller?.abort(new Aborted('request was given up'));
+        fail(createAbort());
+        controller?.abort(createAbort());
       },
       pause: () => controller?.pause(),
       resume: () => controller?.resume(),
--- a/packages/serving/src/online/CallerAnswer.ts
+++ b/packages/serving/src/online/CallerAnswer.ts
@@ -1,7 +1,7 @@
 /** The answer that a caller gets, which may come from several targets one after the other. */
 import type { ServerResponse } from 'node:http';
 import type { AnswerSink } from './AnswerSink.js';
-import { EventSequence } from './EventSplitter.js';
+import { EventSequence } from './EventSequence.js';
 
 /** Writes one answer to a caller. */
 export class CallerAnswer implements AnswerSink {
--- a/packages/serving/src/online/OnlinePath.ts
+++ b/packages/serving/src/online/OnlinePath.ts
@@ -16,6 +16,7 @@
 import type { TargetRouter } from '../routing/TargetRouter.js';
 import { admitCaller } from './admitCaller.js';
 import { CallerAnswer } from './CallerAnswer.js';
+import { Progress } from './Progress.js';
 import { RequestLife } from './RequestLife.js';
 import { sendOnce, type AttemptEnd } from './sendOnce.js';
 
@@ -70,14 +71,6 @@
   readonly arrivedAt: number;
 }
 
-/** What has become of a request so far. */
-interface Progress {
-  readonly excluded: Set<string>;
-  /** Targets that may have run it. */
-  mayHaveRun: number;
-  sends: number;
-}
-
 /** How a request ended. */
 type Ending =
   | { readonly kind: 'complete'; readonly status: number; readonly target: Target }
@@ -102,6 +95,34 @@
 const spreadReturn = (): number =>
   OVERLOAD_RETURN.least + Math.random() * (OVERLOAD_RETURN.most - OVERLOAD_RETURN.least);
 
+const refuseFailed = ({ mayHaveRun }: Progress): Refusal =>
+  mayHaveRun > 0
+    ? refuse('target-failed')
+    : refuse('no-target', { retryAfterSeconds: NO_TARGET_RETURN_SECONDS });
+
+const endGivenUp = ({ life, answer }: OnlineRequest, { mayHaveRun }: Progress): Ending => {
+  if (life.cause === 'caller-gone') return { kind: 'caller-gone' };
+  if (answer.started) return { kind: 'cut', cause: 'deadline' };
+  const refusal = mayHaveRun > 0 ? refuse('deadline-passed') : refuse('deadline-passed-in-queue');
+  return { kind: 'refused', refusal };
+};
+
+/** Refusals by why there is no target. */
+const refusalsWithoutTarget = {
+  full: () => refuse('overloaded', { retryAfterSeconds: spreadReturn() }),
+  none: () => refuse('no-target', { retryAfterSeconds: NO_TARGET_RETURN_SECONDS }),
+};
+
+const endWithoutTarget = (
+  kind: keyof typeof refusalsWithoutTarget,
+  { answer }: OnlineRequest,
+  progress: Progress,
+): Ending => {
+  if (answer.started) return { kind: 'cut', cause: 'no other target' };
+  const refusal = progress.mayHaveRun > 0 ? refuseFailed(progress) : refusalsWithoutTarget[kind]();
+  return { kind: 'refused', refusal };
+};
+
 /** Serves online requests. */
 export class OnlinePath {
   /** Requests in progress. */
@@ -170,7 +191,7 @@
   private async run(request: OnlineRequest): Promise<Ending> {
     const overRate = this.countRate(request);
     if (overRate) return { kind: 'refused', refusal: overRate };
-    const progress: Progress = { excluded: new Set(), mayHaveRun: 0, sends: 0 };
+    const progress = new Progress();
     const ending = await this.tryTargets(request, progress);
     if (progress.mayHaveRun === 0 && request.account) this.needs.rates.putBack(request.account);
     return ending;
@@ -179,25 +200,25 @@
   private async tryTargets(request: OnlineRequest, progress: Progress): Promise<Ending> {
     const { life, answer, repeatable, route } = request;
     for (;;) {
-      if (life.cause) return this.endGivenUp(request, progress);
+      if (life.cause) return endGivenUp(request, progress);
       const chosen = this.needs.router.choose(request.service, progress.excluded);
-      if (chosen.kind !== 'target') return this.endWithoutTarget(chosen.kind, request, progress);
+      if (chosen.kind !== 'target') return endWithoutTarget(chosen.kind, request, progress);
       const { target } = chosen;
-      progress.sends += 1;
+      progress.countSend();
       const end = await this.attempt(request, target, progress);
       if (end.kind === 'complete') {
-        progress.mayHaveRun += 1;
+        progress.countRun();
         return { kind: 'complete', status: end.status, target };
       }
       this.digest(request, target, end, progress);
-      if (end.kind === 'given-up') return this.endGivenUp(request, progress);
+      if (end.kind === 'given-up') return endGivenUp(request, progress);
       const mayGoOn =
         end.kind === 'not-run'
           ? progress.sends < FRUITLESS_SENDS
           : repeatable && answer.canContinue && progress.mayHaveRun < route.attempts;
       if (!mayGoOn) {
         if (answer.started) return { kind: 'cut', cause: end.kind };
-        return { kind: 'refused', refusal: this.refuseFailed(progress) };
+        return { kind: 'refused', refusal: refuseFailed(progress) };
       }
       this.needs.metrics.count('requests.retried', { reason: end.kind });
     }
@@ -254,7 +275,7 @@
   ): void {
     const { health, journal } = this.needs;
     progress.excluded.add(target.id);
-    if (end.kind !== 'not-run') progress.mayHaveRun += 1;
+    if (end.kind !== 'not-run') progress.countRun();
     if (end.kind === 'broken' || (end.kind === 'not-run' && end.unreachable)) {
       health.fail(target.id, end.cause);
     }
@@ -277,35 +298,6 @@
     return refuse('rate-exceeded', { retryAfterSeconds: Math.max(0.1, waitMs / 1000) });
   }
 
-  private endWithoutTarget(
-    kind: 'full' | 'none',
-    { answer }: OnlineRequest,
-    progress: Progress,
-  ): Ending {
-    if (answer.started) return { kind: 'cut', cause: 'no other target' };
-    if (progress.mayHaveRun > 0) {
-      return { kind: 'refused', refusal: this.refuseFailed(progress) };
-    }
-    const refusals = {
-      full: () => refuse('overloaded', { retryAfterSeconds: spreadReturn() }),
-      none: () => refuse('no-target', { retryAfterSeconds: NO_TARGET_RETURN_SECONDS }),
-    };
-    return { kind: 'refused', refusal: refusals[kind]() };
-  }
-
-  private endGivenUp({ life, answer }: OnlineRequest, progress: Progress): Ending {
-    if (life.cause === 'caller-gone') return { kind: 'caller-gone' };
-    if (answer.started) return { kind: 'cut', cause: 'deadline' };
-    const refusal =
-      progress.mayHaveRun > 0 ? refuse('deadline-passed') : refuse('deadline-passed-in-queue');
-    return { kind: 'refused', refusal };
-  }
-
-  private refuseFailed(progress: Progress): Refusal {
-    if (progress.mayHaveRun > 0) return refuse('target-failed');
-    return refuse('no-target', { retryAfterSeconds: NO_TARGET_RETURN_SECONDS });
-  }
-
   private conclude(request: OnlineRequest, response: ServerResponse, ending: Ending): void {
     const { head, route, answer, arrivedAt } = request;
     const { journal, metrics, view } = this.needs;
--- a/packages/serving/src/routing/chooseTarget.ts
+++ b/packages/serving/src/routing/chooseTarget.ts
@@ -131,18 +131,10 @@
  * @returns number of batch items that this host cancels
  */
 export const shareOfExcess = ({ slots, load, holders, ownName }: Excess): number => {
-  let excess = Math.min(load.batch, Math.max(0, load.online + load.batch - slots));
-  const taken = new Map<string, number>();
-  // One item each in turn, so that no single job is stopped whole.
-  while (excess > 0) {
-    const before = excess;
-    holders.forEach(({ host, batch }) => {
-      const own = taken.get(host) ?? 0;
-      if (excess === 0 || own >= batch) return;
-      taken.set(host, own + 1);
-      excess -= 1;
-    });
-    if (excess === before) break;
-  }
-  return taken.get(ownName) ?? 0;
+  const excess = Math.min(load.batch, Math.max(0, load.online + load.batch - slots));
+  // One item of each holder in turn, so that no single host stops all its items.
+  const turns = holders
+    .flatMap(({ host, batch }) => Array.from({ length: batch }, (_, turn) => ({ host, turn })))
+    .sort((a, b) => a.turn - b.turn);
+  return turns.slice(0, excess).filter(({ host }) => host === ownName).length;
 };
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -226,8 +226,12 @@
     isReady: () => !stopping && view.directory !== undefined && view.age < READY_WITHIN_MS,
     async start() {
       await exchange.start();
-      followers.forEach((follower) => void follower.run());
-      upkeepTimer = setInterval(() => void upkeep(), UPKEEP_MS);
+      followers.forEach((follower) => {
+        void follower.run();
+      });
+      upkeepTimer = setInterval(() => {
+        void upkeep();
+      }, UPKEEP_MS);
       worker.start();
     },
     async handOver() {
--- /dev/null
+++ b/packages/serving/test/fakes/MemoryRecordStore.ts
@@ -0,0 +1,109 @@
+/** A row store in memory, with the faults that the platform's store may have. */
+import type {
+  ChangePage,
+  RecordChange,
+  RecordKey,
+  RecordPage,
+  RecordRange,
+  RecordStore,
+  StoreFailure,
+  StoredRecord,
+  Transaction,
+} from '@jacinthlug/serving/store/RecordStore';
+import { errAsync, okAsync, type ResultAsync } from 'neverthrow';
+
+const nameOf = ({ table, partition, key }: RecordKey): string => `${table}|${partition}|${key}`;
+
+/** What happens to the next commits. */
+export type CommitFault =
+  /** Applied, but the answer is lost. */
+  | 'lost-answer'
+  /** Not answered, and applied when `applyLate` is called. */
+  | 'late';
+
+export class MemoryRecordStore implements RecordStore {
+  readonly rows = new Map<string, StoredRecord>();
+
+  readonly changes: RecordChange[] = [];
+
+  revision = 0;
+
+  down = false;
+
+  /** Faults of the next commits, one each. */
+  readonly faults: CommitFault[] = [];
+
+  commits = 0;
+
+  private readonly pending: Transaction[] = [];
+
+  read({ table, partition, from = '', to }: RecordRange): ResultAsync<RecordPage, StoreFailure> {
+    if (this.down) return errAsync({ kind: 'unavailable', message: 'down' });
+    const records = [...this.rows.values()]
+      .filter((row) => row.table === table && row.partition === partition)
+      .filter(({ key }) => key >= from && (to === undefined || key < to))
+      .sort((a, b) => (a.key < b.key ? -1 : 1));
+    return okAsync({ records, revision: this.revision });
+  }
+
+  readTable(table: string): ResultAsync<RecordPage, StoreFailure> {
+    if (this.down) return errAsync({ kind: 'unavailable', message: 'down' });
+    const records = [...this.rows.values()].filter((row) => row.table === table);
+    return okAsync({ records, revision: this.revision });
+  }
+
+  follow(table: string, after: number): ResultAsync<ChangePage, StoreFailure> {
+    if (this.down) return errAsync({ kind: 'unavailable', message: 'down' });
+    const changes = this.changes.filter((change) =>
+      change.kind === 'written'
+        ? change.record.table === table && change.record.revision > after
+        : change.key.table === table && change.revision > after,
+    );
+    return okAsync({ changes, revision: this.revision });
+  }
+
+  commit(transaction: Transaction): ResultAsync<number, StoreFailure> {
+    this.commits += 1;
+    if (this.down) return errAsync({ kind: 'unavailable', message: 'down' });
+    const fault = this.faults.shift();
+    if (fault === 'late') {
+      this.pending.push(transaction);
+      return errAsync({ kind: 'unknown', message: 'no answer' });
+    }
+    const outcome = this.applyNow(transaction);
+    if (fault === 'lost-answer') return errAsync({ kind: 'unknown', message: 'no answer' });
+    return typeof outcome === 'number' ? okAsync(outcome) : errAsync(outcome);
+  }
+
+  /** Applies unanswered commits whose conditions still hold. */
+  applyLate(): void {
+    this.pending.splice(0).forEach((transaction) => this.applyNow(transaction));
+  }
+
+  /** Counts the rows of a table. */
+  count(table: string): number {
+    return [...this.rows.values()].filter((row) => row.table === table).length;
+  }
+
+  private applyNow({ conditions, writes, removals = [] }: Transaction): number | StoreFailure {
+    const fails = conditions.some(
+      (each) => (this.rows.get(nameOf(each))?.revision ?? 0) !== each.revision,
+    );
+    if (fails) {
+      const records = conditions.flatMap((each) => this.rows.get(nameOf(each)) ?? []);
+      return { kind: 'conflict', records };
+    }
+    this.revision += 1;
+    const { revision } = this;
+    writes.forEach((write) => {
+      const record = { ...write, revision };
+      this.rows.set(nameOf(write), record);
+      this.changes.push({ kind: 'written', record });
+    });
+    removals.forEach((key) => {
+      this.rows.delete(nameOf(key));
+      this.changes.push({ kind: 'removed', key, revision });
+    });
+    return revision;
+  }
+}
--- /dev/null
+++ b/packages/serving/test/features/events.feature
@@ -0,0 +1,22 @@
+Feature: Events of a stream
+  Guards against answers with missing, repeated or torn events when another target goes on with a stream.
+
+  Scenario: Events are passed on whole, however their bytes arrive
+    When a target sends the bytes of events 1 to 3 in pieces of 7 bytes
+    Then events 1, 2, 3 are passed on and the answer is whole
+
+  Scenario: A target that stops inside an event leaves a torn answer, and the next one goes on after it
+    When a target sends events 1 to 2 and half of event 3
+    Then events 1, 2 are passed on and the answer is torn
+    When another target sends the bytes of events 3 to 4 in pieces of 50 bytes
+    Then events 1, 2, 3, 4 are passed on and the answer is whole
+
+  Scenario: A target that goes on after the wrong event is not believed
+    When a target sends events 1 to 2 and half of event 3
+    And another target sends the bytes of events 4 to 5 in pieces of 50 bytes
+    Then events 1, 2 are passed on and the answer is torn
+
+  Scenario: A target that starts anew is not believed
+    When a target sends events 1 to 2 and half of event 3
+    And another target sends the bytes of events 1 to 4 in pieces of 50 bytes
+    Then events 1, 2 are passed on and the answer is torn
--- /dev/null
+++ b/packages/serving/test/features/rates.feature
@@ -0,0 +1,35 @@
+Feature: Rates over all hosts by load reports
+  Guards against an account that gets more than its rate and burst with the tolerated excess in any window,
+  on hosts that hear each other or not, and against refusals of an account that stays within its limits.
+
+  Scenario Outline: A caller far over its rate stays within the tolerated excess
+    Given 8 hosts and an account with rate <rate> and burst <burst>, seed <seed>
+    And reports reach other hosts after <delay> ms and <loss> % of them are lost
+    When the account sends <times> times its rate for 20 s
+    Then no window of 5 s has more than the limit with an excess of 0.1 and 20 requests
+
+    Examples:
+      | rate | burst | seed | delay | loss | times |
+      | 32   | 32    | 1    | 10    | 0    | 8     |
+      | 32   | 32    | 2    | 40    | 5    | 8     |
+      | 20   | 40    | 3    | 40    | 5    | 4     |
+      | 100  | 100   | 4    | 20    | 2    | 8     |
+
+  Scenario: Hosts in two groups that do not hear each other share the rate
+    Given 8 hosts and an account with rate 32 and burst 32, seed 5
+    And reports reach other hosts after 10 ms and 0 % of them are lost
+    And 3 hosts are cut off from the others
+    When the account sends 8 times its rate for 20 s
+    Then no window of 5 s has more than the limit with an excess of 0.1 and 20 requests
+
+  Scenario: A fleet that is killed at once and started again does not give the burst twice
+    Given 8 hosts and an account with rate 32 and burst 32, seed 6
+    And reports reach other hosts after 10 ms and 0 % of them are lost
+    When the account sends 8 times its rate for 20 s and all hosts are restarted after 4, 6 and 12 s
+    Then no window of 5 s has more than the limit with an excess of 0.1 and 20 requests
+
+  Scenario: A caller within its rate is not refused
+    Given 8 hosts and an account with rate 32 and burst 32, seed 7
+    And reports reach other hosts after 20 ms and 2 % of them are lost
+    When the account sends 0.9 times its rate for 20 s
+    Then none of its requests is refused
--- /dev/null
+++ b/packages/serving/test/features/routing.feature
@@ -0,0 +1,53 @@
+Feature: Choice of a target
+  Guards against queues at one target while slots are free elsewhere, and against batch items that keep
+  online requests waiting.
+
+  Scenario Outline: Free slots come before preemption, preemption before a queue, the own domain before others
+    Given targets
+      | id  | domain | slots | online | batch |
+      | t-1 | a      | 8     | <load1> | <batch1> |
+      | t-2 | b      | 8     | <load2> | <batch2> |
+    When a host of domain "a" chooses for an online request
+    Then it chooses "<chosen>"
+
+    Examples:
+      | load1 | batch1 | load2 | batch2 | chosen |
+      | 7     | 0      | 0     | 0      | t-1    |
+      | 8     | 0      | 7     | 0      | t-2    |
+      | 4     | 4      | 7     | 0      | t-2    |
+      | 4     | 4      | 8     | 0      | t-1    |
+      | 9     | 0      | 8     | 0      | t-1    |
+      | 10    | 0      | 9     | 0      | t-2    |
+      | 10    | 0      | 10    | 0      | full   |
+
+  Scenario: Targets in a pause, and those that two other hosts find silent, are passed over
+    Given targets
+      | id  | domain | slots | online | batch | usable | silent |
+      | t-1 | a      | 8     | 0      | 0     | no     | 0      |
+      | t-2 | a      | 8     | 0      | 0     | yes    | 2      |
+      | t-3 | b      | 8     | 6      | 0     | yes    | 1      |
+    When a host of domain "a" chooses for an online request
+    Then it chooses "t-3"
+
+  Scenario: When every target looks sick, requests still go out
+    Given targets
+      | id  | domain | slots | online | batch | usable | silent |
+      | t-1 | a      | 8     | 0      | 0     | no     | 0      |
+    When a host of domain "a" chooses for an online request
+    Then it chooses "t-1"
+
+  Scenario: A batch item takes no reserved slot
+    Given targets
+      | id  | domain | slots | online | batch |
+      | t-1 | a      | 8     | 5      | 2     |
+      | t-2 | b      | 8     | 3      | 4     |
+    When a host of domain "a" chooses for a batch item with 1 reserved slot
+    Then it chooses "none"
+
+  Scenario: Hosts share out the items that must leave, without cancelling more than needed
+    Given a target of 8 slots with 6 online requests and batch items of
+      | host   | batch |
+      | host-1 | 3     |
+      | host-2 | 1     |
+      | host-3 | 1     |
+    Then 3 items leave in all, 1 of them from each host
--- /dev/null
+++ b/packages/serving/test/steps/events.steps.ts
@@ -0,0 +1,48 @@
+import assert from 'node:assert/strict';
+import { Before, Then, When } from '@cucumber/cucumber';
+import { EventSequence } from '@jacinthlug/serving/online/EventSequence';
+
+interface EventsWorld {
+  sequence: EventSequence;
+  passed: string[];
+}
+
+const eventBytes = (id: number): string => `id: ${id}\ndata: piece ${id}\n\n`;
+
+const eventsFrom = (first: number, last: number): string =>
+  Array.from({ length: last - first + 1 }, (_, index) => eventBytes(first + index)).join('');
+
+const send = (world: EventsWorld, bytes: string, size: number): void => {
+  world.sequence.beginAnswer();
+  for (let start = 0; start < bytes.length; start += size) {
+    const events = world.sequence.push(Buffer.from(bytes.slice(start, start + size)));
+    world.passed.push(...events.map(({ data }) => data!.replace('piece ', '')));
+  }
+};
+
+Before(function (this: EventsWorld) {
+  this.sequence = new EventSequence();
+  this.passed = [];
+});
+
+When(
+  /^(?:a|another) target sends the bytes of events (\d+) to (\d+) in pieces of (\d+) bytes$/,
+  function (this: EventsWorld, first: string, last: string, size: string) {
+    send(this, eventsFrom(Number(first), Number(last)), Number(size));
+  },
+);
+
+When(
+  'a target sends events {int} to {int} and half of event {int}',
+  function (this: EventsWorld, first: number, last: number, torn: number) {
+    send(this, eventsFrom(first, last) + eventBytes(torn).slice(0, 9), 1000);
+  },
+);
+
+Then(
+  /^events ([\d, ]+) are passed on and the answer is (whole|torn)$/,
+  function (this: EventsWorld, ids: string, state: string) {
+    assert.deepEqual(this.passed, ids.split(', '));
+    assert.equal(this.sequence.isTorn, state === 'torn');
+  },
+);
--- /dev/null
+++ b/packages/serving/test/steps/jobs.steps.ts
@@ -0,0 +1,218 @@
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import { MemoryObjects } from '@jacinthlug/batch/testing/MemoryObjects';
+import { silentJournal } from '@jacinthlug/catalog/Journal';
+import type { Refusal } from '@jacinthlug/catalog/resultCodes';
+import { HeldJob } from '@jacinthlug/serving/batch/HeldJob';
+import { ItemTask } from '@jacinthlug/serving/batch/ItemTask';
+import { JobBook } from '@jacinthlug/serving/batch/JobBook';
+import { JOBS_TABLE } from '@jacinthlug/serving/batch/jobKeys';
+import { JobStore } from '@jacinthlug/serving/batch/JobStore';
+import type { Route } from '@jacinthlug/serving/configuration/ServingConfiguration';
+import type { Result } from 'neverthrow';
+import { MemoryRecordStore } from '../fakes/MemoryRecordStore.js';
+
+const TOKENS = 100;
+
+interface JobHost {
+  readonly book: JobBook;
+  readonly jobs: JobStore;
+}
+
+interface JobsWorld {
+  store: MemoryRecordStore;
+  hosts: Map<string, JobHost>;
+  limit: number;
+  answers: Result<void, Refusal>[];
+  job: string;
+}
+
+const ACCOUNT = 'fitters';
+
+const itemOf = (index: number) => ({
+  id: `item-${index}`,
+  path: '/x/',
+  headers: {},
+  body: '',
+  tokens: TOKENS,
+});
+
+/** Time as the store's calls see it: it jumps ahead with each wait. */
+const jumpingClock = () => {
+  let time = 0;
+  return {
+    now: () => time,
+    async sleep(ms: number) {
+      time += ms;
+    },
+  };
+};
+
+const submit = async (world: JobsWorld, id: string, items: number, host: string): Promise<void> => {
+  Object.assign(world, { job: id });
+  const answer = await world.hosts.get(host)!.jobs.accept(
+    {
+      id,
+      account: ACCOUNT,
+      route: 'r',
+      host: 'x.example',
+      items: Array.from({ length: items }, (_, index) => itemOf(index)),
+      waitingTokens: world.limit,
+    },
+    [host, 1],
+  );
+  world.answers.push(answer);
+};
+
+/** Lets a host take what the store has. */
+const synchronise = (world: JobsWorld, host: string): void => {
+  const { book } = world.hosts.get(host)!;
+  world.store.changes.forEach((change) => {
+    if (change.kind === 'written' && change.record.table === JOBS_TABLE) book.take(change.record);
+  });
+};
+
+const listResult = async (world: JobsWorld, host: string, index: number, text: string) => {
+  const { book, jobs } = world.hosts.get(host)!;
+  const known = book.find(ACCOUNT, world.job)!;
+  const input = known.record.items.map((_, each) => itemOf(each));
+  const route = { attempts: 3, completionTargetMs: 1000 } as Route;
+  const held = new HeldJob(known, route, input, {
+    jobs,
+    journal: silentJournal,
+    holder: [host, 1],
+  });
+  const task = held.tasks.get(index) ?? new ItemTask(index, itemOf(index), 3);
+  task.answer.begin(200);
+  task.answer.write(Buffer.from(`id: 1\ndata: ${text}\n\n`));
+  held.finish(task, 'completed');
+  await held.settled();
+};
+
+Given(
+  'hosts {string} and {string} with a store',
+  function (this: JobsWorld, first: string, second: string) {
+    this.store = new MemoryRecordStore();
+    this.limit = 0;
+    this.answers = [];
+    const objects = new MemoryObjects();
+    this.hosts = new Map(
+      [first, second].map((name) => {
+        const book = new JobBook(silentJournal);
+        const { store } = this;
+        const needs = { store, objects, book, journal: silentJournal, clock: jumpingClock() };
+        return [name, { book, jobs: new JobStore(needs) }];
+      }),
+    );
+  },
+);
+
+Given('accounts may have {int} tokens waiting', function (this: JobsWorld, limit: number) {
+  this.limit = limit;
+});
+
+When('the store loses the answer to the next commit', function (this: JobsWorld) {
+  this.store.faults.push('lost-answer');
+});
+
+Given(
+  'the store answers none of the next {int} commits and applies them late',
+  function (this: JobsWorld, count: number) {
+    for (let index = 0; index < count; index += 1) this.store.faults.push('late');
+  },
+);
+
+Given('the store is down', function (this: JobsWorld) {
+  this.store.down = true;
+});
+
+When(
+  'job {string} with {int} items arrives at {string}',
+  async function (this: JobsWorld, id: string, items: number, host: string) {
+    synchronise(this, host);
+    await submit(this, id, items, host);
+  },
+);
+
+When(
+  'job {string} with {int} items arrives at {string}, which has not heard of it',
+  async function (this: JobsWorld, id: string, items: number, host: string) {
+    await submit(this, id, items, host);
+  },
+);
+
+When('{string} takes the job over', async function (this: JobsWorld, host: string) {
+  synchronise(this, host);
+  await this.hosts
+    .get(host)!
+    .jobs.change(ACCOUNT, this.job, (record) => ({ ...record, holder: [host, 1] }));
+});
+
+When('the caller ends the job at {string}', async function (this: JobsWorld, host: string) {
+  const ended = await this.hosts.get(host)!.jobs.end(ACCOUNT, this.job);
+  assert.ok(ended.isOk() && ended.value);
+});
+
+When(
+  '{string} lists the result of item {int}',
+  async function (this: JobsWorld, host: string, index: number) {
+    await listResult(this, host, index, `output ${index}`);
+  },
+);
+
+When(
+  '{string} lists an output of {int} bytes for item {int}',
+  async function (this: JobsWorld, host: string, bytes: number, index: number) {
+    await listResult(this, host, index, 'x'.repeat(bytes));
+  },
+);
+
+Then(/^(?:both are|the caller is) told that it is accepted$/, function (this: JobsWorld) {
+  assert.ok(this.answers.every((answer) => answer.isOk()));
+});
+
+Then('the caller is refused with {string}', function (this: JobsWorld, code: string) {
+  const answer = this.answers.at(-1)!;
+  assert.equal(answer.isErr() && answer.error.code, code);
+});
+
+Then(
+  'the store holds {int} job, held by {string}',
+  function (this: JobsWorld, count: number, host: string) {
+    synchronise(this, host);
+    assert.equal(this.store.count(JOBS_TABLE), count);
+    const known = this.hosts.get(host)!.book.find(ACCOUNT, this.job)!;
+    assert.deepEqual(known.record.holder, [host, 1]);
+  },
+);
+
+Then('the store holds {int} jobs', function (this: JobsWorld, count: number) {
+  assert.equal(this.store.count(JOBS_TABLE), count);
+});
+
+const readAll = async (world: JobsWorld, host: string) => {
+  synchronise(world, host);
+  const { book, jobs } = world.hosts.get(host)!;
+  const results = await jobs.readResults(book.find(ACCOUNT, world.job)!.record, 0);
+  assert.ok(results.isOk());
+  return results.value;
+};
+
+Then(
+  /^"([^"]+)" reads the results of items ([\d, ]+)$/,
+  async function (this: JobsWorld, host: string, indexes: string) {
+    const results = await readAll(this, host);
+    assert.deepEqual(
+      results.map(({ item, text }) => [item, text]),
+      indexes.split(', ').map((index) => [`item-${index}`, `output ${index}`]),
+    );
+  },
+);
+
+Then(
+  '{string} reads an output of {int} bytes',
+  async function (this: JobsWorld, host: string, bytes: number) {
+    const [result] = await readAll(this, host);
+    assert.equal(result?.text.length, bytes);
+  },
+);
--- /dev/null
+++ b/packages/serving/test/steps/rates.steps.ts
@@ -0,0 +1,149 @@
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import type { LoadReport } from '@jacinthlug/protocol/loadReport';
+import type {
+  Account,
+  ServingConfiguration,
+} from '@jacinthlug/serving/configuration/ServingConfiguration';
+import { AccountRates } from '@jacinthlug/serving/rates/AccountRates';
+import { createRandom } from '../fakes/createRandom.js';
+
+/** Step of the simulation. Unit: ms. */
+const STEP_MS = 5;
+
+/** Time between reports: 250 ms when idle, 30 ms while an account's bucket runs low. Unit: ms. */
+const REPORT_MS = { idle: 250, low: 30 };
+
+interface SimulatedHost {
+  rates: AccountRates;
+  incarnation: number;
+  sequence: number;
+  lastReport: number;
+  group: number;
+}
+
+interface RatesWorld {
+  account: Account;
+  hosts: SimulatedHost[];
+  random: () => number;
+  delay: number;
+  loss: number;
+  admitted: number[];
+  refused: number[];
+}
+
+const configurationOf = (account: Account): ServingConfiguration => ({
+  version: 1,
+  routes: [],
+  services: [],
+  accounts: [account],
+  limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+});
+
+const startHost = (world: RatesWorld, group: number, now: number, firstStart: boolean) => {
+  const host = { incarnation: now + 1, sequence: 0, lastReport: now, group } as SimulatedHost;
+  const share = (): number =>
+    world.hosts.filter((each) => each.group === host.group).length / world.hosts.length;
+  host.rates = new AccountRates({ share, incarnation: host.incarnation, firstStart });
+  host.rates.configure(configurationOf(world.account), now);
+  return host;
+};
+
+Given(
+  '{int} hosts and an account with rate {int} and burst {int}, seed {int}',
+  function (this: RatesWorld, count: number, rate: number, burst: number, seed: number) {
+    this.account = { name: 'a', keys: [], rate, burst, priority: 0 };
+    this.random = createRandom(seed);
+    this.admitted = [];
+    this.refused = [];
+    this.hosts = [];
+    for (let index = 0; index < count; index += 1) this.hosts.push(startHost(this, 0, 0, true));
+  },
+);
+
+Given(
+  'reports reach other hosts after {int} ms and {int} % of them are lost',
+  function (this: RatesWorld, delay: number, percent: number) {
+    this.delay = delay;
+    this.loss = percent / 100;
+  },
+);
+
+Given('{int} hosts are cut off from the others', function (this: RatesWorld, count: number) {
+  this.hosts.slice(0, count).forEach((host) => Object.assign(host, { group: 1 }));
+});
+
+/** Sends requests to hosts of uneven weight and delivers the hosts' reports. */
+const simulate = (world: RatesWorld, times: number, seconds: number, restarts: number[]): void => {
+  const { account, random } = world;
+  const inFlight: { at: number; to: number; report: LoadReport }[] = [];
+  for (let now = 0; now < seconds * 1000; now += STEP_MS) {
+    if (restarts.includes(now / 1000)) {
+      const restarted = world.hosts.map(({ group }) => startHost(world, group, now, false));
+      world.hosts.splice(0, world.hosts.length, ...restarted);
+    }
+    inFlight
+      .filter(({ at }) => at <= now && at > now - STEP_MS)
+      .forEach(({ to, report }) => world.hosts[to]?.rates.hear(report));
+    const expected = (account.rate * times * STEP_MS) / 1000;
+    const requests = Math.floor(expected) + (random() < expected % 1 ? 1 : 0);
+    for (let index = 0; index < requests; index += 1) {
+      const host = world.hosts[Math.floor(random() ** 2 * world.hosts.length)]!;
+      if (host.rates.take(account, now) === 0) world.admitted.push(now);
+      else world.refused.push(now);
+    }
+    world.hosts.forEach((host, from) => {
+      const interval = host.rates.isLow(account) ? REPORT_MS.low : REPORT_MS.idle;
+      if (now - host.lastReport < interval) return;
+      Object.assign(host, { lastReport: now, sequence: host.sequence + 1 });
+      const report: LoadReport = {
+        host: `host-${from}`,
+        incarnation: host.incarnation,
+        sequence: host.sequence,
+        storeAgeMs: 0,
+        loads: [],
+        rates: host.rates.ownUse(),
+        silent: [],
+      };
+      world.hosts.forEach((other, to) => {
+        if (to === from || other.group !== host.group || random() < world.loss) return;
+        const at = now + Math.max(STEP_MS, Math.ceil(world.delay / STEP_MS) * STEP_MS);
+        inFlight.push({ at, to, report });
+      });
+    });
+  }
+};
+
+When(
+  'the account sends {float} times its rate for {int} s',
+  function (this: RatesWorld, times: number, seconds: number) {
+    simulate(this, times, seconds, []);
+  },
+);
+
+When(
+  'the account sends {int} times its rate for {int} s and all hosts are restarted after {int}, {int} and {int} s',
+  function (this: RatesWorld, times: number, seconds: number, a: number, b: number, c: number) {
+    simulate(this, times, seconds, [a, b, c]);
+  },
+);
+
+Then(
+  'no window of {int} s has more than the limit with an excess of {float} and {int} requests',
+  function (this: RatesWorld, seconds: number, excess: number, slack: number) {
+    const { rate, burst } = this.account;
+    const limit = (rate * seconds + burst) * (1 + excess) + slack;
+    let first = 0;
+    let most = 0;
+    this.admitted.forEach((at, index) => {
+      while (this.admitted[first]! <= at - seconds * 1000) first += 1;
+      most = Math.max(most, index - first + 1);
+    });
+    assert.ok(most > 0, 'nothing was admitted');
+    assert.ok(most <= limit, `${most} requests in a window, the limit is ${limit}`);
+  },
+);
+
+Then('none of its requests is refused', function (this: RatesWorld) {
+  assert.equal(this.refused.length, 0);
+});
--- /dev/null
+++ b/packages/serving/test/steps/routing.steps.ts
@@ -0,0 +1,83 @@
+import assert from 'node:assert/strict';
+import { Given, Then, When, type DataTable } from '@cucumber/cucumber';
+import {
+  chooseBatchTarget,
+  chooseTarget,
+  shareOfExcess,
+  type Candidate,
+} from '@jacinthlug/serving/routing/chooseTarget';
+
+interface RoutingWorld {
+  candidates: Candidate[];
+  chosen: string;
+  excess: { slots: number; online: number; holders: { host: string; batch: number }[] };
+}
+
+const random = (): number => 0.5;
+
+Given('targets', function (this: RoutingWorld, table: DataTable) {
+  this.candidates = table.hashes().map((row) => ({
+    target: {
+      id: row.id!,
+      bornAt: 1,
+      service: 'chat',
+      address: '127.0.0.1:1',
+      failureDomain: row.domain!,
+      slots: Number(row.slots),
+      state: 'ready' as const,
+    },
+    load: { online: Number(row.online), batch: Number(row.batch) },
+    usable: row.usable !== 'no',
+    silentFor: Number(row.silent ?? 0),
+  }));
+});
+
+When(
+  'a host of domain {string} chooses for an online request',
+  function (this: RoutingWorld, failureDomain: string) {
+    const { candidates } = this;
+    const chosen = chooseTarget({ candidates, failureDomain, excluded: new Set(), random });
+    this.chosen = chosen.kind === 'target' ? chosen.target.id : chosen.kind;
+  },
+);
+
+When(
+  'a host of domain {string} chooses for a batch item with {int} reserved slot',
+  function (this: RoutingWorld, failureDomain: string, reserve: number) {
+    const { candidates } = this;
+    this.chosen = chooseBatchTarget({ candidates, failureDomain, reserve, random })?.id ?? 'none';
+  },
+);
+
+Then('it chooses {string}', function (this: RoutingWorld, id: string) {
+  assert.equal(this.chosen, id);
+});
+
+Given(
+  'a target of {int} slots with {int} online requests and batch items of',
+  function (this: RoutingWorld, slots: number, online: number, table: DataTable) {
+    const holders = table
+      .hashes()
+      .map(({ host, batch }) => ({ host: host!, batch: Number(batch) }));
+    this.excess = { slots, online, holders };
+  },
+);
+
+Then(
+  '{int} items leave in all, {int} of them from each host',
+  function (this: RoutingWorld, all: number, each: number) {
+    const { slots, online, holders } = this.excess;
+    const batch = holders.reduce((sum, holder) => sum + holder.batch, 0);
+    const shares = holders.map(({ host }) =>
+      shareOfExcess({ slots, load: { online, batch }, holders, ownName: host }),
+    );
+    assert.equal(
+      shares.reduce((sum, share) => sum + share, 0),
+      all,
+    );
+    assert.deepEqual(
+      shares,
+      holders.map(() => each),
+    );
+  },
+);
--- a/tools/run-tests.js
+++ b/tools/run-tests.js
@@ -10,8 +10,13 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 
+/** Folder of a package; the adapter stands at the root, all others under `packages/`. */
+const folderOf = (name) => (name === 'platform' ? name : `packages/${name}`);
+
 const packagesWithTests = () =>
-  readdirSync('packages').filter((name) => existsSync(join('packages', name, 'test', 'features')));
+  [...readdirSync('packages'), 'platform'].filter((name) =>
+    existsSync(join(folderOf(name), 'test', 'features')),
+  );
 
 /** Names of scenarios from lines such as `test: packages/x/test/features/y.feature: Scenario name`. */
 const readKnownRed = () => {
@@ -39,12 +44,12 @@
       [
         'node_modules/@cucumber/cucumber/bin/cucumber.js',
         '--import',
-        `packages/${name}/dist/test/**/*.steps.js`,
+        `${folderOf(name)}/dist/test/**/*.steps.js`,
         '--format',
         'progress',
         '--format',
         `message:${messageFile}`,
-        `packages/${name}/test/features/**/*.feature`,
+        `${folderOf(name)}/test/features/**/*.feature`,
       ],
       { stdio: ['ignore', 'pipe', 'pipe'] },
     );
