--- a/packages/serving/src/fleet/LoadExchange.ts
+++ b/packages/serving/src/fleet/LoadExchange.ts
@@ -49,7 +49,8 @@
   /** Opens the socket and starts reporting. */
   async start(): Promise<void> {
     const { address, port } = this.needs.identity;
-    await new Promise<void>((resolve) => {
+    await new Promise<void>((resolve, reject) => {
+      this.socket.once('error', reject);
       this.socket.bind(port, address, resolve);
     });
     this.plan(0);
--- a/packages/serving/src/http/TargetClient.ts
+++ b/packages/serving/src/http/TargetClient.ts
@@ -115,6 +115,14 @@
     });
   }
 
+  /** Closes all connections, also those of running requests. */
+  close(): void {
+    this.pools.forEach((pool) => {
+      void pool.destroy();
+    });
+    this.pools.clear();
+  }
+
   private poolOf({ id, address, bornAt }: Target): Pool {
     const key = `${id}@${address}/${bornAt}`;
     const pool =
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -243,6 +243,7 @@
       followers.forEach((follower) => follower.stop());
       await members.leave();
       exchange.stop();
+      client.close();
     },
   };
 };
