--- a/packages/protocol/src/loadReport.ts
+++ b/packages/protocol/src/loadReport.ts
@@ -37,6 +37,8 @@
   z.array(rateUse),
   /** Identities of targets that do not answer the sender. */
   z.array(z.string()),
+  /** Batch items of the sender that wait for a slot. */
+  z.int().nonnegative(),
 ]);
 
 /** A report by its field names. */
@@ -48,6 +50,7 @@
   readonly loads: readonly z.infer<typeof targetLoad>[];
   readonly rates: readonly z.infer<typeof rateUse>[];
   readonly silent: readonly string[];
+  readonly waitingItems: number;
 }
 
 /**
@@ -65,6 +68,7 @@
     report.loads,
     report.rates,
     report.silent,
+    report.waitingItems,
   ]);
 
 /**
@@ -83,6 +87,6 @@
   }
   const parsed = loadReport.safeParse(content);
   if (!parsed.success) return undefined;
-  const [host, incarnation, sequence, storeAgeMs, loads, rates, silent] = parsed.data;
-  return { host, incarnation, sequence, storeAgeMs, loads, rates, silent };
+  const [host, incarnation, sequence, storeAgeMs, loads, rates, silent, waitingItems] = parsed.data;
+  return { host, incarnation, sequence, storeAgeMs, loads, rates, silent, waitingItems };
 };
--- a/packages/serving/src/batch/BatchWorker.ts
+++ b/packages/serving/src/batch/BatchWorker.ts
@@ -10,6 +10,8 @@
 import type { Dialect } from '../http/Dialect.js';
 import type { TargetClient } from '../http/TargetClient.js';
 import { sendOnce, type AttemptEnd } from '../online/sendOnce.js';
+import { BatchTurns } from '../routing/BatchTurns.js';
+import type { Candidate } from '../routing/chooseTarget.js';
 import type { LoadBook } from '../routing/LoadBook.js';
 import type { TargetHealth } from '../routing/TargetHealth.js';
 import type { TargetRouter } from '../routing/TargetRouter.js';
@@ -69,6 +71,10 @@
 
   private readonly loading = new Set<string>();
 
+  private readonly turns: BatchTurns;
+
+  private turnTimer: NodeJS.Timeout | undefined;
+
   private stopping = false;
 
   private pumpPlanned = false;
@@ -76,6 +82,7 @@
   private surveyTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly needs: BatchWorkerNeeds) {
+    this.turns = new BatchTurns(needs.identity.name);
     needs.book.onChange((job) => this.takeJob(job));
     needs.targets.onChange(() => this.wake());
   }
@@ -85,10 +92,21 @@
     this.surveyTimer = setInterval(() => this.survey(), SURVEY_MS);
   }
 
+  /**
+   * Counts the items that wait for a slot, for reports to other hosts.
+   *
+   * @returns number of items
+   */
+  get waitingItems(): number {
+    const now = performance.now();
+    return this.allItems().filter(({ job, task }) => job.isHeld && task.isWaiting(now)).length;
+  }
+
   /** Cancels the runs and gives the jobs back, so that other hosts run them. */
   async stop(): Promise<void> {
     this.stopping = true;
     clearInterval(this.surveyTimer);
+    clearTimeout(this.turnTimer);
     const jobs = [...this.held.values()];
     jobs.forEach((job) => job.cancelRuns());
     await Promise.all(
@@ -218,6 +236,7 @@
       if (!target) return;
       const excess = router.excessOn(target);
       if (excess === 0) return;
+      this.turns.yield(id, performance.now());
       const runs = this.runsOn(id).sort(
         (a, b) => (b.task.run?.startedAt ?? 0) - (a.task.run?.startedAt ?? 0),
       );
@@ -246,14 +265,48 @@
       .filter(({ job, task }) => job.isHeld && task.isWaiting(now))
       .sort((a, b) => a.job.due - b.job.due || a.task.index - b.task.index);
     const full = new Set<string>();
+    const taken = new Map<string, number>();
+    const allowanceOf = this.createAllowances(now, taken);
     waiting.forEach(({ job, task }) => {
       const route = view.directory?.routeNamed(job.route.name);
       const service = route?.services[0]?.service;
       if (service === undefined || full.has(service)) return;
-      const target = router.chooseForBatch(service, RESERVED_SLOTS);
-      if (target) void this.runItem(job, task, target);
-      else full.add(service);
+      const target = router.chooseForBatch(service, allowanceOf);
+      if (!target) {
+        full.add(service);
+        return;
+      }
+      taken.set(target.id, (taken.get(target.id) ?? 0) + 1);
+      void this.runItem(job, task, target);
     });
+    taken.forEach((_, id) => this.turns.take(id, now));
+    this.planTurn(waiting.length > 0, now);
+  }
+
+  /** Gives the slots of targets that this host may take in this round, less those already taken. */
+  private createAllowances(
+    now: number,
+    taken: ReadonlyMap<string, number>,
+  ): (candidate: Candidate) => number {
+    const { identity, loads } = this.needs;
+    const waitingHosts = [identity.name, ...loads.hostsWithWaitingItems()];
+    const allowances = new Map<string, number>();
+    return ({ target, load }) => {
+      const free = target.slots - RESERVED_SLOTS - load.online - load.batch;
+      const allowance =
+        allowances.get(target.id) ??
+        this.turns.allowance({ target: target.id, free, waitingHosts }, now);
+      allowances.set(target.id, allowance);
+      return allowance - (taken.get(target.id) ?? 0);
+    };
+  }
+
+  /** Looks again when the next turn comes. */
+  private planTurn(hasWaiting: boolean, now: number): void {
+    const nextIn = this.turns.nextIn(now);
+    if (!hasWaiting || nextIn === undefined) return;
+    clearTimeout(this.turnTimer);
+    this.turnTimer = setTimeout(() => this.wake(), nextIn);
   }
 
   private async runItem(job: HeldJob, task: ItemTask, target: Target): Promise<void> {
--- a/packages/serving/src/fleet/LoadExchange.ts
+++ b/packages/serving/src/fleet/LoadExchange.ts
@@ -16,7 +16,10 @@
 const COLLECT_MS = 30;
 
 /** The part of a report that its parts of the host fill. */
-export type ReportContent = Pick<LoadReport, 'storeAgeMs' | 'loads' | 'rates' | 'silent'>;
+export type ReportContent = Pick<
+  LoadReport,
+  'storeAgeMs' | 'loads' | 'rates' | 'silent' | 'waitingItems'
+>;
 
 /** What the exchange needs. */
 export interface LoadExchangeNeeds {
--- /dev/null
+++ b/packages/serving/src/routing/BatchTurns.ts
@@ -0,0 +1,79 @@
+/** Shares out the free slots of targets among hosts that see them at the same time. */
+import { rendezvousOrder } from '@jacinthlug/control/peers/rendezvous';
+
+/**
+ * Time between two takes on one target: a take reaches the other hosts after 30 ms of collecting and
+ * some 10 ms on the way. Unit: ms.
+ */
+const ROUND_MS = 60;
+
+/** Time without takes on a target where items had to make room: online load lasts longer. Unit: ms. */
+const YIELD_MS = 300;
+
+/** The slots of one target that batch items may take. */
+export interface FreeSlots {
+  /** Identity of the target. */
+  readonly target: string;
+  /** Slots that neither run a request nor are reserved. */
+  readonly free: number;
+  /** Hosts with waiting items, this one included. */
+  readonly waitingHosts: readonly string[];
+}
+
+/** The turns of one host. */
+export class BatchTurns {
+  /** Monotonic time of the next take by target. Unit: ms. */
+  private readonly nextAt = new Map<string, number>();
+
+  constructor(private readonly ownName: string) {}
+
+  /**
+   * Tells how many free slots of a target this host may take now. Hosts with the same knowledge never
+   * take the same slot: slot by slot, the waiting hosts take turns in an order of the target's own.
+   *
+   * @param slots - free slots and waiting hosts
+   * @param now - monotonic time. Unit: ms
+   * @returns number of slots
+   */
+  allowance({ target, free, waitingHosts }: FreeSlots, now: number): number {
+    if (free <= 0 || now < (this.nextAt.get(target) ?? 0)) return 0;
+    const rank = rendezvousOrder(target, waitingHosts).indexOf(this.ownName);
+    if (rank < 0 || rank >= free) return 0;
+    return Math.floor((free - 1 - rank) / waitingHosts.length) + 1;
+  }
+
+  /**
+   * Counts a take; the next one waits until other hosts know of it.
+   *
+   * @param target - identity of the target
+   * @param now - monotonic time. Unit: ms
+   */
+  take(target: string, now: number): void {
+    this.delay(target, now + ROUND_MS);
+  }
+
+  /**
+   * Counts items that made room.
+   *
+   * @param target - identity of the target
+   * @param now - monotonic time. Unit: ms
+   */
+  yield(target: string, now: number): void {
+    this.delay(target, now + YIELD_MS);
+  }
+
+  /**
+   * Tells when the next delayed take is due.
+   *
+   * @param now - monotonic time. Unit: ms
+   * @returns time until then; nothing when no take is delayed. Unit: ms
+   */
+  nextIn(now: number): number | undefined {
+    const ahead = [...this.nextAt.values()].filter((at) => at > now);
+    return ahead.length > 0 ? Math.min(...ahead) - now : undefined;
+  }
+
+  private delay(target: string, until: number): void {
+    this.nextAt.set(target, Math.max(until, this.nextAt.get(target) ?? 0));
+  }
+}
--- a/packages/serving/src/routing/LoadBook.ts
+++ b/packages/serving/src/routing/LoadBook.ts
@@ -14,6 +14,7 @@
 interface HostLoads {
   readonly loads: ReadonlyMap<string, TargetLoad>;
   readonly silent: ReadonlySet<string>;
+  readonly waitingItems: number;
 }
 
 const NOTHING: TargetLoad = { online: 0, batch: 0 };
@@ -66,6 +67,7 @@
     this.others.set(report.host, {
       loads: new Map(report.loads.map(([id, online, batch]) => [id, { online, batch }])),
       silent: new Set(report.silent),
+      waitingItems: report.waitingItems,
     });
   }
 
@@ -133,6 +135,17 @@
       .sort((a, b) => b.batch - a.batch || (a.host < b.host ? -1 : 1));
   }
 
+  /**
+   * Lists the other hosts with batch items that wait for a slot.
+   *
+   * @returns names of hosts
+   */
+  hostsWithWaitingItems(): string[] {
+    return [...this.others.entries()]
+      .filter(([, { waitingItems }]) => waitingItems > 0)
+      .map(([host]) => host);
+  }
+
   /**
    * Lists this host's loads for a report.
    *
--- a/packages/serving/src/routing/TargetRouter.ts
+++ b/packages/serving/src/routing/TargetRouter.ts
@@ -41,13 +41,16 @@
    * Chooses the target of a batch item.
    *
    * @param service - name of the service
-   * @param reserve - slots of each target that are kept free for online requests
+   * @param allowanceOf - slots of a target that this host may take now
    * @returns the target, or nothing when no slot is to spare
    */
-  chooseForBatch(service: string, reserve: number): Target | undefined {
+  chooseForBatch(
+    service: string,
+    allowanceOf: (candidate: Candidate) => number,
+  ): Target | undefined {
     const { failureDomain } = this.needs.identity;
     const candidates = this.candidatesOf(service);
-    return chooseBatchTarget({ candidates, failureDomain, reserve, random: Math.random });
+    return chooseBatchTarget({ candidates, failureDomain, allowanceOf, random: Math.random });
   }
 
   /**
--- a/packages/serving/src/routing/chooseTarget.ts
+++ b/packages/serving/src/routing/chooseTarget.ts
@@ -84,13 +84,13 @@
 export interface BatchChoice {
   readonly candidates: readonly Candidate[];
   readonly failureDomain: string;
-  /** Slots of each target that are kept free for online requests. */
-  readonly reserve: number;
+  /** Slots of a target that this host may take now. */
+  readonly allowanceOf: (candidate: Candidate) => number;
   readonly random: () => number;
 }
 
 /**
- * Chooses the target of a batch item: one with a slot to spare, in the host's failure domain if possible.
+ * Chooses the target of a batch item: the emptiest one where this host may take a slot.
  *
  * @param choice - candidates and what is known of this host
  * @returns the target, or nothing when no slot is to spare
@@ -98,18 +98,18 @@
 export const chooseBatchTarget = ({
   candidates,
   failureDomain,
-  reserve,
+  allowanceOf,
   random,
 }: BatchChoice): Target | undefined => {
   const fitting = candidates
     .filter((candidate) => candidate.usable && !isSuspect(candidate))
+    .filter((candidate) => allowanceOf(candidate) > 0)
     .map(({ target, load }) => ({
       target,
-      free: target.slots - reserve - load.online - load.batch,
+      free: target.slots - load.online - load.batch,
       distance: target.failureDomain === failureDomain ? 0 : 1,
       draw: random(),
-    }))
-    .filter(({ free }) => free > 0);
+    }));
   fitting.sort((a, b) => b.free - a.free || a.distance - b.distance || a.draw - b.draw);
   return fitting[0]?.target;
 };
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -183,6 +183,7 @@
       loads: loads.ownLoads(),
       rates: rates.ownUse(),
       silent: health.paused(),
+      waitingItems: worker.waitingItems,
     }),
     onReport: (report) => {
       loads.hear(report);
--- a/packages/serving/test/features/routing.feature
+++ b/packages/serving/test/features/routing.feature
@@ -51,3 +51,25 @@
       | host-2 | 1     |
       | host-3 | 1     |
     Then 3 items leave in all, 1 of them from each host
+
+  Scenario Outline: Hosts that see the same free slots do not take one twice
+    Given <hosts> hosts with waiting items and a target with <free> free slots
+    When all hosts take what they may at the same time
+    Then <taken> slots are taken
+
+    Examples:
+      | hosts | free | taken |
+      | 8     | 1    | 1     |
+      | 8     | 6    | 6     |
+      | 3     | 7    | 7     |
+      | 1     | 7    | 7     |
+      | 8     | 0    | 0     |
+
+  Scenario: A host does not take again before the others know, nor right after it made room
+    Given 1 hosts with waiting items and a target with 4 free slots
+    When the host takes a slot at 0 ms
+    Then it may take 0 slots at 50 ms
+    And it may take 4 slots at 60 ms
+    When the host makes room at 100 ms
+    Then it may take 0 slots at 399 ms
+    And it may take 4 slots at 400 ms
--- a/packages/serving/test/steps/rates.steps.ts
+++ b/packages/serving/test/steps/rates.steps.ts
@@ -104,6 +104,7 @@
         loads: [],
         rates: host.rates.ownUse(),
         silent: [],
+        waitingItems: 0,
       };
       world.hosts.forEach((other, to) => {
         if (to === from || other.group !== host.group || random() < world.loss) return;
--- a/packages/serving/test/steps/routing.steps.ts
+++ b/packages/serving/test/steps/routing.steps.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When, type DataTable } from '@cucumber/cucumber';
+import { BatchTurns } from '@jacinthlug/serving/routing/BatchTurns';
 import {
   chooseBatchTarget,
   chooseTarget,
@@ -10,6 +11,9 @@
 interface RoutingWorld {
   candidates: Candidate[];
   chosen: string;
+  turns: BatchTurns[];
+  free: number;
+  taken: number;
   excess: { slots: number; online: number; holders: { host: string; batch: number }[] };
 }
 
@@ -45,7 +49,13 @@
   'a host of domain {string} chooses for a batch item with {int} reserved slot',
   function (this: RoutingWorld, failureDomain: string, reserve: number) {
     const { candidates } = this;
-    this.chosen = chooseBatchTarget({ candidates, failureDomain, reserve, random })?.id ?? 'none';
+    const turns = new BatchTurns('h-1');
+    const allowanceOf = ({ target, load }: Candidate): number => {
+      const free = target.slots - reserve - load.online - load.batch;
+      return turns.allowance({ target: target.id, free, waitingHosts: ['h-1'] }, 0);
+    };
+    const choice = { candidates, failureDomain, allowanceOf, random };
+    this.chosen = chooseBatchTarget(choice)?.id ?? 'none';
   },
 );
 
@@ -81,3 +91,39 @@
     );
   },
 );
+
+const namesOf = (world: RoutingWorld): string[] => world.turns.map((_, index) => `h-${index}`);
+
+const allowanceOf = (world: RoutingWorld, turns: BatchTurns, now: number): number =>
+  turns.allowance({ target: 't-1', free: world.free, waitingHosts: namesOf(world) }, now);
+
+Given(
+  '{int} hosts with waiting items and a target with {int} free slots',
+  function (this: RoutingWorld, hosts: number, free: number) {
+    this.turns = Array.from({ length: hosts }, (_, index) => new BatchTurns(`h-${index}`));
+    this.free = free;
+  },
+);
+
+When('all hosts take what they may at the same time', function (this: RoutingWorld) {
+  this.taken = this.turns.reduce((sum, turns) => sum + allowanceOf(this, turns, 0), 0);
+});
+
+Then('{int} slots are taken', function (this: RoutingWorld, taken: number) {
+  assert.equal(this.taken, taken);
+});
+
+When('the host takes a slot at {int} ms', function (this: RoutingWorld, now: number) {
+  this.turns[0]!.take('t-1', now);
+});
+
+When('the host makes room at {int} ms', function (this: RoutingWorld, now: number) {
+  this.turns[0]!.yield('t-1', now);
+});
+
+Then(
+  'it may take {int} slots at {int} ms',
+  function (this: RoutingWorld, slots: number, now: number) {
+    assert.equal(allowanceOf(this, this.turns[0]!, now), slots);
+  },
+);
