--- a/packages/serving/src/online/sendOnce.ts
+++ b/packages/serving/src/online/sendOnce.ts
@@ -8,7 +8,7 @@
 export type AttemptEnd =
   /** The caller has got the whole answer. */
   | { readonly kind: 'complete'; readonly status: number }
-  /** The request has provably not run. */
+  /** The request has provably not run; `unreachable` when the target itself has not answered. */
   | { readonly kind: 'not-run'; readonly cause: string; readonly unreachable: boolean }
   /** The target broke off, or its answer belongs to another request; the request may have run. */
   | { readonly kind: 'broken'; readonly cause: string }
@@ -37,13 +37,19 @@
    * @returns whether the attempt ends with it
    */
   readonly onSilence: () => boolean;
-  /** Called at the first sign of the target. */
+  /** Called when the target itself answers. */
   readonly onSign: () => void;
 }
 
-const notRunVerdicts: Readonly<Partial<Record<HeadVerdict, string>>> = {
-  'not-run': 'refused by the target',
-  'other-target': 'the address belongs to another target',
+type NotRun = Extract<AttemptEnd, { kind: 'not-run' }>;
+
+const notRunVerdicts: Readonly<Partial<Record<HeadVerdict, NotRun>>> = {
+  'not-run': { kind: 'not-run', cause: 'refused by the target', unreachable: false },
+  'other-target': {
+    kind: 'not-run',
+    cause: 'the address belongs to another target',
+    unreachable: true,
+  },
 };
 
 /** State of one attempt, from the send to its end. */
@@ -84,11 +90,11 @@
 
   private takeHead(status: number, headers: Parameters<Dialect['callerHeaders']>[0]): void {
     const { dialect, requestId, answer, onSign, nextSilenceMs } = this.terms;
-    onSign();
     const verdict = dialect.judgeHead(status, headers, requestId);
     const notRun = notRunVerdicts[verdict];
+    if (!notRun?.unreachable) onSign();
     if (notRun) {
-      this.finish({ kind: 'not-run', cause: notRun, unreachable: false }, false);
+      this.finish(notRun, false);
       return;
     }
     if (verdict === 'mismatched') {
