--- a/packages/serving/src/batch/BatchWorker.ts
+++ b/packages/serving/src/batch/BatchWorker.ts
@@ -17,6 +17,8 @@
 import type { TargetRouter } from '../routing/TargetRouter.js';
 import { HeldJob } from './HeldJob.js';
 import type { ItemTask } from './ItemTask.js';
+import { orderItems } from './orderItems.js';
+import { PaceMeter } from './PaceMeter.js';
 import type { JobBook, KnownJob } from './JobBook.js';
 import { isOpen } from './JobRecord.js';
 import type { JobStore } from './JobStore.js';
@@ -73,6 +75,8 @@
 
   private readonly turns: BatchTurns;
 
+  private readonly meter = new PaceMeter();
+
   private turnTimer: NodeJS.Timeout | undefined;
 
   private stopping = false;
@@ -263,11 +267,18 @@
     const now = performance.now();
     const waiting = this.allItems()
       .filter(({ job, task }) => job.isHeld && task.isWaiting(now))
-      .sort((a, b) => a.job.due - b.job.due || a.task.index - b.task.index);
+      .map(({ job, task }) => ({
+        job,
+        task,
+        due: job.due,
+        index: task.index,
+        tokens: task.item.tokens,
+        events: task.answer.size,
+      }));
     const full = new Set<string>();
     const taken = new Map<string, number>();
     const allowanceOf = this.createAllowances(now, taken);
-    waiting.forEach(({ job, task }) => {
+    orderItems(waiting, this.meter.pace, now).forEach(({ job, task }) => {
       const route = view.directory?.routeNamed(job.route.name);
       const service = route?.services[0]?.service;
       if (service === undefined || full.has(service)) return;
@@ -319,6 +330,9 @@
     const end = await this.send(job, task, target, controller.signal);
     endLoad();
     const state = task.finishRun(end, sizeBefore, performance.now());
+    if (state === 'completed' && sizeBefore === 0) {
+      this.meter.finish(task.item.tokens, task.answer.size, performance.now() - startedAt);
+    }
     if (end.kind === 'broken' || (end.kind === 'not-run' && end.unreachable)) {
       health.fail(target.id, end.cause);
     }
