--- a/packages/serving/src/batch/BatchWorker.ts
+++ b/packages/serving/src/batch/BatchWorker.ts
@@ -17,14 +17,20 @@
 import type { TargetRouter } from '../routing/TargetRouter.js';
 import { HeldJob } from './HeldJob.js';
 import type { ItemTask } from './ItemTask.js';
-import { orderItems } from './orderItems.js';
+import { orderItems, remainingMs } from './orderItems.js';
 import { PaceMeter } from './PaceMeter.js';
 import type { JobBook, KnownJob } from './JobBook.js';
 import { isOpen } from './JobRecord.js';
 import type { JobStore } from './JobStore.js';
 
-/** Slots of each target that are kept free for online requests, so that a chat finds one at once. */
-const RESERVED_SLOTS = 1;
+/**
+ * Slots of each target that are kept free for online requests, so that a chat finds one at once, unless
+ * an item needs it to be on time.
+ */
+const RESERVED_SLOTS = { relaxed: 1, urgent: 0 } as const;
+
+/** Time to spare below which an item is urgent: about the length of one peak of traffic. Unit: ms. */
+const URGENT_WITHIN_MS = 4000;
 
 /** How often jobs of lost hosts and outdated jobs are looked for. Unit: ms. */
 const SURVEY_MS = 500;
@@ -275,18 +281,20 @@
         tokens: task.item.tokens,
         events: task.answer.size,
       }));
-    const full = new Set<string>();
     const taken = new Map<string, number>();
-    const allowanceOf = this.createAllowances(now, taken);
-    orderItems(waiting, this.meter.pace, now).forEach(({ job, task }) => {
+    const allowances = {
+      relaxed: this.createAllowances(now, RESERVED_SLOTS.relaxed, taken),
+      urgent: this.createAllowances(now, RESERVED_SLOTS.urgent, taken),
+    };
+    orderItems(waiting, this.meter.pace, now).forEach((item) => {
+      const { job, task } = item;
       const route = view.directory?.routeNamed(job.route.name);
       const service = route?.services[0]?.service;
-      if (service === undefined || full.has(service)) return;
-      const target = router.chooseForBatch(service, allowanceOf);
-      if (!target) {
-        full.add(service);
-        return;
-      }
+      if (service === undefined) return;
+      const spareMs = item.due - now - remainingMs(item, this.meter.pace);
+      const urgency = spareMs < URGENT_WITHIN_MS ? 'urgent' : 'relaxed';
+      const target = router.chooseForBatch(service, allowances[urgency]);
+      if (!target) return;
       taken.set(target.id, (taken.get(target.id) ?? 0) + 1);
       void this.runItem(job, task, target);
     });
@@ -297,13 +305,14 @@
   /** Gives the slots of targets that this host may take in this round, less those already taken. */
   private createAllowances(
     now: number,
+    reserve: number,
     taken: ReadonlyMap<string, number>,
   ): (candidate: Candidate) => number {
     const { identity, loads } = this.needs;
     const waitingHosts = [identity.name, ...loads.hostsWithWaitingItems()];
     const allowances = new Map<string, number>();
     return ({ target, load }) => {
-      const free = target.slots - RESERVED_SLOTS - load.online - load.batch;
+      const free = target.slots - reserve - load.online - load.batch;
       const allowance =
         allowances.get(target.id) ??
         this.turns.allowance({ target: target.id, free, waitingHosts }, now);
