Report to hosts of other failure domains less often, and only recent use of rates

Ruled out: streams themselves (1,500 of 11,000 requests go to another domain). Rounds of batch placement follow the longer interval.

--- a/packages/serving/src/fleet/LoadExchange.ts
+++ b/packages/serving/src/fleet/LoadExchange.ts
@@ -7,13 +7,22 @@
   type LoadReport,
 } from '@jacinthlug/protocol/loadReport';
 import type { HostIdentity } from './HostIdentity.js';
-import type { Members } from './Members.js';
+import type { Member, Members } from './Members.js';
 
 /** Longest time between two reports. Unit: ms. */
 const IDLE_INTERVAL_MS = 250;
 
-/** How long changes are collected before they are reported. Unit: ms. */
-const COLLECT_MS = 30;
+/** How long changes are collected before hosts of the same failure domain learn of them. Unit: ms. */
+const NEAR_COLLECT_MS = 30;
+
+/**
+ * Least time between reports to hosts of other failure domains. Requests stay in their domain while it
+ * has free slots, and bytes between domains are paid for. Unit: ms.
+ */
+const FAR_INTERVAL_MS = 120;
+
+/** Part of the far interval for each far host, so that a larger fleet does not spend more on each. Unit: ms. */
+const FAR_INTERVAL_PER_HOST_MS = 10;
 
 /** The part of a report that its parts of the host fill. */
 export type ReportContent = Pick<
@@ -40,6 +49,12 @@
 
   private timer: NodeJS.Timeout | undefined;
 
+  /** Monotonic time from which far hosts get the next report. Unit: ms. */
+  private farFrom = 0;
+
+  /** Whether the next report must reach far hosts too. */
+  private urgent = false;
+
   /** Monotonic time at which the timer ends. Unit: ms. */
   private due = Number.POSITIVE_INFINITY;
 
@@ -61,11 +76,12 @@
 
   /** Reports soon, together with other changes. */
   report(): void {
-    this.plan(COLLECT_MS);
+    this.plan(NEAR_COLLECT_MS);
   }
 
-  /** Reports at once. */
+  /** Reports at once, to far hosts as well. */
   reportNow(): void {
+    this.urgent = true;
     this.plan(0);
   }
 
@@ -89,7 +105,7 @@
   }
 
   private send(): void {
-    const { identity, members, describe } = this.needs;
+    const { identity, describe } = this.needs;
     this.sequence += 1;
     const datagram = encodeLoadReport({
       host: identity.name,
@@ -97,12 +113,28 @@
       sequence: this.sequence,
       ...describe(),
     });
-    members.peers.forEach(({ address, port }) => {
+    this.receivers().forEach(({ address, port }) => {
       // A lost report is made good by the next one.
       this.socket.send(datagram, port, address, () => undefined);
     });
   }
 
+  /** Hosts that get the next report: those nearby, and the others when their time has come. */
+  private receivers(): Member[] {
+    const { identity, members } = this.needs;
+    const { peers } = members;
+    const now = performance.now();
+    if (!this.urgent && now < this.farFrom) {
+      return peers.filter(({ failureDomain }) => failureDomain === identity.failureDomain);
+    }
+    const far = peers.filter(
+      ({ failureDomain }) => failureDomain !== identity.failureDomain,
+    ).length;
+    this.urgent = false;
+    this.farFrom = now + Math.max(FAR_INTERVAL_MS, far * FAR_INTERVAL_PER_HOST_MS);
+    return peers;
+  }
+
   private receive(datagram: Buffer): void {
     const { identity, members, onReport, journal } = this.needs;
     const report = decodeLoadReport(datagram);
--- a/packages/serving/src/rates/AccountRates.ts
+++ b/packages/serving/src/rates/AccountRates.ts
@@ -18,10 +18,16 @@
  */
 const UNKNOWN_START = 0.08;
 
+/**
+ * How long a count is reported after its last change: several reports, so that losing some does no harm,
+ * while accounts that send nothing cost no bytes. Unit: ms.
+ */
+const REPORTED_MS = 2000;
+
 /** What is known of another host's use. */
 interface PeerUse {
   readonly incarnation: number;
-  readonly used: ReadonlyMap<string, number>;
+  readonly used: Map<string, number>;
 }
 
 /** What the rates need to know of the fleet. */
@@ -87,9 +93,10 @@
    * Gives back the count of a request that provably has not run.
    *
    * @param account - account of the caller
+   * @param now - monotonic time. Unit: ms
    */
-  putBack(account: Account): void {
-    this.buckets.get(account.name)?.putBack();
+  putBack(account: Account, now = performance.now()): void {
+    this.buckets.get(account.name)?.putBack(now);
   }
 
   /**
@@ -99,25 +106,26 @@
    */
   hear({ host, incarnation, rates }: LoadReport): void {
     const before = this.peers.get(host);
-    const used = new Map(rates.map(([account, count]) => [account, count]));
+    const used = before?.incarnation === incarnation ? before.used : new Map<string, number>();
     this.peers.set(host, { incarnation, used });
-    const known = before?.incarnation === incarnation;
     // What an older process admitted before this one started is not held against the new bucket.
-    if (!known && incarnation < this.fleet.incarnation) return;
-    used.forEach((count, account) => {
-      const counted = known ? (before.used.get(account) ?? 0) : 0;
+    const isOlder = incarnation < this.fleet.incarnation;
+    rates.forEach(([account, count]) => {
+      const counted = used.get(account) ?? (isOlder ? count : 0);
+      used.set(account, count);
       if (count !== counted) this.buckets.get(account)?.debit(count - counted);
     });
   }
 
   /**
-   * Lists this host's use for a report.
+   * Lists this host's recent use for a report.
    *
-   * @returns account and count of each account in use
+   * @param now - monotonic time. Unit: ms
+   * @returns account and count of each account whose count changed lately
    */
-  ownUse(): [string, number][] {
+  ownUse(now = performance.now()): [string, number][] {
     return [...this.buckets.entries()]
-      .filter(([, { used }]) => used > 0)
+      .filter(([, { usedAt }]) => now - usedAt < REPORTED_MS)
       .map(([account, { used }]) => [account, used]);
   }
 
--- a/packages/serving/src/rates/FleetBucket.ts
+++ b/packages/serving/src/rates/FleetBucket.ts
@@ -20,6 +20,9 @@
   /** Requests that this host admitted. */
   used = 0;
 
+  /** Monotonic time of the latest change of that count. Unit: ms. */
+  usedAt = Number.NEGATIVE_INFINITY;
+
   constructor(
     private limit: RateLimit,
     level: number,
@@ -51,15 +54,21 @@
     if (this.level >= 1) {
       this.level -= 1;
       this.used += 1;
+      this.usedAt = now;
       return 0;
     }
     return ((1 - this.level) / Math.max(this.limit.rate * share, 0.001)) * 1000;
   }
 
-  /** Gives back the token of a request that provably has not run. */
-  putBack(): void {
+  /**
+   * Gives back the token of a request that provably has not run.
+   *
+   * @param now - monotonic time. Unit: ms
+   */
+  putBack(now: number): void {
     this.level += 1;
     this.used -= 1;
+    this.usedAt = now;
   }
 
   /**
--- a/packages/serving/src/routing/BatchTurns.ts
+++ b/packages/serving/src/routing/BatchTurns.ts
@@ -2,10 +2,10 @@
 import { rendezvousOrder } from '@jacinthlug/control/peers/rendezvous';
 
 /**
- * Time between two takes on one target: a take reaches the other hosts after 30 ms of collecting and
+ * Time between two takes on one target: hosts of other failure domains learn of a take within 120 ms and
  * some 10 ms on the way. Unit: ms.
  */
-const ROUND_MS = 60;
+const ROUND_MS = 150;
 
 /** Time without takes on a target where items had to make room: online load lasts longer. Unit: ms. */
 const YIELD_MS = 300;
