--- a/packages/serving/src/batch/BatchWorker.ts
+++ b/packages/serving/src/batch/BatchWorker.ts
@@ -5,6 +5,7 @@
 import type { ConfigurationView } from '../configuration/ConfigurationView.js';
 import type { HostIdentity } from '../fleet/HostIdentity.js';
 import type { Members } from '../fleet/Members.js';
+import { spreadMs } from '../fleet/reportIntervals.js';
 import type { Target } from '../fleet/Target.js';
 import type { TargetList } from '../fleet/TargetList.js';
 import type { Dialect } from '../http/Dialect.js';
@@ -268,7 +269,7 @@
   }
 
   private startItems(): void {
-    const { router, view } = this.needs;
+    const { router, view, members, identity } = this.needs;
     if (this.stopping || this.needs.storeAge() > STORE_WITHIN_MS) return;
     const now = performance.now();
     const waiting = this.allItems()
@@ -298,7 +299,8 @@
       taken.set(target.id, (taken.get(target.id) ?? 0) + 1);
       void this.runItem(job, task, target);
     });
-    taken.forEach((_, id) => this.turns.take(id, now));
+    const spread = spreadMs(members.peers, identity.failureDomain);
+    taken.forEach((_, id) => this.turns.take(id, now, spread));
     this.planTurn(waiting.length > 0, now);
   }
 
--- a/packages/serving/src/fleet/LoadExchange.ts
+++ b/packages/serving/src/fleet/LoadExchange.ts
@@ -8,22 +8,11 @@
 } from '@jacinthlug/protocol/loadReport';
 import type { HostIdentity } from './HostIdentity.js';
 import type { Member, Members } from './Members.js';
+import { farIntervalMs, NEAR_COLLECT_MS } from './reportIntervals.js';
 
 /** Longest time between two reports. Unit: ms. */
 const IDLE_INTERVAL_MS = 250;
 
-/** How long changes are collected before hosts of the same failure domain learn of them. Unit: ms. */
-const NEAR_COLLECT_MS = 30;
-
-/**
- * Least time between reports to hosts of other failure domains. Requests stay in their domain while it
- * has free slots, and bytes between domains are paid for. Unit: ms.
- */
-const FAR_INTERVAL_MS = 120;
-
-/** Part of the far interval for each far host, so that a larger fleet does not spend more on each. Unit: ms. */
-const FAR_INTERVAL_PER_HOST_MS = 10;
-
 /** The part of a report that its parts of the host fill. */
 export type ReportContent = Pick<
   LoadReport,
@@ -127,11 +116,8 @@
     if (!this.urgent && now < this.farFrom) {
       return peers.filter(({ failureDomain }) => failureDomain === identity.failureDomain);
     }
-    const far = peers.filter(
-      ({ failureDomain }) => failureDomain !== identity.failureDomain,
-    ).length;
     this.urgent = false;
-    this.farFrom = now + Math.max(FAR_INTERVAL_MS, far * FAR_INTERVAL_PER_HOST_MS);
+    this.farFrom = now + farIntervalMs(peers, identity.failureDomain);
     return peers;
   }
 
--- a/packages/serving/src/routing/BatchTurns.ts
+++ b/packages/serving/src/routing/BatchTurns.ts
@@ -1,12 +1,6 @@
 /** Shares out the free slots of targets among hosts that see them at the same time. */
 import { rendezvousOrder } from '@jacinthlug/control/peers/rendezvous';
 
-/**
- * Time between two takes on one target: hosts of other failure domains learn of a take within 120 ms and
- * some 10 ms on the way. Unit: ms.
- */
-const ROUND_MS = 150;
-
 /** Time without takes on a target where items had to make room: online load lasts longer. Unit: ms. */
 const YIELD_MS = 300;
 
@@ -47,9 +41,10 @@
    *
    * @param target - identity of the target
    * @param now - monotonic time. Unit: ms
+   * @param spreadMs - time after which all hosts know of it. Unit: ms
    */
-  take(target: string, now: number): void {
-    this.delay(target, now + ROUND_MS);
+  take(target: string, now: number, spreadMs: number): void {
+    this.delay(target, now + spreadMs);
   }
 
   /**
--- a/packages/serving/src/store/TableFollower.ts
+++ b/packages/serving/src/store/TableFollower.ts
@@ -28,11 +28,22 @@
   apply(changes: readonly RecordChange[]): void;
 }
 
+/** How a table is followed. */
+export interface FollowTerms {
+  readonly table: string;
+  /** How long one read may be held. Unit: ms. */
+  readonly holdMs: number;
+  /** Least time between two reads, for tables whose changes may be taken together. Unit: ms. */
+  readonly intervalMs: number;
+}
+
 /** What a follower needs. */
 export interface TableFollowerNeeds {
   readonly store: RecordStore;
   readonly journal: Journal;
   readonly clock?: Clock;
+  /** Reads both clocks of the process; replaced in tests. */
+  readonly readMoment?: () => Moment;
 }
 
 /** Keeps a listener up to date with one table. */
@@ -51,9 +62,7 @@
   private running = true;
 
   constructor(
-    private readonly table: string,
-    /** How long one read may be held. Unit: ms. */
-    private readonly holdMs: number,
+    private readonly terms: FollowTerms,
     private readonly listener: TableListener,
     private readonly needs: TableFollowerNeeds,
   ) {}
@@ -64,7 +73,7 @@
    * @returns age. Unit: ms
    */
   get age(): number {
-    return ageOf(this.provenAt);
+    return ageOf(this.provenAt, this.now());
   }
 
   /**
@@ -73,7 +82,7 @@
    * @returns age; infinite when it never failed. Unit: ms
    */
   get sinceReturn(): number {
-    return this.failures > 0 ? 0 : ageOf(this.returnedAt);
+    return this.failures > 0 ? 0 : ageOf(this.returnedAt, this.now());
   }
 
   /** Ends the loop with the call that is in flight. */
@@ -85,13 +94,17 @@
   async run(): Promise<void> {
     const clock = this.needs.clock ?? systemClock;
     while (this.running) {
-      const sentAt = readMoment();
+      const sentAt = this.now();
       const failure = this.provenAt ? await this.followOnce() : await this.readOnce();
       if (!failure) {
         this.succeed(sentAt);
+        await this.rest(sentAt, clock);
       } else if (failure.kind === 'history-lost') {
         this.provenAt = undefined;
-        this.needs.journal.record('history-lost', { table: this.table, revision: this.revision });
+        this.needs.journal.record('history-lost', {
+          table: this.terms.table,
+          revision: this.revision,
+        });
       } else {
         this.fail(failure);
         const pauseMs = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** (this.failures - 1));
@@ -100,8 +113,17 @@
     }
   }
 
+  private now(): Moment {
+    return (this.needs.readMoment ?? readMoment)();
+  }
+
+  private async rest(sentAt: Moment, clock: Clock): Promise<void> {
+    const restMs = this.terms.intervalMs - ageOf(sentAt, this.now());
+    if (restMs > 0) await clock.sleep(restMs);
+  }
+
   private async readOnce(): Promise<StoreFailure | undefined> {
-    const page = await this.needs.store.readTable(this.table);
+    const page = await this.needs.store.readTable(this.terms.table);
     if (page.isErr()) return page.error;
     this.revision = page.value.revision;
     this.listener.replace(page.value.records, page.value.revision);
@@ -109,7 +131,7 @@
   }
 
   private async followOnce(): Promise<StoreFailure | undefined> {
-    const page = await this.needs.store.follow(this.table, this.revision, this.holdMs);
+    const page = await this.needs.store.follow(this.terms.table, this.revision, this.terms.holdMs);
     if (page.isErr()) return page.error;
     this.revision = Math.max(this.revision, page.value.revision);
     if (page.value.changes.length > 0) this.listener.apply(page.value.changes);
@@ -120,15 +142,15 @@
     this.provenAt = sentAt;
     if (this.failures === 0) return;
     this.failures = 0;
-    this.returnedAt = readMoment();
-    this.needs.journal.record('store-regained', { table: this.table });
+    this.returnedAt = this.now();
+    this.needs.journal.record('store-regained', { table: this.terms.table });
   }
 
   private fail(failure: StoreFailure): void {
     this.failures += 1;
     if (this.failures > 1) return;
     this.needs.journal.record('store-lost', {
-      table: this.table,
+      table: this.terms.table,
       kind: failure.kind,
       ...('message' in failure && { cause: failure.message }),
       provenMsAgo: Math.round(this.age),
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -29,6 +29,12 @@
 /** Hold of reads of members and jobs. Unit: ms. */
 const RELAXED_HOLD_MS = 2000;
 
+/**
+ * Least time between two reads of the jobs: each result changes a job's row, and every host would read
+ * each change by itself. Callers may get results a second later on other hosts. Unit: ms.
+ */
+const JOBS_INTERVAL_MS = 400;
+
 /** How often silent members and unused connections are looked for. Unit: ms. */
 const UPKEEP_MS = 1000;
 
@@ -141,20 +147,26 @@
 
   const followerNeeds = { store, journal };
   const configurationFollower = new TableFollower(
-    tables.configurationTable,
-    URGENT_HOLD_MS,
+    { table: tables.configurationTable, holdMs: URGENT_HOLD_MS, intervalMs: 0 },
     listenToConfiguration(view, tables),
     followerNeeds,
   );
   view.follower = configurationFollower;
   const targetsFollower: TableFollower = new TableFollower(
-    tables.targetsTable,
-    URGENT_HOLD_MS,
+    { table: tables.targetsTable, holdMs: URGENT_HOLD_MS, intervalMs: 0 },
     listenToTargets(targets, tables, () => targetsFollower.sinceReturn),
     followerNeeds,
   );
-  const membersFollower = new TableFollower(MEMBERS_TABLE, RELAXED_HOLD_MS, members, followerNeeds);
-  const jobsFollower = new TableFollower(JOBS_TABLE, RELAXED_HOLD_MS, book, followerNeeds);
+  const membersFollower = new TableFollower(
+    { table: MEMBERS_TABLE, holdMs: RELAXED_HOLD_MS, intervalMs: 0 },
+    members,
+    followerNeeds,
+  );
+  const jobsFollower = new TableFollower(
+    { table: JOBS_TABLE, holdMs: RELAXED_HOLD_MS, intervalMs: JOBS_INTERVAL_MS },
+    book,
+    followerNeeds,
+  );
   const followers = [configurationFollower, targetsFollower, membersFollower, jobsFollower];
 
   const worker = new BatchWorker({
--- a/packages/serving/test/fakes/MemoryRecordStore.ts
+++ b/packages/serving/test/fakes/MemoryRecordStore.ts
@@ -10,7 +10,8 @@
   StoredRecord,
   Transaction,
 } from '@jacinthlug/serving/store/RecordStore';
-import { errAsync, okAsync, type ResultAsync } from 'neverthrow';
+import type { Clock } from '@jacinthlug/control/time/Clock';
+import { errAsync, okAsync, ResultAsync } from 'neverthrow';
 
 const nameOf = ({ table, partition, key }: RecordKey): string => `${table}|${partition}|${key}`;
 
@@ -37,6 +38,13 @@
 
   private readonly pending: Transaction[] = [];
 
+  private clock: Clock | undefined;
+
+  /** Holds reads without a change for their whole time, by a clock. */
+  holdWith(clock: Clock): void {
+    this.clock = clock;
+  }
+
   read({ table, partition, from = '', to }: RecordRange): ResultAsync<RecordPage, StoreFailure> {
     if (this.down) return errAsync({ kind: 'unavailable', message: 'down' });
     const records = [...this.rows.values()]
@@ -52,14 +60,20 @@
     return okAsync({ records, revision: this.revision });
   }
 
-  follow(table: string, after: number): ResultAsync<ChangePage, StoreFailure> {
+  follow(table: string, after: number, holdMs = 0): ResultAsync<ChangePage, StoreFailure> {
     if (this.down) return errAsync({ kind: 'unavailable', message: 'down' });
+    const find = (): ChangePage => this.findChanges(table, after);
+    if (!this.clock || find().changes.length > 0) return okAsync(find());
+    return ResultAsync.fromSafePromise(this.clock.sleep(holdMs)).map(find);
+  }
+
+  private findChanges(table: string, after: number): ChangePage {
     const changes = this.changes.filter((change) =>
       change.kind === 'written'
         ? change.record.table === table && change.record.revision > after
         : change.key.table === table && change.revision > after,
     );
-    return okAsync({ changes, revision: this.revision });
+    return { changes, revision: this.revision };
   }
 
   commit(transaction: Transaction): ResultAsync<number, StoreFailure> {
--- a/packages/serving/test/steps/routing.steps.ts
+++ b/packages/serving/test/steps/routing.steps.ts
@@ -114,7 +114,7 @@
 });
 
 When('the host takes a slot at {int} ms', function (this: RoutingWorld, now: number) {
-  this.turns[0]!.take('t-1', now);
+  this.turns[0]!.take('t-1', now, 150);
 });
 
 When('the host makes room at {int} ms', function (this: RoutingWorld, now: number) {
