Refuse a request after three sends that broke their targets

Why: a request may crash each target that begins to run it, and its caller sends it again through any host. Nothing in the new path remembered that. Hosts count broken sends by account, path and body and tell each other; the fourth is refused as not run.

--- a/packages/catalog/src/resultCodes.ts
+++ b/packages/catalog/src/resultCodes.ts
@@ -180,6 +180,16 @@
     status: 422,
     run: 'not run',
   },
+  'request-breaks-targets': {
+    number: 1208,
+    title: 'Request breaks targets',
+    message:
+      'Three sends of this request ended with a broken connection; it is not sent again for now.',
+    hint: 'Change the request, or send it again after a minute.',
+    status: 503,
+    run: 'not run',
+    retryAfterSeconds: 60,
+  },
   'deadline-passed': {
     number: 1205,
     title: 'Deadline passed',
--- a/packages/protocol/src/loadReport.ts
+++ b/packages/protocol/src/loadReport.ts
@@ -20,6 +20,13 @@
   z.int().nonnegative(),
 ]);
 
+/** Broken sends of one request through one host. */
+const brokenSends = z.tuple([
+  /** Fingerprint of the request. */
+  z.string(),
+  z.int().positive(),
+]);
+
 /**
  * Schema of a report. Every report carries the whole state, so that a lost one does no harm. It
  * travels as a list without field names, because bytes between failure domains are paid for.
@@ -39,6 +46,7 @@
   z.array(z.string()),
   /** Batch items of the sender that wait for a slot. */
   z.int().nonnegative(),
+  z.array(brokenSends),
 ]);
 
 /** A report by its field names. */
@@ -51,6 +59,7 @@
   readonly rates: readonly z.infer<typeof rateUse>[];
   readonly silent: readonly string[];
   readonly waitingItems: number;
+  readonly breaks: readonly z.infer<typeof brokenSends>[];
 }
 
 /**
@@ -69,6 +78,7 @@
     report.rates,
     report.silent,
     report.waitingItems,
+    report.breaks,
   ]);
 
 /**
@@ -87,6 +97,7 @@
   }
   const parsed = loadReport.safeParse(content);
   if (!parsed.success) return undefined;
-  const [host, incarnation, sequence, storeAgeMs, loads, rates, silent, waitingItems] = parsed.data;
-  return { host, incarnation, sequence, storeAgeMs, loads, rates, silent, waitingItems };
+  const [host, incarnation, sequence, storeAgeMs, loads, rates, silent, waitingItems, breaks] =
+    parsed.data;
+  return { host, incarnation, sequence, storeAgeMs, loads, rates, silent, waitingItems, breaks };
 };
--- a/packages/serving/src/fleet/LoadExchange.ts
+++ b/packages/serving/src/fleet/LoadExchange.ts
@@ -16,7 +16,7 @@
 /** The part of a report that its parts of the host fill. */
 export type ReportContent = Pick<
   LoadReport,
-  'storeAgeMs' | 'loads' | 'rates' | 'silent' | 'waitingItems'
+  'storeAgeMs' | 'loads' | 'rates' | 'silent' | 'waitingItems' | 'breaks'
 >;
 
 /** What the exchange needs. */
--- /dev/null
+++ b/packages/serving/src/online/BreakBook.ts
@@ -0,0 +1,110 @@
+/** Requests whose targets broke off, so that one that crashes its targets is not sent to all of them. */
+import { createHash } from 'node:crypto';
+import type { LoadReport } from '@jacinthlug/protocol/loadReport';
+
+/** Broken sends after which a request is refused. */
+const BREAKS_ALLOWED = 3;
+
+/** How long a break counts after the latest one of its request. Unit: ms. */
+const KEPT_MS = 60_000;
+
+/** Requests that are kept at most; the oldest make room. */
+const KEPT_REQUESTS = 1000;
+
+/** Length of a fingerprint, in characters of base64. */
+const FINGERPRINT_LENGTH = 16;
+
+interface Breaks {
+  count: number;
+  /** Monotonic time of the latest break. Unit: ms. */
+  at: number;
+}
+
+/** What makes two requests the same. */
+export interface RequestContent {
+  readonly account: string | undefined;
+  readonly path: string;
+  readonly body: Buffer;
+}
+
+/**
+ * Gives the fingerprint of a request; a repeat by its caller has the same one.
+ *
+ * @param content - account, path and body
+ * @returns the fingerprint
+ */
+export const fingerprintOf = ({ account, path, body }: RequestContent): string =>
+  createHash('sha256')
+    .update(`${account ?? ''}\0${path}\0`)
+    .update(body)
+    .digest('base64')
+    .slice(0, FINGERPRINT_LENGTH);
+
+/** Counts broken sends by request, over all hosts. */
+export class BreakBook {
+  private readonly own = new Map<string, Breaks>();
+
+  private readonly others = new Map<string, ReadonlyMap<string, number>>();
+
+  /**
+   * Counts a broken send.
+   *
+   * @param fingerprint - fingerprint of the request
+   * @param now - monotonic time. Unit: ms
+   */
+  add(fingerprint: string, now: number): void {
+    const count = (this.own.get(fingerprint)?.count ?? 0) + 1;
+    // A later entry of the map is a newer one.
+    this.own.delete(fingerprint);
+    this.own.set(fingerprint, { count, at: now });
+    const [oldest] = this.own.keys();
+    if (this.own.size > KEPT_REQUESTS && oldest !== undefined) this.own.delete(oldest);
+  }
+
+  /**
+   * Takes the breaks of another host.
+   *
+   * @param report - its newest report
+   */
+  hear({ host, breaks }: LoadReport): void {
+    this.others.set(host, new Map(breaks));
+  }
+
+  /**
+   * Tells whether there is anything to look up, which spares the fingerprint of most requests.
+   *
+   * @returns whether no send broke lately
+   */
+  get isEmpty(): boolean {
+    return this.own.size === 0 && [...this.others.values()].every(({ size }) => size === 0);
+  }
+
+  /**
+   * Tells whether a request broke too many sends.
+   *
+   * @param fingerprint - fingerprint of the request
+   * @param now - monotonic time. Unit: ms
+   * @returns whether it is refused
+   */
+  isBlocked(fingerprint: string, now: number): boolean {
+    const own = this.own.get(fingerprint);
+    let count = own && now - own.at < KEPT_MS ? own.count : 0;
+    this.others.forEach((breaks) => {
+      count += breaks.get(fingerprint) ?? 0;
+    });
+    return count >= BREAKS_ALLOWED;
+  }
+
+  /**
+   * Lists this host's breaks for a report.
+   *
+   * @param now - monotonic time. Unit: ms
+   * @returns fingerprint and count of each request that broke a send lately
+   */
+  recent(now: number): [string, number][] {
+    [...this.own.entries()]
+      .filter(([, { at }]) => now - at >= KEPT_MS)
+      .forEach(([fingerprint]) => this.own.delete(fingerprint));
+    return [...this.own.entries()].map(([fingerprint, { count }]) => [fingerprint, count]);
+  }
+}
--- a/packages/serving/src/online/OnlinePath.ts
+++ b/packages/serving/src/online/OnlinePath.ts
@@ -15,6 +15,7 @@
 import type { TargetHealth } from '../routing/TargetHealth.js';
 import type { TargetRouter } from '../routing/TargetRouter.js';
 import { admitCaller } from './admitCaller.js';
+import { fingerprintOf, type BreakBook } from './BreakBook.js';
 import { CallerAnswer } from './CallerAnswer.js';
 import { Progress } from './Progress.js';
 import { RequestLife } from './RequestLife.js';
@@ -46,6 +47,7 @@
   readonly view: ConfigurationView;
   readonly router: TargetRouter;
   readonly loads: LoadBook;
+  readonly breaks: BreakBook;
   readonly health: TargetHealth;
   readonly rates: AccountRates;
   readonly client: TargetClient;
@@ -89,6 +91,12 @@
   return (found ?? route.services[0]!).service;
 };
 
+const contentOf = ({ account, head, body }: OnlineRequest) => ({
+  account: account?.name,
+  path: head.path,
+  body,
+});
+
 const isRepeatable = ({ kind, resumable }: Route): boolean =>
   kind === 'idempotent' || (kind === 'streaming' && resumable);
 
@@ -189,6 +197,9 @@
 
   /** Tries targets until one has answered whole or the rules end it. */
   private async run(request: OnlineRequest): Promise<Ending> {
+    if (this.isBlocked(request)) {
+      return { kind: 'refused', refusal: refuse('request-breaks-targets') };
+    }
     const overRate = this.countRate(request);
     if (overRate) return { kind: 'refused', refusal: overRate };
     const progress = new Progress();
@@ -273,8 +284,9 @@
     end: AttemptEnd,
     progress: Progress,
   ): void {
-    const { health, journal } = this.needs;
+    const { health, journal, breaks } = this.needs;
     progress.excluded.add(target.id);
+    if (end.kind === 'broken') breaks.add(fingerprintOf(contentOf(request)), performance.now());
     if (end.kind !== 'not-run') progress.countRun();
     if (end.kind === 'broken' || (end.kind === 'not-run' && end.unreachable)) {
       health.fail(target.id, end.cause);
@@ -289,6 +301,12 @@
     });
   }
 
+  private isBlocked(request: OnlineRequest): boolean {
+    const { breaks } = this.needs;
+    if (breaks.isEmpty) return false;
+    return breaks.isBlocked(fingerprintOf(contentOf(request)), performance.now());
+  }
+
   private countRate({ account }: OnlineRequest): Refusal | undefined {
     if (!account) return undefined;
     const { rates, onLowRate } = this.needs;
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -15,6 +15,7 @@
 import { TargetList } from '../fleet/TargetList.js';
 import type { Dialect } from '../http/Dialect.js';
 import { TargetClient } from '../http/TargetClient.js';
+import { BreakBook } from '../online/BreakBook.js';
 import { OnlinePath } from '../online/OnlinePath.js';
 import { AccountRates } from '../rates/AccountRates.js';
 import { LoadBook } from '../routing/LoadBook.js';
@@ -132,6 +133,7 @@
   const view = new ConfigurationView(journal);
   const targets = new TargetList(journal);
   const loads = new LoadBook();
+  const breaks = new BreakBook();
   const health = new TargetHealth(journal);
   const members = new Members({ identity, store, journal });
   const client = new TargetClient();
@@ -196,10 +198,12 @@
       rates: rates.ownUse(),
       silent: health.paused(),
       waitingItems: worker.waitingItems,
+      breaks: breaks.recent(performance.now()),
     }),
     onReport: (report) => {
       loads.hear(report);
       rates.hear(report);
+      breaks.hear(report);
       worker.wake();
     },
   });
@@ -207,6 +211,7 @@
     view,
     router,
     loads,
+    breaks,
     health,
     rates,
     client,
--- a/packages/serving/test/steps/rates.steps.ts
+++ b/packages/serving/test/steps/rates.steps.ts
@@ -105,6 +105,7 @@
         rates: host.rates.ownUse(now),
         silent: [],
         waitingItems: 0,
+        breaks: [],
       };
       world.hosts.forEach((other, to) => {
         if (to === from || other.group !== host.group || random() < world.loss) return;
