--- a/packages/catalog/src/Metrics.ts
+++ b/packages/catalog/src/Metrics.ts
@@ -1,6 +1,6 @@
 /** Metrics by StatsD, through hot-shots. */
 import { StatsD } from 'hot-shots';
-import type { CounterName } from './counterNames.js';
+import type { CounterName, TimingName } from './counterNames.js';
 
 /** Counts catalogued occurrences. */
 export interface Metrics {
@@ -13,10 +13,19 @@
    */
   count(name: CounterName, tags?: Readonly<Record<string, string>>, by?: number): void;
 
+  /**
+   * Adds to a histogram.
+   *
+   * @param name - name in the catalogue
+   * @param ms - what was measured. Unit: ms
+   */
+  observe(name: TimingName, ms: number): void;
+
   /**
    * Reads the totals since the start of the process.
    *
-   * @returns totals by counter name and tags, such as `requests.refused{code=overloaded}`
+   * @returns totals by counter name and tags, such as `requests.refused{code=overloaded}`, and for each
+   *   histogram the observations up to each bound, such as `requests.first{le=100}`
    */
   totals(): Readonly<Record<string, number>>;
 
@@ -24,6 +33,9 @@
   close(): void;
 }
 
+/** Upper bounds of the histograms: around the usual objectives and time-outs of chats. Unit: ms. */
+const BOUNDS_MS = [10, 25, 50, 100, 200, 300, 500, 1000, 2000, 5000, 15_000];
+
 /** Address of a StatsD server. */
 export interface StatsdAddress {
   readonly host: string;
@@ -53,12 +65,23 @@
       })
     : undefined;
   const totals = new Map<string, number>();
+  const add = (label: string, by: number): void => {
+    totals.set(label, (totals.get(label) ?? 0) + by);
+  };
   return {
     count(name, tags = {}, by = 1) {
       const label = labelOf(name, tags);
-      totals.set(label, (totals.get(label) ?? 0) + by);
+      add(label, by);
       client?.increment(name, by, { ...tags });
     },
+    observe(name, ms) {
+      BOUNDS_MS.filter((bound) => ms <= bound).forEach((bound) =>
+        add(labelOf(name, { le: String(bound) }), 1),
+      );
+      add(labelOf(name, { le: 'inf' }), 1);
+      add(`${name}.sum`, ms);
+      client?.timing(name, ms);
+    },
     totals: () => Object.fromEntries(totals),
     close: () => client?.close(() => undefined),
   };
--- a/packages/catalog/src/counterNames.ts
+++ b/packages/catalog/src/counterNames.ts
@@ -30,5 +30,20 @@
   'orders.sent': { description: 'Orders sent to targets by outcome', tags: ['outcome'] },
 });
 
+/** One timing of the catalogue. */
+export interface Timing {
+  readonly description: string;
+}
+
+/** Timings, kept as histograms. Unit: ms. */
+export const timings = {
+  'requests.first': { description: 'Arrival of a request to the first part of its answer' },
+  'requests.total': { description: 'Arrival of a request to the end of its answer' },
+  'items.run': { description: 'Run of a batch item at a target' },
+} as const satisfies Readonly<Record<string, Timing>>;
+
+/** Name of a timing. */
+export type TimingName = keyof typeof timings;
+
 /** Name of a counter. */
 export type CounterName = keyof typeof counters;
--- a/packages/catalog/src/renderCatalogues.ts
+++ b/packages/catalog/src/renderCatalogues.ts
@@ -1,5 +1,5 @@
 /** Renders the catalogues as the pages of `docs/`. */
-import { counters } from './counterNames.js';
+import { counters, timings } from './counterNames.js';
 import { logEvents } from './logEvents.js';
 import { resultCodes } from './resultCodes.js';
 
@@ -70,6 +70,15 @@
       ]),
     ),
     '',
+    '## Timings',
+    '',
+    'Kept as histograms: the number of observations up to each bound, in ms.',
+    '',
+    renderTable(
+      ['timing', 'description'],
+      Object.entries(timings).map(([name, { description }]) => [`\`${name}\``, description]),
+    ),
+    '',
   ].join('\n');
 
 /**
--- a/packages/serving/src/batch/BatchWorker.ts
+++ b/packages/serving/src/batch/BatchWorker.ts
@@ -234,7 +234,7 @@
   private giveUpOutdated(job: HeldJob): void {
     if (Date.now() - job.record.submittedAt < job.route.retentionMs) return;
     [...job.tasks.values()].forEach((task) => {
-      task.run?.controller.abort();
+      task.run?.controller.abort('outdated');
       this.finish(job, task, 'dead-lettered', 'retention');
     });
   }
@@ -253,7 +253,7 @@
       );
       runs.slice(0, excess).forEach(({ task }) => {
         metrics.count('batch.preempted');
-        task.run?.controller.abort();
+        task.run?.controller.abort('preempted');
       });
     });
   }
@@ -347,6 +347,7 @@
     if (end.kind === 'broken' || (end.kind === 'not-run' && end.unreachable)) {
       health.fail(target.id, end.cause);
     }
+    this.needs.metrics.observe('items.run', performance.now() - startedAt);
     this.needs.journal.record('item-run-ended', {
       request: task.item.id,
       job: job.record.id,
@@ -354,6 +355,7 @@
       kind: end.kind,
       ...('status' in end && { status: end.status }),
       ...('cause' in end && { cause: end.cause }),
+      ...(controller.signal.aborted && { cause: String(controller.signal.reason) }),
       events: task.answer.size,
       tookMs: Math.round(performance.now() - startedAt),
       state,
--- a/packages/serving/src/batch/HeldJob.ts
+++ b/packages/serving/src/batch/HeldJob.ts
@@ -81,7 +81,7 @@
 
   /** Cancels all runs; what they have put out is kept. */
   cancelRuns(): void {
-    this.tasks.forEach(({ run }) => run?.controller.abort());
+    this.tasks.forEach(({ run }) => run?.controller.abort('job left this host'));
   }
 
   /**
--- a/packages/serving/src/online/OnlinePath.ts
+++ b/packages/serving/src/online/OnlinePath.ts
@@ -336,6 +336,8 @@
     if (ending.kind === 'complete') {
       answer.end();
       metrics.count('requests.completed', { route: route.name });
+      metrics.observe('requests.first', answer.firstAfterMs(arrivedAt) ?? 0);
+      metrics.observe('requests.total', performance.now() - arrivedAt);
       journal.record('request-served', {
         ...facts,
         target: ending.target.id,
