--- a/packages/serving/src/batch/BatchWorker.ts
+++ b/packages/serving/src/batch/BatchWorker.ts
@@ -1,10 +1,5 @@
 /** Runs the items of the jobs that this host holds where online requests leave room. */
-import type { Journal } from '@jacinthlug/catalog/Journal';
 import type { Metrics } from '@jacinthlug/catalog/Metrics';
-import { rendezvousOrder } from '@jacinthlug/control/peers/rendezvous';
-import type { ConfigurationView } from '../configuration/ConfigurationView.js';
-import type { HostIdentity } from '../fleet/HostIdentity.js';
-import type { Members } from '../fleet/Members.js';
 import { spreadMs } from '../fleet/reportIntervals.js';
 import type { Target } from '../fleet/Target.js';
 import type { TargetList } from '../fleet/TargetList.js';
@@ -16,13 +11,11 @@
 import type { LoadBook } from '../routing/LoadBook.js';
 import type { TargetHealth } from '../routing/TargetHealth.js';
 import type { TargetRouter } from '../routing/TargetRouter.js';
-import { HeldJob } from './HeldJob.js';
+import type { HeldJob } from './HeldJob.js';
+import { HeldJobs, LISTING_WITHIN_MS, type HeldJobsNeeds } from './HeldJobs.js';
 import type { ItemTask } from './ItemTask.js';
 import { orderItems, remainingMs } from './orderItems.js';
 import { PaceMeter } from './PaceMeter.js';
-import type { JobBook, KnownJob } from './JobBook.js';
-import { isOpen } from './JobRecord.js';
-import type { JobStore } from './JobStore.js';
 
 /**
  * Slots of each target that are kept free for online requests, so that a chat finds one at once, unless
@@ -33,40 +26,24 @@
 /** Time to spare below which an item is urgent: about the length of one peak of traffic. Unit: ms. */
 const URGENT_WITHIN_MS = 4000;
 
-/** How often jobs of lost hosts and outdated jobs are looked for. Unit: ms. */
-const SURVEY_MS = 500;
-
 /** Silence of a target before the first event of an item, which may wait there. Unit: ms. */
 const FIRST_SILENCE_MS = 4000;
 
 /** Silence of a target between the events of an item. Unit: ms. */
 const NEXT_SILENCE_MS = 1500;
 
-/** Contact with the store above which results could not be listed, so that no item is started. Unit: ms. */
-const STORE_WITHIN_MS = 3500;
-
 /** Time that a run may take; targets drop requests whose time is up. Unit: ms. */
 const RUN_LIMIT_MS = 60_000;
 
 /** What the worker needs. */
-export interface BatchWorkerNeeds {
-  readonly identity: HostIdentity;
-  readonly view: ConfigurationView;
-  readonly members: Members;
+export interface BatchWorkerNeeds extends Omit<HeldJobsNeeds, 'onOpened' | 'onOutdated'> {
   readonly targets: TargetList;
   readonly router: TargetRouter;
   readonly loads: LoadBook;
   readonly health: TargetHealth;
   readonly client: TargetClient;
   readonly dialect: Dialect;
-  readonly book: JobBook;
-  readonly jobs: JobStore;
-  readonly journal: Journal;
   readonly metrics: Metrics;
-  /** How long a job is kept after its acceptance. Unit: ms. */
-  readonly keepMs: number;
-  /** Age of the contact with the store. Unit: ms. */
-  readonly storeAge: () => number;
 }
 
 interface WaitingItem {
@@ -76,9 +53,7 @@
 
 /** Runs batch items. */
 export class BatchWorker {
-  private readonly held = new Map<string, HeldJob>();
-
-  private readonly loading = new Set<string>();
+  private readonly held: HeldJobs;
 
   private readonly turns: BatchTurns;
 
@@ -90,17 +65,19 @@
 
   private pumpPlanned = false;
 
-  private surveyTimer: NodeJS.Timeout | undefined;
-
   constructor(private readonly needs: BatchWorkerNeeds) {
     this.turns = new BatchTurns(needs.identity.name);
-    needs.book.onChange((job) => this.takeJob(job));
+    this.held = new HeldJobs({
+      ...needs,
+      onOpened: () => this.wake(),
+      onOutdated: (job) => this.giveUp(job),
+    });
     needs.targets.onChange(() => this.wake());
   }
 
   /** Starts looking for work. */
   start(): void {
-    this.surveyTimer = setInterval(() => this.survey(), SURVEY_MS);
+    this.held.start();
   }
 
   /**
@@ -116,19 +93,8 @@
   /** Cancels the runs and gives the jobs back, so that other hosts run them. */
   async stop(): Promise<void> {
     this.stopping = true;
-    clearInterval(this.surveyTimer);
     clearTimeout(this.turnTimer);
-    const jobs = [...this.held.values()];
-    jobs.forEach((job) => job.cancelRuns());
-    await Promise.all(
-      jobs
-        .filter(({ isHeld }) => isHeld)
-        .map(({ record }) =>
-          this.needs.jobs.change(record.account, record.id, (present) =>
-            this.isOwn(present.holder) ? { ...present, holder: null } : undefined,
-          ),
-        ),
-    );
+    await this.held.stop();
   }
 
   /** Looks at once whether items can start or must make room, after a change of loads or targets. */
@@ -142,97 +108,8 @@
     });
   }
 
-  private isOwn(holder: readonly [string, number] | null): boolean {
-    const { identity } = this.needs;
-    return holder?.[0] === identity.name && holder[1] === identity.incarnation;
-  }
-
-  private takeJob(job: KnownJob): void {
-    const { record } = job;
-    const held = this.held.get(record.id);
-    if (held) {
-      held.take(job);
-      if (!held.isHeld) this.held.delete(record.id);
-      return;
-    }
-    if (isOpen(record) && this.isOwn(record.holder)) void this.open(job);
-  }
-
-  private async open(job: KnownJob): Promise<void> {
-    const { jobs, view, identity, journal } = this.needs;
-    const { id, input, route: routeName, account } = job.record;
-    const route = view.directory?.routeNamed(routeName);
-    if (this.loading.has(id) || this.stopping || !route) return;
-    this.loading.add(id);
-    const items = await jobs.loadInput(input);
-    this.loading.delete(id);
-    const newest = this.needs.book.find(account, id);
-    if (items.isErr() || !newest || this.held.has(id)) return;
-    const holder = [identity.name, identity.incarnation] as const;
-    const held = new HeldJob(newest, route, items.value, { jobs, journal, holder });
-    if (!held.isHeld) return;
-    this.held.set(id, held);
-    this.wake();
-  }
-
-  /** Opens own jobs, takes over those of lost hosts, gives up what is outdated. */
-  private survey(): void {
-    const { book, members } = this.needs;
-    if (this.needs.storeAge() > STORE_WITHIN_MS) return;
-    const atWork = members.atWork();
-    book.all().forEach((job) => {
-      const { record } = job;
-      if (isOpen(record)) {
-        if (this.isOwn(record.holder)) this.takeJob(job);
-        else if (this.isNext(record.holder, record.id, atWork)) void this.takeOver(job);
-      }
-      this.removeOld(job, atWork);
-    });
-    this.held.forEach((job) => this.giveUpOutdated(job));
-    this.wake();
-  }
-
-  /** Whether the holder is lost and this host is the one that takes over. */
-  private isNext(
-    holder: readonly [string, number] | null,
-    id: string,
-    atWork: readonly string[],
-  ): boolean {
-    const { members, identity } = this.needs;
-    if (holder && members.isAtWork(holder[0], holder[1])) return false;
-    return rendezvousOrder(id, atWork)[0] === identity.name;
-  }
-
-  private async takeOver({ record }: KnownJob): Promise<void> {
-    const { jobs, identity, journal, members } = this.needs;
-    if (this.loading.has(record.id)) return;
-    this.loading.add(record.id);
-    const changed = await jobs.change(record.account, record.id, (present) => {
-      const { holder } = present;
-      if (!isOpen(present) || (holder && members.isAtWork(holder[0], holder[1]))) return undefined;
-      return { ...present, holder: [identity.name, identity.incarnation] };
-    });
-    this.loading.delete(record.id);
-    journal.record('job-taken-over', {
-      job: record.id,
-      from: record.holder,
-      outcome: changed.isOk() ? 'settled' : changed.error.kind,
-    });
-    if (changed.isOk() && changed.value) this.takeJob(changed.value);
-  }
-
-  private removeOld(job: KnownJob, atWork: readonly string[]): void {
-    const { jobs, identity, keepMs } = this.needs;
-    const { record } = job;
-    if (isOpen(record) || Date.now() - record.submittedAt < keepMs) return;
-    if (this.loading.has(record.id) || rendezvousOrder(record.id, atWork)[0] !== identity.name)
-      return;
-    this.loading.add(record.id);
-    void jobs.remove(job).finally(() => this.loading.delete(record.id));
-  }
-
-  private giveUpOutdated(job: HeldJob): void {
-    if (Date.now() - job.record.submittedAt < job.route.retentionMs) return;
+  /** Ends the items of a job that nobody waits for any more. */
+  private giveUp(job: HeldJob): void {
     [...job.tasks.values()].forEach((task) => {
       task.run?.controller.abort('outdated');
       this.finish(job, task, 'dead-lettered', 'retention');
@@ -263,14 +140,12 @@
   }
 
   private allItems(): WaitingItem[] {
-    return [...this.held.values()].flatMap((job) =>
-      [...job.tasks.values()].map((task) => ({ job, task })),
-    );
+    return this.held.all().flatMap((job) => [...job.tasks.values()].map((task) => ({ job, task })));
   }
 
   private startItems(): void {
     const { router, view, members, identity } = this.needs;
-    if (this.stopping || this.needs.storeAge() > STORE_WITHIN_MS) return;
+    if (this.stopping || this.needs.storeAge() > LISTING_WITHIN_MS) return;
     const now = performance.now();
     const waiting = this.allItems()
       .filter(({ job, task }) => job.isHeld && task.isWaiting(now))
--- /dev/null
+++ b/packages/serving/src/batch/HeldJobs.ts
@@ -0,0 +1,175 @@
+/** The jobs that this host holds: opened at acceptance, taken over from lost hosts, given back at a stop. */
+import type { Journal } from '@jacinthlug/catalog/Journal';
+import { rendezvousOrder } from '@jacinthlug/control/peers/rendezvous';
+import type { ConfigurationView } from '../configuration/ConfigurationView.js';
+import type { HostIdentity } from '../fleet/HostIdentity.js';
+import type { Members } from '../fleet/Members.js';
+import { HeldJob } from './HeldJob.js';
+import type { JobBook, KnownJob } from './JobBook.js';
+import { isOpen } from './JobRecord.js';
+import type { JobStore } from './JobStore.js';
+
+/** How often jobs of lost hosts and outdated jobs are looked for. Unit: ms. */
+const SURVEY_MS = 500;
+
+/**
+ * Contact with the store above which results could not be listed. Other hosts take the jobs of a host over
+ * at the same age. Unit: ms.
+ */
+export const LISTING_WITHIN_MS = 3500;
+
+/** What holding jobs needs. */
+export interface HeldJobsNeeds {
+  readonly identity: HostIdentity;
+  readonly view: ConfigurationView;
+  readonly members: Members;
+  readonly book: JobBook;
+  readonly jobs: JobStore;
+  readonly journal: Journal;
+  /** How long a job is kept after its acceptance. Unit: ms. */
+  readonly keepMs: number;
+  /** Age of the contact with the store. Unit: ms. */
+  readonly storeAge: () => number;
+  /** Called when items may have come. */
+  readonly onOpened: () => void;
+  /** Called with a job whose items nobody waits for any more. */
+  readonly onOutdated: (job: HeldJob) => void;
+}
+
+/** Keeps the jobs of this host. */
+export class HeldJobs {
+  private readonly held = new Map<string, HeldJob>();
+
+  /** Jobs with a call to the store in progress. */
+  private readonly loading = new Set<string>();
+
+  private stopping = false;
+
+  private surveyTimer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly needs: HeldJobsNeeds) {
+    needs.book.onChange((job) => this.takeJob(job));
+  }
+
+  /** Starts looking for jobs. */
+  start(): void {
+    this.surveyTimer = setInterval(() => this.survey(), SURVEY_MS);
+  }
+
+  /** Cancels the runs and gives the jobs back, so that other hosts run them. */
+  async stop(): Promise<void> {
+    this.stopping = true;
+    clearInterval(this.surveyTimer);
+    const jobs = this.all();
+    jobs.forEach((job) => job.cancelRuns());
+    await Promise.all(
+      jobs
+        .filter(({ isHeld }) => isHeld)
+        .map(({ record }) =>
+          this.needs.jobs.change(record.account, record.id, (present) =>
+            this.isOwn(present.holder) ? { ...present, holder: null } : undefined,
+          ),
+        ),
+    );
+  }
+
+  /**
+   * Lists the jobs.
+   *
+   * @returns jobs in the hands of this host
+   */
+  all(): HeldJob[] {
+    return [...this.held.values()];
+  }
+
+  private isOwn(holder: readonly [string, number] | null): boolean {
+    const { identity } = this.needs;
+    return holder?.[0] === identity.name && holder[1] === identity.incarnation;
+  }
+
+  private takeJob(job: KnownJob): void {
+    const { record } = job;
+    const held = this.held.get(record.id);
+    if (held) {
+      held.take(job);
+      if (!held.isHeld) this.held.delete(record.id);
+      return;
+    }
+    if (isOpen(record) && this.isOwn(record.holder)) void this.open(job);
+  }
+
+  private async open(job: KnownJob): Promise<void> {
+    const { jobs, view, identity, journal } = this.needs;
+    const { id, input, route: routeName, account } = job.record;
+    const route = view.directory?.routeNamed(routeName);
+    if (this.loading.has(id) || this.stopping || !route) return;
+    this.loading.add(id);
+    const items = await jobs.loadInput(input);
+    this.loading.delete(id);
+    const newest = this.needs.book.find(account, id);
+    if (items.isErr() || !newest || this.held.has(id)) return;
+    const holder = [identity.name, identity.incarnation] as const;
+    const held = new HeldJob(newest, route, items.value, { jobs, journal, holder });
+    if (!held.isHeld) return;
+    this.held.set(id, held);
+    this.needs.onOpened();
+  }
+
+  /** Opens own jobs, takes over those of lost hosts, gives up what is outdated. */
+  private survey(): void {
+    const { book, members } = this.needs;
+    if (this.needs.storeAge() > LISTING_WITHIN_MS) return;
+    const atWork = members.atWork();
+    book.all().forEach((job) => {
+      const { record } = job;
+      if (isOpen(record)) {
+        if (this.isOwn(record.holder)) this.takeJob(job);
+        else if (this.isNext(record.holder, record.id, atWork)) void this.takeOver(job);
+      }
+      this.removeOld(job, atWork);
+    });
+    this.held.forEach((job) => {
+      if (Date.now() - job.record.submittedAt >= job.route.retentionMs) this.needs.onOutdated(job);
+    });
+    this.needs.onOpened();
+  }
+
+  /** Whether the holder is lost and this host is the one that takes over. */
+  private isNext(
+    holder: readonly [string, number] | null,
+    id: string,
+    atWork: readonly string[],
+  ): boolean {
+    const { members, identity } = this.needs;
+    if (holder && members.isAtWork(holder[0], holder[1])) return false;
+    return rendezvousOrder(id, atWork)[0] === identity.name;
+  }
+
+  private async takeOver({ record }: KnownJob): Promise<void> {
+    const { jobs, identity, journal, members } = this.needs;
+    if (this.loading.has(record.id)) return;
+    this.loading.add(record.id);
+    const changed = await jobs.change(record.account, record.id, (present) => {
+      const { holder } = present;
+      if (!isOpen(present) || (holder && members.isAtWork(holder[0], holder[1]))) return undefined;
+      return { ...present, holder: [identity.name, identity.incarnation] };
+    });
+    this.loading.delete(record.id);
+    journal.record('job-taken-over', {
+      job: record.id,
+      from: record.holder,
+      outcome: changed.isOk() ? 'settled' : changed.error.kind,
+    });
+    if (changed.isOk() && changed.value) this.takeJob(changed.value);
+  }
+
+  private removeOld(job: KnownJob, atWork: readonly string[]): void {
+    const { jobs, identity, keepMs } = this.needs;
+    const { record } = job;
+    if (isOpen(record) || Date.now() - record.submittedAt < keepMs) return;
+    if (this.loading.has(record.id) || rendezvousOrder(record.id, atWork)[0] !== identity.name)
+      return;
+    this.loading.add(record.id);
+    void jobs.remove(job).finally(() => this.loading.delete(record.id));
+  }
+}
