Give up the items of a batch job whose route is removed

Cause: a held job looks up its route at each start of an item; after the route was removed its items neither ran nor got a result, however long callers waited.

--- a/packages/serving/src/batch/BatchWorker.ts
+++ b/packages/serving/src/batch/BatchWorker.ts
@@ -164,7 +164,7 @@
     };
     orderItems(waiting, this.meter.pace, now).forEach((item) => {
       const { job, task } = item;
-      const route = view.directory?.routeNamed(job.route.name);
+      const route = view.directory?.routeNamed(job.record.route);
       const service = route?.services[0]?.service;
       if (service === undefined) return;
       const spareMs = item.due - now - remainingMs(item, this.meter.pace);
--- a/packages/serving/src/batch/HeldJob.ts
+++ b/packages/serving/src/batch/HeldJob.ts
@@ -13,6 +13,9 @@
 /** Pause after a write that the store refused. Unit: ms. */
 const REFUSED_PAUSE_MS = 200;
 
+/** What a job's route says about its items. */
+export type JobTerms = Pick<Route, 'attempts' | 'completionTargetMs' | 'retentionMs'>;
+
 /** What a held job needs. */
 export interface HeldJobNeeds {
   readonly jobs: JobStore;
@@ -35,16 +38,16 @@
 
   constructor(
     private job: KnownJob,
-    readonly route: Route,
+    readonly terms: JobTerms,
     input: JobInput,
     private readonly needs: HeldJobNeeds,
   ) {
     const { record } = job;
     const ageMs = Date.now() - record.submittedAt;
-    this.due = performance.now() - ageMs + route.completionTargetMs;
+    this.due = performance.now() - ageMs + terms.completionTargetMs;
     const listed = new Set(record.listed.map(([index]) => index));
     input.forEach((item, index) => {
-      if (!listed.has(index)) this.tasks.set(index, new ItemTask(index, item, route.attempts));
+      if (!listed.has(index)) this.tasks.set(index, new ItemTask(index, item, terms.attempts));
     });
   }
 
--- a/packages/serving/src/batch/HeldJobs.ts
+++ b/packages/serving/src/batch/HeldJobs.ts
@@ -4,7 +4,7 @@
 import type { ConfigurationView } from '../configuration/ConfigurationView.js';
 import type { HostIdentity } from '../fleet/HostIdentity.js';
 import type { Members } from '../fleet/Members.js';
-import { HeldJob } from './HeldJob.js';
+import { HeldJob, type JobTerms } from './HeldJob.js';
 import type { JobBook, KnownJob } from './JobBook.js';
 import { isOpen } from './JobRecord.js';
 import type { JobStore } from './JobStore.js';
@@ -18,6 +18,9 @@
  */
 export const LISTING_WITHIN_MS = 3500;
 
+/** Terms of jobs whose route was removed: their items are given up at once. */
+const REMOVED_ROUTE: JobTerms = { attempts: 1, completionTargetMs: 0, retentionMs: 0 };
+
 /** What holding jobs needs. */
 export interface HeldJobsNeeds {
   readonly identity: HostIdentity;
@@ -82,6 +85,12 @@
     return [...this.held.values()];
   }
 
+  /** Terms of a job by its route; nothing while it is unknown whether the route still exists. */
+  private termsOf(route: string): JobTerms | undefined {
+    const { view } = this.needs;
+    return view.directory?.routeNamed(route) ?? (view.isCurrent ? REMOVED_ROUTE : undefined);
+  }
+
   private isOwn(holder: readonly [string, number] | null): boolean {
     const { identity } = this.needs;
     return holder?.[0] === identity.name && holder[1] === identity.incarnation;
@@ -99,9 +108,9 @@
   }
 
   private async open(job: KnownJob): Promise<void> {
-    const { jobs, view, identity, journal } = this.needs;
+    const { jobs, identity, journal } = this.needs;
     const { id, input, route: routeName, account } = job.record;
-    const route = view.directory?.routeNamed(routeName);
+    const route = this.termsOf(routeName);
     if (this.loading.has(id) || this.stopping || !route) return;
     this.loading.add(id);
     const items = await jobs.loadInput(input);
@@ -129,7 +138,8 @@
       this.removeOld(job, atWork);
     });
     this.held.forEach((job) => {
-      if (Date.now() - job.record.submittedAt >= job.route.retentionMs) this.needs.onOutdated(job);
+      const terms = this.termsOf(job.record.route) ?? job.terms;
+      if (Date.now() - job.record.submittedAt >= terms.retentionMs) this.needs.onOutdated(job);
     });
     this.needs.onOpened();
   }
--- a/packages/serving/test/steps/jobs.steps.ts
+++ b/packages/serving/test/steps/jobs.steps.ts
@@ -8,7 +8,6 @@
 import { JobBook } from '@jacinthlug/serving/batch/JobBook';
 import { JOBS_TABLE } from '@jacinthlug/serving/batch/jobKeys';
 import { JobStore } from '@jacinthlug/serving/batch/JobStore';
-import type { Route } from '@jacinthlug/serving/configuration/ServingConfiguration';
 import type { Result } from 'neverthrow';
 import { MemoryRecordStore } from '../fakes/MemoryRecordStore.js';
 
@@ -76,8 +75,8 @@
   const { book, jobs } = world.hosts.get(host)!;
   const known = book.find(ACCOUNT, world.job)!;
   const input = known.record.items.map((_, each) => itemOf(each));
-  const route = { attempts: 3, completionTargetMs: 1000 } as Route;
-  const held = new HeldJob(known, route, input, {
+  const terms = { attempts: 3, completionTargetMs: 1000, retentionMs: 60_000 };
+  const held = new HeldJob(known, terms, input, {
     jobs,
     journal: silentJournal,
     holder: [host, 1],
