List a batch result once when a host hears of its own unanswered write

Cause: the answer to a listing was lost; before the host repeated the write, the followed table brought the job's new row, and the repeat listed the same result after itself under the new revision. Ruled out: two holders (one host listed both), a late write (its condition fails). Test red first. Conclusion: results that the store already lists leave the queue, and their runs end.

--- a/packages/serving/src/batch/HeldJob.ts
+++ b/packages/serving/src/batch/HeldJob.ts
@@ -78,8 +78,7 @@
    */
   take(job: KnownJob): void {
     if (job.revision <= this.job.revision) return;
-    this.job = job;
-    if (!this.isHeld) this.cancelRuns();
+    this.adopt(job);
   }
 
   /** Cancels all runs; what they have put out is kept. */
@@ -119,6 +118,22 @@
     this.writing = undefined;
   }
 
+  /**
+   * Goes on from a state of the store. What it lists is not listed again: it may come from a write whose
+   * answer was lost.
+   */
+  private adopt(job: KnownJob): void {
+    if (job.revision > this.job.revision) this.job = job;
+    const present = new Set(this.record.listed.map(([index]) => index));
+    const rest = this.finished.filter(({ index }) => !present.has(index));
+    this.finished.splice(0, this.finished.length, ...rest);
+    present.forEach((index) => {
+      this.tasks.get(index)?.run?.controller.abort('listed already');
+      this.tasks.delete(index);
+    });
+    if (!this.isHeld) this.cancelRuns();
+  }
+
   private async writeOnce(): Promise<void> {
     const results = this.finished.slice(0, RESULTS_AT_ONCE);
     const listed = await this.needs.jobs.list(this.job, results);
@@ -131,10 +146,6 @@
       await systemClock.sleep(REFUSED_PAUSE_MS);
       return;
     }
-    if (listed.value.revision > this.job.revision) this.job = listed.value;
-    const present = new Set(this.record.listed.map(([index]) => index));
-    const rest = this.finished.filter(({ index }) => !present.has(index));
-    this.finished.splice(0, this.finished.length, ...rest);
-    if (!this.isHeld) this.cancelRuns();
+    this.adopt(listed.value);
   }
 }
--- a/packages/serving/test/features/jobs.feature
+++ b/packages/serving/test/features/jobs.feature
@@ -44,6 +44,13 @@
     And "h-1" lists the result of item 0
     Then "h-2" reads the results of items 2, 0
 
+  Scenario: A result whose listing a host hears of before it repeats the write is listed once
+    Given hosts "h-1" and "h-2" with a store
+    When job "j-1" with 3 items arrives at "h-1"
+    And the store loses the answer to the next commit
+    And "h-1" lists the result of item 2 and hears of it from the store before it repeats the write
+    Then "h-2" reads the results of items 2
+
   Scenario: A host that was taken over lists nothing
     Given hosts "h-1" and "h-2" with a store
     When job "j-1" with 3 items arrives at "h-1"
--- a/packages/serving/test/steps/jobs.steps.ts
+++ b/packages/serving/test/steps/jobs.steps.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import { setImmediate } from 'node:timers/promises';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { MemoryObjects } from '@jacinthlug/batch/testing/MemoryObjects';
 import { silentJournal } from '@jacinthlug/catalog/Journal';
@@ -71,7 +72,13 @@
   });
 };
 
-const listResult = async (world: JobsWorld, host: string, index: number, text: string) => {
+const listResult = async (
+  world: JobsWorld,
+  host: string,
+  index: number,
+  text: string,
+  meanwhile?: (held: HeldJob) => Promise<void>,
+) => {
   const { book, jobs } = world.hosts.get(host)!;
   const known = book.find(ACCOUNT, world.job)!;
   const input = known.record.items.map((_, each) => itemOf(each));
@@ -85,6 +92,7 @@
   task.answer.begin(200);
   task.answer.write(Buffer.from(`id: 1\ndata: ${text}\n\n`));
   held.finish(task, 'completed');
+  await meanwhile?.(held);
   await held.settled();
 };
 
@@ -159,6 +167,18 @@
   },
 );
 
+When(
+  '{string} lists the result of item {int} and hears of it from the store before it repeats the write',
+  async function (this: JobsWorld, host: string, index: number) {
+    await listResult(this, host, index, `output ${index}`, async (held) => {
+      // The write has been applied when its promise chain has come to rest.
+      await setImmediate();
+      synchronise(this, host);
+      held.take(this.hosts.get(host)!.book.find(ACCOUNT, this.job)!);
+    });
+  },
+);
+
 When(
   '{string} lists an output of {int} bytes for item {int}',
   async function (this: JobsWorld, host: string, bytes: number, index: number) {
