Time batch jobs by the store's clock

Cause: a job's acceptance was written with the wall clock of the accepting host and compared with that of the host that holds the job. With clocks set ahead by 60 s on two hosts of five, items were given up as older than the route's retention. Now the answers of the store carry its steady clock, and ages of jobs are read from it. Also here, without change of behaviour: one constant for the age of the store's contact, and one reader of JSON in records.

--- a/packages/serving/src/batch/BatchWorker.ts
+++ b/packages/serving/src/batch/BatchWorker.ts
@@ -1,5 +1,6 @@
 /** Runs the items of the jobs that this host holds where online requests leave room. */
 import type { Metrics } from '@jacinthlug/catalog/Metrics';
+import { STORE_WITHIN_MS } from '../fleet/Members.js';
 import { spreadMs } from '../fleet/reportIntervals.js';
 import type { Target } from '../fleet/Target.js';
 import type { TargetList } from '../fleet/TargetList.js';
@@ -12,7 +13,8 @@
 import type { TargetHealth } from '../routing/TargetHealth.js';
 import type { TargetRouter } from '../routing/TargetRouter.js';
 import type { HeldJob } from './HeldJob.js';
-import { HeldJobs, LISTING_WITHIN_MS, type HeldJobsNeeds } from './HeldJobs.js';
+import { HeldJobs, type HeldJobsNeeds } from './HeldJobs.js';
+import type { ItemState } from './JobRecord.js';
 import type { ItemTask } from './ItemTask.js';
 import { orderItems, remainingMs } from './orderItems.js';
 import { PaceMeter } from './PaceMeter.js';
@@ -145,7 +147,7 @@
 
   private startItems(): void {
     const { router, view, members, identity } = this.needs;
-    if (this.stopping || this.needs.storeAge() > LISTING_WITHIN_MS) return;
+    if (this.stopping || this.needs.storeAge() > STORE_WITHIN_MS) return;
     const now = performance.now();
     const waiting = this.allItems()
       .filter(({ job, task }) => job.isHeld && task.isWaiting(now))
@@ -277,12 +279,7 @@
     });
   }
 
-  private finish(
-    job: HeldJob,
-    task: ItemTask,
-    state: 'completed' | 'dead-lettered',
-    cause: string,
-  ): void {
+  private finish(job: HeldJob, task: ItemTask, state: ItemState, cause: string): void {
     this.needs.metrics.count('batch.items', { outcome: state });
     this.needs.journal.record('item-finished', {
       request: task.item.id,
--- a/packages/serving/src/batch/HeldJob.ts
+++ b/packages/serving/src/batch/HeldJob.ts
@@ -43,8 +43,7 @@
     private readonly needs: HeldJobNeeds,
   ) {
     const { record } = job;
-    const ageMs = Date.now() - record.submittedAt;
-    this.due = performance.now() - ageMs + terms.completionTargetMs;
+    this.due = performance.now() - needs.jobs.ageOf(record) + terms.completionTargetMs;
     const listed = new Set(record.listed.map(([index]) => index));
     input.forEach((item, index) => {
       if (!listed.has(index)) this.tasks.set(index, new ItemTask(index, item, terms.attempts));
--- a/packages/serving/src/batch/HeldJobs.ts
+++ b/packages/serving/src/batch/HeldJobs.ts
@@ -3,7 +3,7 @@
 import { rendezvousOrder } from '@jacinthlug/control/peers/rendezvous';
 import type { ConfigurationView } from '../configuration/ConfigurationView.js';
 import type { HostIdentity } from '../fleet/HostIdentity.js';
-import type { Members } from '../fleet/Members.js';
+import { STORE_WITHIN_MS, type Members } from '../fleet/Members.js';
 import { HeldJob, type JobTerms } from './HeldJob.js';
 import type { JobBook, KnownJob } from './JobBook.js';
 import { isOpen } from './JobRecord.js';
@@ -12,12 +12,6 @@
 /** How often jobs of lost hosts and outdated jobs are looked for. Unit: ms. */
 const SURVEY_MS = 500;
 
-/**
- * Contact with the store above which results could not be listed. Other hosts take the jobs of a host over
- * at the same age. Unit: ms.
- */
-export const LISTING_WITHIN_MS = 3500;
-
 /** Terms of jobs whose route was removed: their items are given up at once. */
 const REMOVED_ROUTE: JobTerms = { attempts: 1, completionTargetMs: 0, retentionMs: 0 };
 
@@ -126,8 +120,8 @@
 
   /** Opens own jobs, takes over those of lost hosts, gives up what is outdated. */
   private survey(): void {
-    const { book, members } = this.needs;
-    if (this.needs.storeAge() > LISTING_WITHIN_MS) return;
+    const { book, jobs, members } = this.needs;
+    if (this.needs.storeAge() > STORE_WITHIN_MS) return;
     const atWork = members.atWork();
     book.all().forEach((job) => {
       const { record } = job;
@@ -139,7 +133,7 @@
     });
     this.held.forEach((job) => {
       const terms = this.termsOf(job.record.route) ?? job.terms;
-      if (Date.now() - job.record.submittedAt >= terms.retentionMs) this.needs.onOutdated(job);
+      if (jobs.ageOf(job.record) >= terms.retentionMs) this.needs.onOutdated(job);
     });
     this.needs.onOpened();
   }
@@ -176,7 +170,7 @@
   private removeOld(job: KnownJob, atWork: readonly string[]): void {
     const { jobs, identity, keepMs } = this.needs;
     const { record } = job;
-    if (isOpen(record) || Date.now() - record.submittedAt < keepMs) return;
+    if (isOpen(record) || jobs.ageOf(record) < keepMs) return;
     if (this.loading.has(record.id) || rendezvousOrder(record.id, atWork)[0] !== identity.name)
       return;
     this.loading.add(record.id);
--- a/packages/serving/src/batch/JobRecord.ts
+++ b/packages/serving/src/batch/JobRecord.ts
@@ -16,7 +16,7 @@
   route: z.string(),
   /** Value of the `Host` header of its items. */
   host: z.string(),
-  /** Wall-clock time of the acceptance. Unit: ms since 1970. */
+  /** Time of the acceptance by the store's clock, as hosts may step theirs. Unit: ms. */
   submittedAt: z.number(),
   /** Id and tokens of each item, in the order of the submission. */
   items: z.array(z.tuple([z.string(), z.number()])),
@@ -26,7 +26,7 @@
   holder: z.tuple([z.string(), z.number()]).nullable(),
   /** Index and state of each item that has a result, in the order of the results. */
   listed: z.array(z.tuple([z.int(), itemState])),
-  /** Wall-clock time at which the caller ended the job; null while it is open. Unit: ms since 1970. */
+  /** Time by the store's clock at which the caller ended the job; null while it is open. Unit: ms. */
   endedAt: z.number().nullable(),
 });
 
--- a/packages/serving/src/batch/JobStore.ts
+++ b/packages/serving/src/batch/JobStore.ts
@@ -39,6 +39,9 @@
 /** Results of one answer to a caller, which may be at most 1 MB. Unit: bytes. */
 const ANSWER_BYTES = 900_000;
 
+/** Rows that one transaction removes; it holds at most 100 entries. */
+const REMOVALS_AT_ONCE = 90;
+
 /** Objects with job input that are kept in memory. */
 const CACHED_INPUTS = 16;
 
@@ -73,10 +76,6 @@
 const findRecord = (records: readonly StoredRecord[], key: RecordKey): StoredRecord | undefined =>
   records.find((record) => sameKey(record, key));
 
-/** Whether all these results stand in a job's list from a position on. */
-const holdsResults = (job: JobRecord, from: number, results: readonly NewResult[]): boolean =>
-  results.every(({ index }, offset) => job.listed[from + offset]?.[0] === index);
-
 /** Keeps batch jobs in the store. */
 export class JobStore {
   private readonly admissions = new Map<string, number>();
@@ -102,6 +101,10 @@
   ): Promise<Result<void, Refusal>> {
     const { book, objects, store } = this.needs;
     const { id, account, route, host, items } = submission;
+    const submittedAt = store.now();
+    if (submittedAt === undefined) {
+      return err(refuse('platform-unavailable', { retryAfterSeconds: 0.5 }));
+    }
     const deadline = this.clock.now() + SETTLE_MS;
     const input = `${JOBS_TABLE}-${id}-${randomUUID()}`;
     const record: JobRecord = {
@@ -109,7 +112,7 @@
       account,
       route,
       host,
-      submittedAt: Date.now(),
+      submittedAt,
       items: items.map((item) => [item.id, item.tokens]),
       input,
       holder: [...holder],
@@ -165,6 +168,16 @@
     }
   }
 
+  /**
+   * Tells how long ago a job was accepted, by the store's clock.
+   *
+   * @param record - the job
+   * @returns age. Unit: ms
+   */
+  ageOf({ submittedAt }: JobRecord): number {
+    return (this.needs.store.now() ?? submittedAt) - submittedAt;
+  }
+
   /**
    * Finds a job, asking the store when this host does not know it.
    *
@@ -195,7 +208,9 @@
    */
   async end(account: string, id: string): Promise<Result<boolean, Refusal>> {
     const changed = await this.change(account, id, (record) =>
-      record.endedAt === null ? { ...record, endedAt: Date.now() } : undefined,
+      record.endedAt === null
+        ? { ...record, endedAt: record.submittedAt + this.ageOf(record) }
+        : undefined,
     );
     if (changed.isErr()) {
       return err(
@@ -293,8 +308,6 @@
     if (written.error.kind !== 'conflict') return err(written.error);
     const present = findRecord(written.error.records, key);
     const known = present && book.take(present);
-    // An earlier write without an answer may have been applied meanwhile.
-    if (known && holdsResults(known.record, from, results)) return ok(known);
     return known ? ok(known) : err(written.error);
   }
 
@@ -350,9 +363,9 @@
     const results = record.listed.map((_, position) =>
       resultKey(record.account, record.id, position),
     );
-    // A transaction holds at most 100 entries; the job's row goes last, so that a rest is found again.
-    for (let start = 0; start < results.length; start += 90) {
-      const removals = results.slice(start, start + 90);
+    // The job's row goes last, so that a rest is found again.
+    for (let start = 0; start < results.length; start += REMOVALS_AT_ONCE) {
+      const removals = results.slice(start, start + REMOVALS_AT_ONCE);
       const part = await store.commit({ conditions: [], writes: [], removals });
       if (part.isErr()) return;
     }
--- a/packages/serving/src/fleet/Members.ts
+++ b/packages/serving/src/fleet/Members.ts
@@ -2,6 +2,7 @@
 import type { Journal } from '@jacinthlug/catalog/Journal';
 import type { LoadReport } from '@jacinthlug/protocol/loadReport';
 import { z } from 'zod';
+import { parseJson } from '../store/parseJson.js';
 import type { RecordChange, RecordStore, StoredRecord } from '../store/RecordStore.js';
 import type { TableListener } from '../store/TableFollower.js';
 import type { HostIdentity } from './HostIdentity.js';
@@ -15,8 +16,11 @@
  */
 const HEARD_WITHIN_MS = 1000;
 
-/** Contact with the store below which a host can record results. Unit: ms. */
-const STORE_WITHIN_MS = 3500;
+/**
+ * Age of the contact with the store above which a host starts no batch items, as it could not list their
+ * results, and above which others take its jobs over. Unit: ms.
+ */
+export const STORE_WITHIN_MS = 3500;
 
 /**
  * Silence after which the row of a host is removed. A host without contact to the store stops taking
@@ -41,6 +45,8 @@
 
 interface Heard {
   readonly incarnation: number;
+  /** Monotonic time at which the process started, as its reports tell. Unit: ms. */
+  readonly startedAt: number;
   readonly sequence: number;
   /** Monotonic time of the last report. Unit: ms. */
   readonly at: number;
@@ -89,11 +95,15 @@
    * @returns whether it is newer than the reports before it
    */
   hear(report: LoadReport, now = performance.now()): boolean {
-    const { host, incarnation, sequence, storeAgeMs } = report;
+    const { host, incarnation, sequence, upMs, storeAgeMs } = report;
     const before = this.heard.get(host);
-    if (before && incarnation < before.incarnation) return false;
-    if (before?.incarnation === incarnation && sequence <= before.sequence) return false;
-    this.heard.set(host, { incarnation, sequence, at: now, storeAgeMs });
+    const startedAt = now - upMs;
+    if (before?.incarnation === incarnation) {
+      if (sequence <= before.sequence) return false;
+    } else if (before && startedAt < before.startedAt) {
+      return false;
+    }
+    this.heard.set(host, { incarnation, startedAt, sequence, at: now, storeAgeMs });
     return true;
   }
 
@@ -163,6 +173,29 @@
     return silent.map(({ name }) => name);
   }
 
+  /** Writes this host's row when it is missing or an earlier process wrote it; tried again after a failure. */
+  keepOwnRow(): void {
+    const { identity, store, journal } = this.needs;
+    const own = this.members.get(identity.name);
+    if (this.registering || own?.incarnation === identity.incarnation) return;
+    this.registering = true;
+    const { address, port, incarnation, failureDomain } = identity;
+    const row: MemberRow = { address, port, incarnation, failureDomain };
+    const key = { table: MEMBERS_TABLE, partition: '', key: identity.name };
+    void store
+      .commit({
+        conditions: [{ ...key, revision: own?.revision ?? 0 }],
+        writes: [{ ...key, value: Buffer.from(JSON.stringify(row)) }],
+      })
+      .then((written) => {
+        this.registering = false;
+        journal.record('member-registered', {
+          incarnation,
+          outcome: written.isOk() ? 'written' : written.error.kind,
+        });
+      });
+  }
+
   /** Removes this host's row, so that its share of the rates is free at once. */
   async leave(): Promise<void> {
     const own = this.members.get(this.needs.identity.name);
@@ -175,13 +208,7 @@
   }
 
   private put(record: StoredRecord): void {
-    let content: unknown;
-    try {
-      content = JSON.parse(record.value.toString());
-    } catch {
-      content = undefined;
-    }
-    const row = memberRow.safeParse(content);
+    const row = memberRow.safeParse(parseJson(record.value));
     if (!row.success) {
       this.needs.journal.record('record-unreadable', { table: MEMBERS_TABLE, key: record.key });
       return;
@@ -202,32 +229,4 @@
       outcome: removed.isOk() ? 'removed' : removed.error.kind,
     });
   }
-
-  /** Writes this host's row when it is missing or an earlier process wrote it. */
-  private keepOwnRow(): void {
-    const { identity, store, journal } = this.needs;
-    const own = this.members.get(identity.name);
-    if (this.registering || own?.incarnation === identity.incarnation) return;
-    this.registering = true;
-    const { address, port, incarnation, failureDomain } = identity;
-    const row: MemberRow = { address, port, incarnation, failureDomain };
-    const key = { table: MEMBERS_TABLE, partition: '', key: identity.name };
-    void store
-      .commit({
-        conditions: [{ ...key, revision: own?.revision ?? 0 }],
-        writes: [{ ...key, value: Buffer.from(JSON.stringify(row)) }],
-      })
-      .then((written) => {
-        this.registering = false;
-        journal.record('member-registered', {
-          incarnation,
-          outcome: written.isOk() ? 'written' : written.error.kind,
-        });
-      });
-  }
-
-  /** Tries again to write the own row when an earlier try failed. */
-  retryRegistration(): void {
-    this.keepOwnRow();
-  }
 }
--- a/packages/serving/src/store/RecordStore.ts
+++ b/packages/serving/src/store/RecordStore.ts
@@ -66,6 +66,13 @@
 
 /** The row store. */
 export interface RecordStore {
+  /**
+   * Tells the time of the store's clock, which no host can step.
+   *
+   * @returns time; nothing before the first answer of the store. Unit: ms
+   */
+  now(): number | undefined;
+
   /**
    * Reads a range of one partition; pages are followed.
    *
--- a/packages/serving/test/fakes/MemoryRecordStore.ts
+++ b/packages/serving/test/fakes/MemoryRecordStore.ts
@@ -45,6 +45,10 @@
     this.clock = clock;
   }
 
+  now(): number {
+    return this.clock?.now() ?? 0;
+  }
+
   read({ table, partition, from = '', to }: RecordRange): ResultAsync<RecordPage, StoreFailure> {
     if (this.down) return errAsync({ kind: 'unavailable', message: 'down' });
     const records = [...this.rows.values()]
