Tell processes of a host apart without wall clocks

Cause: hosts ordered two processes of one host by the wall-clock time of their starts. Now incarnations are drawn, and reports carry the age of the process. Ruled out: sequence numbers alone, as they start anew with each process.

--- a/packages/entry/test/steps/claims.steps.ts
+++ b/packages/entry/test/steps/claims.steps.ts
@@ -2,9 +2,9 @@
 import { setImmediate as turn } from 'node:timers/promises';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { request } from 'undici';
+import { createRandom } from '@jacinthlug/batch/testing/createRandom';
 import { innerHeaders } from '@jacinthlug/protocol/headers';
 import { behaviours, refuseWith, type Behaviour } from '../fakes/FakeAgent.js';
-import { createRandom } from '../fakes/createRandom.js';
 import { HARBOR_KEY, type Scenario, type SentOrder } from '../fakes/Scenario.js';
 
 const agentFaults: readonly Behaviour[] = [
--- a/packages/entry/test/steps/routing.steps.ts
+++ b/packages/entry/test/steps/routing.steps.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When, type DataTable } from '@cucumber/cucumber';
+import { createRandom } from '@jacinthlug/batch/testing/createRandom';
 import { silentJournal } from '@jacinthlug/catalog/Journal';
 import type { Member } from '@jacinthlug/protocol/members';
 import { CrashRecorder } from '../../src/core/forwarding/CrashRecorder.js';
@@ -7,7 +8,6 @@
 import { agentSubset } from '../../src/core/routing/agentSubset.js';
 import { chooseAgent } from '../../src/core/routing/chooseAgent.js';
 import { Circuit } from '../../src/core/routing/Circuit.js';
-import { createRandom } from '../fakes/createRandom.js';
 import { fakeMembership } from '../fakes/fakeMembership.js';
 import type { Scenario } from '../fakes/Scenario.js';
 
--- a/packages/protocol/src/loadReport.ts
+++ b/packages/protocol/src/loadReport.ts
@@ -34,10 +34,12 @@
 export const loadReport = z.tuple([
   /** Name of the sending host. */
   z.string(),
-  /** Incarnation of its process: start time in ms since 1970. */
+  /** Incarnation of its process: a number that no other process of the host has. */
   z.number(),
   /** Counts the reports of the incarnation, so that a crossed one is dropped. */
   z.int().nonnegative(),
+  /** Time since the start of the process. Wall clocks may be stepped, so starts are told apart by age. Unit: ms. */
+  z.number().nonnegative(),
   /** Age of the sender's contact with the store. Unit: ms. */
   z.number().nonnegative(),
   z.array(targetLoad),
@@ -54,6 +56,7 @@
   readonly host: string;
   readonly incarnation: number;
   readonly sequence: number;
+  readonly upMs: number;
   readonly storeAgeMs: number;
   readonly loads: readonly z.infer<typeof targetLoad>[];
   readonly rates: readonly z.infer<typeof rateUse>[];
@@ -73,6 +76,7 @@
     report.host,
     report.incarnation,
     report.sequence,
+    report.upMs,
     report.storeAgeMs,
     report.loads,
     report.rates,
@@ -97,7 +101,28 @@
   }
   const parsed = loadReport.safeParse(content);
   if (!parsed.success) return undefined;
-  const [host, incarnation, sequence, storeAgeMs, loads, rates, silent, waitingItems, breaks] =
-    parsed.data;
-  return { host, incarnation, sequence, storeAgeMs, loads, rates, silent, waitingItems, breaks };
+  const [
+    host,
+    incarnation,
+    sequence,
+    upMs,
+    storeAgeMs,
+    loads,
+    rates,
+    silent,
+    waitingItems,
+    breaks,
+  ] = parsed.data;
+  return {
+    host,
+    incarnation,
+    sequence,
+    upMs,
+    storeAgeMs,
+    loads,
+    rates,
+    silent,
+    waitingItems,
+    breaks,
+  };
 };
--- a/packages/serving/src/batch/JobBook.ts
+++ b/packages/serving/src/batch/JobBook.ts
@@ -1,5 +1,6 @@
 /** All batch jobs as this host knows them from the store. */
 import type { Journal } from '@jacinthlug/catalog/Journal';
+import { parseJson } from '../store/parseJson.js';
 import type { RecordChange, StoredRecord } from '../store/RecordStore.js';
 import type { TableListener } from '../store/TableFollower.js';
 import { JOBS_TABLE } from './jobKeys.js';
@@ -44,13 +45,7 @@
    * @returns the newest known state; nothing when the row is no job
    */
   take(record: StoredRecord): KnownJob | undefined {
-    let content: unknown;
-    try {
-      content = JSON.parse(record.value.toString());
-    } catch {
-      content = undefined;
-    }
-    const parsed = jobRecord.safeParse(content);
+    const parsed = jobRecord.safeParse(parseJson(record.value));
     if (!parsed.success) {
       this.journal.record('record-unreadable', { table: JOBS_TABLE, key: record.key });
       return undefined;
--- a/packages/serving/src/fleet/HostIdentity.ts
+++ b/packages/serving/src/fleet/HostIdentity.ts
@@ -5,7 +5,7 @@
   /** Name of the host; unique in the fleet. */
   readonly name: string;
   readonly failureDomain: string;
-  /** Start of this process. Unit: ms since 1970. */
+  /** Tells this process from earlier ones of the host; its order says nothing. */
   readonly incarnation: number;
   /** IP number at which other hosts reach it. */
   readonly address: string;
--- a/packages/serving/src/fleet/LoadExchange.ts
+++ b/packages/serving/src/fleet/LoadExchange.ts
@@ -100,6 +100,7 @@
       host: identity.name,
       incarnation: identity.incarnation,
       sequence: this.sequence,
+      upMs: Math.round(performance.now()),
       ...describe(),
     });
     this.receivers().forEach(({ address, port }) => {
--- a/packages/serving/src/rates/AccountRates.ts
+++ b/packages/serving/src/rates/AccountRates.ts
@@ -38,8 +38,8 @@
    * @returns heard members with this one, divided by all members
    */
   readonly share: () => number;
-  /** Start of this process. Unit: ms since 1970. */
-  readonly incarnation: number;
+  /** Monotonic time at which this process started. Unit: ms. */
+  readonly startedAt: number;
   /** Whether the whole system starts for the first time, so that nothing can have been used. */
   readonly firstStart: boolean;
 }
@@ -103,13 +103,14 @@
    * Debits what another host reports.
    *
    * @param report - its newest report
+   * @param now - monotonic time. Unit: ms
    */
-  hear({ host, incarnation, rates }: LoadReport): void {
+  hear({ host, incarnation, upMs, rates }: LoadReport, now = performance.now()): void {
     const before = this.peers.get(host);
     const used = before?.incarnation === incarnation ? before.used : new Map<string, number>();
     this.peers.set(host, { incarnation, used });
     // What an older process admitted before this one started is not held against the new bucket.
-    const isOlder = incarnation < this.fleet.incarnation;
+    const isOlder = now - upMs < this.fleet.startedAt;
     rates.forEach(([account, count]) => {
       const counted = used.get(account) ?? (isOlder ? count : 0);
       used.set(account, count);
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -138,10 +138,10 @@
   const members = new Members({ identity, store, journal });
   const client = new TargetClient();
   const router = new TargetRouter({ identity, targets, loads, health });
-  const { incarnation } = identity;
   const rates = new AccountRates({
     share: () => members.share(),
-    incarnation,
+    // Monotonic time counts from the start of the process.
+    startedAt: 0,
     firstStart: needs.firstStart,
   });
   const book = new JobBook(journal);
@@ -229,7 +229,7 @@
   let upkeepTimer: NodeJS.Timeout | undefined;
   let stopping = false;
   const upkeep = async (): Promise<void> => {
-    members.retryRegistration();
+    members.keepOwnRow();
     (await members.dropSilent()).forEach((name) => loads.forget(name));
     client.sweep((id) => targets.find(id) !== undefined);
   };
--- a/packages/serving/test/features/rates.feature
+++ b/packages/serving/test/features/rates.feature
@@ -28,6 +28,12 @@
     When the account sends 8 times its rate for 20 s and all hosts are restarted after 4, 6 and 12 s
     Then no window of 5 s has more than the limit with an excess of 0.1 and 20 requests
 
+  Scenario: A host that starts anew does not take earlier use of the others for new
+    Given 8 hosts and an account with rate 32 and burst 32, seed 8
+    And reports reach other hosts after 20 ms and 2 % of them are lost
+    When the account sends 0.7 times its rate for 20 s and one host is restarted after 8 s
+    Then none of its requests is refused later than after 10 s
+
   Scenario: A caller within its rate is not refused
     Given 8 hosts and an account with rate 32 and burst 32, seed 7
     And reports reach other hosts after 20 ms and 2 % of them are lost
--- a/packages/serving/test/steps/rates.steps.ts
+++ b/packages/serving/test/steps/rates.steps.ts
@@ -1,12 +1,12 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
+import { createRandom } from '@jacinthlug/batch/testing/createRandom';
 import type { LoadReport } from '@jacinthlug/protocol/loadReport';
 import type {
   Account,
   ServingConfiguration,
 } from '@jacinthlug/serving/configuration/ServingConfiguration';
 import { AccountRates } from '@jacinthlug/serving/rates/AccountRates';
-import { createRandom } from '../fakes/createRandom.js';
 
 /** Step of the simulation. Unit: ms. */
 const STEP_MS = 5;
@@ -17,6 +17,7 @@
 interface SimulatedHost {
   rates: AccountRates;
   incarnation: number;
+  startedAt: number;
   sequence: number;
   lastReport: number;
   group: number;
@@ -40,11 +41,23 @@
   limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
 });
 
-const startHost = (world: RatesWorld, group: number, now: number, firstStart: boolean) => {
-  const host = { incarnation: now + 1, sequence: 0, lastReport: now, group } as SimulatedHost;
+const startHost = (
+  world: RatesWorld,
+  group: number,
+  now: number,
+  firstStart: boolean,
+): SimulatedHost => {
+  const incarnation = world.random();
+  const host = {
+    incarnation,
+    startedAt: now,
+    sequence: 0,
+    lastReport: now,
+    group,
+  } as SimulatedHost;
   const share = (): number =>
     world.hosts.filter((each) => each.group === host.group).length / world.hosts.length;
-  host.rates = new AccountRates({ share, incarnation: host.incarnation, firstStart });
+  host.rates = new AccountRates({ share, startedAt: now, firstStart });
   host.rates.configure(configurationOf(world.account), now);
   return host;
 };
@@ -74,17 +87,25 @@
 });
 
 /** Sends requests to hosts of uneven weight and delivers the hosts' reports. */
-const simulate = (world: RatesWorld, times: number, seconds: number, restarts: number[]): void => {
+const simulate = (
+  world: RatesWorld,
+  times: number,
+  seconds: number,
+  restarts: number[],
+  restarted = world.hosts.length,
+): void => {
   const { account, random } = world;
   const inFlight: { at: number; to: number; report: LoadReport }[] = [];
   for (let now = 0; now < seconds * 1000; now += STEP_MS) {
     if (restarts.includes(now / 1000)) {
-      const restarted = world.hosts.map(({ group }) => startHost(world, group, now, false));
-      world.hosts.splice(0, world.hosts.length, ...restarted);
+      const fresh = world.hosts
+        .slice(0, restarted)
+        .map(({ group }) => startHost(world, group, now, false));
+      world.hosts.splice(0, restarted, ...fresh);
     }
     inFlight
       .filter(({ at }) => at <= now && at > now - STEP_MS)
-      .forEach(({ to, report }) => world.hosts[to]?.rates.hear(report));
+      .forEach(({ to, report }) => world.hosts[to]?.rates.hear(report, now));
     const expected = (account.rate * times * STEP_MS) / 1000;
     const requests = Math.floor(expected) + (random() < expected % 1 ? 1 : 0);
     for (let index = 0; index < requests; index += 1) {
@@ -100,6 +121,7 @@
         host: `host-${from}`,
         incarnation: host.incarnation,
         sequence: host.sequence,
+        upMs: now - host.startedAt,
         storeAgeMs: 0,
         loads: [],
         rates: host.rates.ownUse(now),
@@ -130,6 +152,13 @@
   },
 );
 
+When(
+  'the account sends {float} times its rate for {int} s and one host is restarted after {int} s',
+  function (this: RatesWorld, times: number, seconds: number, at: number) {
+    simulate(this, times, seconds, [at], 1);
+  },
+);
+
 Then(
   'no window of {int} s has more than the limit with an excess of {float} and {int} requests',
   function (this: RatesWorld, seconds: number, excess: number, slack: number) {
@@ -146,6 +175,16 @@
   },
 );
 
+Then(
+  'none of its requests is refused later than after {int} s',
+  function (this: RatesWorld, seconds: number) {
+    assert.deepEqual(
+      this.refused.filter((at) => at > seconds * 1000),
+      [],
+    );
+  },
+);
+
 Then('none of its requests is refused', function (this: RatesWorld) {
   assert.equal(this.refused.length, 0);
 });
