Try a request that has not run at another agent whatever the retry budget says

Cause: retries of requests that had provably not run took from the retry budget (3 in 10 s at low load), and an overload after an agent that was gone counted as the second retry of its kind. So a chat was refused with 503 while other agents were free. Ruled out: the circuit (opens after the first failure) and the choice of agents; ten tries with an agent killed under a batch job (20 and 40 chats at once, 200 and 2,000 items) gave no 503, so the fault as it was first reported is not reproduced on processes. Before: with one agent gone and one overloaded, 8 of 10 chats got 503 at a third free agent.

--- a/packages/demo/test/features/failures.feature
+++ b/packages/demo/test/features/failures.feature
@@ -11,6 +11,13 @@
     When the job runs and the agent of an engine is killed
     Then the job completes with each item exactly once
 
+  Scenario: Chats are sent right after an agent was killed under a batch job
+    Guards against refusals while other agents are free.
+    Given a batch job of 200 items of 10 tokens
+    When the job runs and the agent of an engine is killed
+    And 20 chats are sent at once through entry host 1
+    Then each of these chats is answered with 200
+
   Scenario: An agent is frozen past its lease and wakes
     Guards against a result that is made visible by a holder whose lease lapsed.
     Given a batch job of 200 items of 10 tokens
--- a/packages/demo/test/steps/failures.steps.ts
+++ b/packages/demo/test/steps/failures.steps.ts
@@ -90,6 +90,22 @@
   },
 );
 
+When(
+  '{int} chats are sent at once through entry host {int}',
+  async function (this: Failing, count: number, entry: number) {
+    const sent = Array.from({ length: count }, (_, index) => chat(this, entry, `chat ${index}`));
+    this.answers.push(...(await Promise.all(sent)));
+  },
+);
+
+Then('each of these chats is answered with 200', function (this: Failing) {
+  const refused = this.answers.filter(({ status }) => status !== 200);
+  assert.deepEqual(
+    refused.map(({ text }) => text),
+    [],
+  );
+});
+
 Then('the services were given the call once', async function (this: Failing) {
   assert.equal(await onceRuns(this), 1);
 });
--- a/packages/entry/src/core/forwarding/Forwarder.ts
+++ b/packages/entry/src/core/forwarding/Forwarder.ts
@@ -1,7 +1,7 @@
 /** Forwards a request to agents of its service until one answers or the rules end it. */
 import type { Journal } from '@jacinthlug/catalog/Journal';
 import type { Metrics } from '@jacinthlug/catalog/Metrics';
-import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
+import { refuse, type Refusal, type ResultName } from '@jacinthlug/catalog/resultCodes';
 import type { Permit } from '@jacinthlug/control/RateShares';
 import type { SuspectList } from '@jacinthlug/control/SuspectList';
 import { isInTime, type OnlineRequest } from '../online/OnlineRequest.js';
@@ -13,6 +13,9 @@
 import { ruleOf, runStateOf, type Failure, type RetryRule } from './retryRules.js';
 import type { RetryBudget } from './RetryBudget.js';
 
+/** Agents that may get one request: each kind of failure bounds its own retries, this one all together. */
+const MOST_ATTEMPTS = 4;
+
 /** Crashes of targets after which a request is refused. */
 const CONFIRMING_CRASHES = 2;
 
@@ -50,7 +53,8 @@
   readonly excluded: Set<string>;
   /** The last failure with its rule. */
   last?: { readonly failure: Failure; readonly rule: RetryRule };
-  retries: number;
+  /** Failed attempts by result code. */
+  readonly failures: Map<ResultName, number>;
   notRun: boolean;
 }
 
@@ -117,7 +121,7 @@
     signal: AbortSignal,
   ): Promise<Forwarded> {
     this.needs.budget.countRequest();
-    const progress: Progress = { excluded: new Set(), retries: 0, notRun: true };
+    const progress: Progress = { excluded: new Set(), failures: new Map(), notRun: true };
     for (;;) {
       const refusal = this.findObstacle(request, signal);
       if (refusal) return refuseWith(progress, refusal);
@@ -216,6 +220,7 @@
     const rule = ruleOf(failure);
     Object.assign(progress, { last: { failure, rule } });
     progress.excluded.add(name);
+    progress.failures.set(rule.code, (progress.failures.get(rule.code) ?? 0) + 1);
     if (runStateOf(failure) === 'outcome unknown') Object.assign(progress, { notRun: false });
     if (rule.opensCircuit) agents.fail(agent);
     if (failure.kind === 'refused') agents.succeed(agent);
@@ -229,10 +234,11 @@
   }
 
   private mayRetry(request: OnlineRequest, progress: Progress): boolean {
-    if (!progress.last || progress.retries >= progress.last.rule.retries) return false;
-    if (!progress.notRun && !request.repeatable) return false;
-    if (!isInTime(request) || !this.needs.budget.takeRetry()) return false;
-    Object.assign(progress, { retries: progress.retries + 1 });
-    return true;
+    const { last, failures, notRun, excluded } = progress;
+    // An overload after an agent that is gone is the first overload, so kinds are counted apart.
+    if (!last || (failures.get(last.rule.code) ?? 0) > last.rule.retries) return false;
+    if (excluded.size >= MOST_ATTEMPTS || !isInTime(request)) return false;
+    // Only runs cost a target something; the budget is not spent on requests that have not run.
+    return notRun || (request.repeatable && this.needs.budget.takeRetry());
   }
 }
--- a/packages/entry/src/core/forwarding/RetryBudget.ts
+++ b/packages/entry/src/core/forwarding/RetryBudget.ts
@@ -1,4 +1,4 @@
-/** Bounds retries to a part of the requests, so that failures do not multiply load. */
+/** Bounds repeated runs to a part of the requests, so that failures do not multiply load. */
 
 /** Time over which requests and retries are counted. Unit: ms. */
 const WINDOW_MS = 10_000;
--- a/packages/entry/test/features/forwarding.feature
+++ b/packages/entry/test/features/forwarding.feature
@@ -80,6 +80,18 @@
     Then the answer has status 200
     And the targets ran 1 request
 
+  Scenario: Chats on their way to an agent that was just killed go to the other agents, however many they are
+    Given "engine-1" is gone from its address
+    When the caller sends 100 chats at once
+    Then all 100 answers have status 200
+    And the targets ran 100 requests
+
+  Scenario: An overload after an agent that is gone does not end the request while others are free
+    Given "engine-1" is gone from its address
+    And agent "engine-2" always refuses with "overloaded"
+    When the caller sends 10 chats
+    Then all 10 answers have status 200
+
   Scenario: Without any agent the request is not run
     Given "ledger-1" is gone from its address
     And "ledger-2" is gone from its address
--- a/packages/entry/test/steps/online.steps.ts
+++ b/packages/entry/test/steps/online.steps.ts
@@ -61,6 +61,10 @@
   this.agents.forEach((agent) => Object.assign(agent, { fallback: behaviourOf(text) }));
 });
 
+Given('agent {string} always {}', function (this: Scenario, name: string, text: string) {
+  Object.assign(this.agent(name), { fallback: behaviourOf(text) });
+});
+
 Given('whichever agent comes first {}', function (this: Scenario, text: string) {
   const behaviour = behaviourOf(text);
   let isFirst = true;
@@ -130,6 +134,25 @@
   }
 });
 
+When('the caller sends {int} chats at once', async function (this: Scenario, count: number) {
+  await this.entry();
+  await Promise.all(
+    Array.from({ length: count }, () =>
+      this.send('POST', '/v1/chat/completions', chatBody(false)),
+    ),
+  );
+});
+
+Then(
+  'all {int} answers have status {int}',
+  function (this: Scenario, count: number, status: number) {
+    assert.deepEqual(
+      this.answers.map((answer) => answer.status),
+      Array.from({ length: count }, () => status),
+    );
+  },
+);
+
 When('the caller posts {string} to {string}', async function (this: Scenario, body, path) {
   await this.send('POST', path as string, body as string);
 });
