--- a/packages/entry/test/steps/online.steps.ts
+++ b/packages/entry/test/steps/online.steps.ts
@@ -137,9 +137,7 @@
 When('the caller sends {int} chats at once', async function (this: Scenario, count: number) {
   await this.entry();
   await Promise.all(
-    Array.from({ length: count }, () =>
-      this.send('POST', '/v1/chat/completions', chatBody(false)),
-    ),
+    Array.from({ length: count }, () => this.send('POST', '/v1/chat/completions', chatBody(false))),
   );
 });
 
