--- a/packages/serving/src/store/TableFollower.ts
+++ b/packages/serving/src/store/TableFollower.ts
@@ -51,6 +51,11 @@
   /** Revision up to which the listener knows every change. */
   revision = 0;
 
+  /** Settled when the listener has the table for the first time. */
+  readonly whenRead: Promise<void>;
+
+  private settleRead!: () => void;
+
   /** When the last answered read was sent: what the listener knows was in force then. */
   private provenAt: Moment | undefined;
 
@@ -65,7 +70,11 @@
     private readonly terms: FollowTerms,
     private readonly listener: TableListener,
     private readonly needs: TableFollowerNeeds,
-  ) {}
+  ) {
+    this.whenRead = new Promise((resolve) => {
+      this.settleRead = resolve;
+    });
+  }
 
   /**
    * Tells how old the proof is that the listener's state is current.
@@ -95,9 +104,9 @@
     const clock = this.needs.clock ?? systemClock;
     while (this.running) {
       const sentAt = this.now();
-      const failure = this.provenAt ? await this.followOnce() : await this.readOnce();
+      const failure = this.provenAt ? await this.followOnce(sentAt) : await this.readOnce(sentAt);
       if (!failure) {
-        this.succeed(sentAt);
+        this.succeed();
         await this.rest(sentAt, clock);
       } else if (failure.kind === 'history-lost') {
         this.provenAt = undefined;
@@ -122,24 +131,33 @@
     if (restMs > 0) await clock.sleep(restMs);
   }
 
-  private async readOnce(): Promise<StoreFailure | undefined> {
+  private async readOnce(sentAt: Moment): Promise<StoreFailure | undefined> {
     const page = await this.needs.store.readTable(this.terms.table);
     if (page.isErr()) return page.error;
     this.revision = page.value.revision;
+    // Set first: whoever waits for the table acts on it as soon as the listener has it.
+    this.provenAt = sentAt;
     this.listener.replace(page.value.records, page.value.revision);
+    this.settleRead();
     return undefined;
   }
 
-  private async followOnce(): Promise<StoreFailure | undefined> {
-    const page = await this.needs.store.follow(this.terms.table, this.revision, this.terms.holdMs);
+  private async followOnce(sentAt: Moment): Promise<StoreFailure | undefined> {
+    const { table, holdMs } = this.terms;
+    // A store that has not answered is asked in short calls: one that is held would hide its return.
+    const page = await this.needs.store.follow(
+      table,
+      this.revision,
+      this.failures > 0 ? 0 : holdMs,
+    );
     if (page.isErr()) return page.error;
     this.revision = Math.max(this.revision, page.value.revision);
+    this.provenAt = sentAt;
     if (page.value.changes.length > 0) this.listener.apply(page.value.changes);
     return undefined;
   }
 
-  private succeed(sentAt: Moment): void {
-    this.provenAt = sentAt;
+  private succeed(): void {
     if (this.failures === 0) return;
     this.failures = 0;
     this.returnedAt = this.now();
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -2,6 +2,7 @@
 import type { ObjectStore } from '@jacinthlug/backing/ObjectStore';
 import type { Journal } from '@jacinthlug/catalog/Journal';
 import type { Metrics } from '@jacinthlug/catalog/Metrics';
+import { systemClock } from '@jacinthlug/control/time/Clock';
 import { BatchWorker } from '../batch/BatchWorker.js';
 import { JobBook } from '../batch/JobBook.js';
 import { JOBS_TABLE } from '../batch/jobKeys.js';
@@ -79,6 +80,8 @@
   readonly jobsAge: () => number;
   /** Whether balancers should send callers here. */
   readonly isReady: () => boolean;
+  /** Waits until configuration and targets are known, but no longer than a limit in ms. */
+  whenKnown(limitMs: number): Promise<void>;
   start(): Promise<void>;
   /** Hands batch jobs over; called while callers' requests still run. */
   handOver(): Promise<void>;
@@ -245,6 +248,10 @@
     book,
     jobsAge: () => jobsFollower.age,
     isReady: () => !stopping && view.directory !== undefined && view.age < READY_WITHIN_MS,
+    async whenKnown(limitMs) {
+      const known = [configurationFollower, targetsFollower].map(({ whenRead }) => whenRead);
+      await Promise.race([Promise.all(known), systemClock.sleep(limitMs)]);
+    },
     async start() {
       await exchange.start();
       followers.forEach((follower) => {
--- a/packages/serving/test/features/following.feature
+++ b/packages/serving/test/features/following.feature
@@ -16,6 +16,20 @@
     Then the proof is less than 1000 ms old
     And the follower knows that the store came back
 
+  Scenario Outline: The return of a store that was silent is noticed soon
+    Given a follower of a table that lets the store hold its reads for 2000 ms
+    When the store is silent for <silence> ms
+    And the store answers again for 1500 ms
+    Then the proof is less than 1500 ms old
+
+    Examples:
+      | silence |
+      | 5000    |
+      | 5500    |
+      | 6000    |
+      | 6500    |
+      | 7000    |
+
   Scenario: A table whose history is lost is read anew
     Given a follower of a table with a least interval of 0 ms
     When row "a" is written and the history of the store is lost
--- a/packages/serving/test/steps/following.steps.ts
+++ b/packages/serving/test/steps/following.steps.ts
@@ -2,7 +2,7 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { silentJournal } from '@jacinthlug/catalog/Journal';
 import { TableFollower } from '@jacinthlug/serving/store/TableFollower';
-import { errAsync } from 'neverthrow';
+import { errAsync, ResultAsync } from 'neverthrow';
 import { SteppedClock } from '../fakes/SteppedClock.js';
 import { MemoryRecordStore } from '../fakes/MemoryRecordStore.js';
 
@@ -21,39 +21,75 @@
   await store.commit({ conditions: [], writes: [{ table: TABLE, partition: '', key, value }] });
 };
 
+/** Time after its hold at which a call without an answer is given up. Unit: ms. */
+const SLACK_MS = 700;
+
+const startFollower = async (
+  world: FollowingWorld,
+  holdMs: number,
+  intervalMs: number,
+): Promise<void> => {
+  const clock = new SteppedClock();
+  const store = new MemoryRecordStore();
+  const rows = new Set<string>();
+  Object.assign(world, { clock, store, rows, reads: 0 });
+  const follow = store.follow.bind(store);
+  store.follow = (...call) => {
+    Object.assign(world, { reads: world.reads + 1 });
+    return follow(...call);
+  };
+  const listener = {
+    replace: (records: readonly { key: string }[]) => {
+      rows.clear();
+      records.forEach(({ key }) => rows.add(key));
+    },
+    apply: (changes: readonly { kind: string; record?: { key: string } }[]) =>
+      changes.forEach(({ record }) => record && rows.add(record.key)),
+  };
+  const follower = new TableFollower({ table: TABLE, holdMs, intervalMs }, listener, {
+    store,
+    journal: silentJournal,
+    clock,
+    readMoment: () => ({ monotonic: clock.now(), wall: clock.now() }),
+  });
+  Object.assign(world, { follower });
+  store.holdWith(clock);
+  void follower.run();
+  await clock.advance(100);
+};
+
 Given(
   'a follower of a table with a least interval of {int} ms',
-  async function (this: FollowingWorld, intervalMs: number) {
-    this.clock = new SteppedClock();
-    this.store = new MemoryRecordStore();
-    this.rows = new Set();
-    this.reads = 0;
-    const { store, rows, clock } = this;
-    const follow = store.follow.bind(store);
-    store.follow = (...call) => {
-      this.reads += 1;
-      return follow(...call);
-    };
-    const listener = {
-      replace: (records: readonly { key: string }[]) => {
-        rows.clear();
-        records.forEach(({ key }) => rows.add(key));
-      },
-      apply: (changes: readonly { kind: string; record?: { key: string } }[]) =>
-        changes.forEach(({ record }) => record && rows.add(record.key)),
-    };
-    this.follower = new TableFollower({ table: TABLE, holdMs: 50, intervalMs }, listener, {
-      store,
-      journal: silentJournal,
-      clock,
-      readMoment: () => ({ monotonic: clock.now(), wall: clock.now() }),
-    });
-    store.holdWith(clock);
-    void this.follower.run();
-    await clock.advance(100);
+  function (this: FollowingWorld, intervalMs: number) {
+    return startFollower(this, 50, intervalMs);
+  },
+);
+
+Given(
+  'a follower of a table that lets the store hold its reads for {int} ms',
+  function (this: FollowingWorld, holdMs: number) {
+    return startFollower(this, holdMs, 0);
   },
 );
 
+When('the store is silent for {int} ms', async function (this: FollowingWorld, ms: number) {
+  const { store, clock } = this;
+  const follow = store.follow.bind(store);
+  const isSilentUntil = clock.now() + ms;
+  store.follow = (table, after, holdMs = 0) => {
+    if (clock.now() >= isSilentUntil) return follow(table, after, holdMs);
+    const givenUp = clock.sleep(holdMs + SLACK_MS);
+    return ResultAsync.fromSafePromise(givenUp).andThen(() =>
+      errAsync({ kind: 'unknown' as const, message: 'no answer' }),
+    );
+  };
+  await clock.advance(ms);
+});
+
+When('the store answers again for {int} ms', async function (this: FollowingWorld, ms: number) {
+  await this.clock.advance(ms);
+});
+
 After(async function (this: Partial<FollowingWorld>) {
   this.follower?.stop();
   await this.clock?.advance(5000);
