--- a/packages/specs/test/features/models.feature
+++ b/packages/specs/test/features/models.feature
@@ -13,6 +13,7 @@
       | at most once |
       | shares       |
       | versions     |
+      | listing      |
 
   Scenario Outline: The check of <model> finds "<fault>"
     When the model "<model>" is explored with the fault "<fault>"
@@ -34,3 +35,6 @@
       | versions     | adopts-lower             | a version went back                     |
       | versions     | serves-unproven          | a replaced version is served            |
       | versions     | commits-without-base     | two edits made the same version         |
+      | listing      | no revision check        | an item has two results                 |
+      | listing      | keeps what is listed     | an item has two results                 |
+      | listing      | ignores the end          | a result was listed after the end       |
--- a/packages/specs/test/steps/models.steps.ts
+++ b/packages/specs/test/steps/models.steps.ts
@@ -3,6 +3,7 @@
 import { createOnceModel, type OnceFault } from '../../src/atMostOnce.js';
 import { createChunkModel, type ChunkFault } from '../../src/chunkCommit.js';
 import { exploreModel, type Exploration } from '../../src/exploreModel.js';
+import { createListingModel, type ListingFault } from '../../src/resultListing.js';
 import { createShareModel, type ShareFault } from '../../src/shareModel.js';
 import { createVersionModel, type VersionFault } from '../../src/versionModel.js';
 
@@ -17,6 +18,7 @@
   'chunk commit': (fault = 'none') => exploreModel(createChunkModel(fault as ChunkFault)),
   'at most once': (fault = 'none') => exploreModel(createOnceModel(fault as OnceFault)),
   shares: (fault) => exploreModel(createShareModel(fault as ShareFault)),
+  listing: (fault = 'none') => exploreModel(createListingModel(fault as ListingFault)),
   versions: (fault) => exploreModel(createVersionModel(fault as VersionFault)),
 };
 
