List finished batch items before a host stops, also when the store is away meanwhile

Now the hand-over waits for the listing until the end of the grace time. Ruled out: saving the output of finished items as progress, as the store is away for that as well. The scenario failed while the listing was not waited for, and passes.

--- a/packages/serving/src/batch/BatchWorker.ts
+++ b/packages/serving/src/batch/BatchWorker.ts
@@ -92,11 +92,15 @@
     return this.allItems().filter(({ job, task }) => job.isHeld && task.isWaiting(now)).length;
   }
 
-  /** Cancels the runs and gives the jobs back, so that other hosts run them. */
-  async stop(): Promise<void> {
+  /**
+   * Cancels the runs and gives the jobs back, so that other hosts run them.
+   *
+   * @param deadline - monotonic time until which a store that does not answer is waited for. Unit: ms
+   */
+  async stop(deadline: number): Promise<void> {
     this.stopping = true;
     clearTimeout(this.turnTimer);
-    await this.held.stop();
+    await this.held.stop(deadline);
   }
 
   /** Looks at once whether items can start or must make room, after a change of loads or targets. */
--- a/packages/serving/src/batch/HeldJob.ts
+++ b/packages/serving/src/batch/HeldJob.ts
@@ -118,12 +118,15 @@
   }
 
   /**
-   * Saves all that unfinished items have put out, before another host takes the job.
+   * Ends the runs, lists what is finished and saves what unfinished items have put out, before another host
+   * takes the job. Results that are not listed would be worked out once more.
    *
-   * @returns when the store has it, or has failed to take it
+   * @param deadline - monotonic time after which nothing is waited for. Unit: ms
+   * @returns when the store has it all, or the time is up
    */
-  async handOver(): Promise<void> {
+  async handOver(deadline: number): Promise<void> {
     this.cancelRuns();
+    await Promise.race([this.settled(), systemClock.sleep(deadline - performance.now())]);
     await this.saveOutputs(1);
   }
 
--- a/packages/serving/src/batch/HeldJobs.ts
+++ b/packages/serving/src/batch/HeldJobs.ts
@@ -59,8 +59,12 @@
     this.surveyTimer = setInterval(() => this.survey(), SURVEY_MS);
   }
 
-  /** Cancels the runs and gives the jobs back with what they have put out, so that other hosts go on. */
-  async stop(): Promise<void> {
+  /**
+   * Cancels the runs and gives the jobs back with what they have put out, so that other hosts go on.
+   *
+   * @param deadline - monotonic time until which a store that does not answer is waited for. Unit: ms
+   */
+  async stop(deadline: number): Promise<void> {
     this.stopping = true;
     clearInterval(this.surveyTimer);
     const jobs = this.all();
@@ -68,7 +72,7 @@
       jobs
         .filter(({ isHeld }) => isHeld)
         .map(async (job) => {
-          await job.handOver();
+          await job.handOver(deadline);
           const { account, id } = job.record;
           await this.needs.jobs.change(account, id, (present) =>
             this.isOwn(present.holder) ? { ...present, holder: null } : undefined,
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -83,8 +83,8 @@
   /** Waits until configuration and targets are known, but no longer than a limit in ms. */
   whenKnown(limitMs: number): Promise<void>;
   start(): Promise<void>;
-  /** Hands batch jobs over; called while callers' requests still run. */
-  handOver(): Promise<void>;
+  /** Hands batch jobs over until a monotonic deadline in ms; called while callers' requests still run. */
+  handOver(deadline: number): Promise<void>;
   /** Leaves the fleet; called when no request runs any more. */
   stop(): Promise<void>;
 }
@@ -262,9 +262,9 @@
       }, UPKEEP_MS);
       worker.start();
     },
-    async handOver() {
+    async handOver(deadline) {
       stopping = true;
-      await worker.stop();
+      await worker.stop(deadline);
     },
     async stop() {
       clearInterval(upkeepTimer);
--- a/packages/serving/test/features/jobs.feature
+++ b/packages/serving/test/features/jobs.feature
@@ -69,6 +69,12 @@
     Then "h-1" reads events 1 to 45 as the result of item 1
     And the store holds no output of unfinished items
 
+  Scenario: A host that stops while the store is away lists its finished items when the store is back
+    Given hosts "h-1" and "h-2" with a store
+    When job "j-1" with 3 items arrives at "h-1"
+    And "h-1" finishes item 1 and stops while the store is away for 500 ms
+    Then "h-2" reads the results of items 1
+
   Scenario: Output that a late write brings back is removed with its job
     Given hosts "h-1" and "h-2" with a store
     When job "j-1" with 3 items arrives at "h-1"
--- a/packages/serving/test/steps/jobs.steps.ts
+++ b/packages/serving/test/steps/jobs.steps.ts
@@ -30,6 +30,9 @@
   held: HeldJob | undefined;
 }
 
+/** Time that a stopping host has. Unit: ms. */
+const STOP_MS = 5000;
+
 const ACCOUNT = 'fitters';
 
 const itemOf = (index: number) => ({
@@ -178,7 +181,7 @@
   async function (this: JobsWorld, host: string, first: number, last: number, index: number) {
     const held = await openJob(this, host);
     putOut(held.tasks.get(index)!, first, last);
-    await held.handOver();
+    await held.handOver(performance.now() + STOP_MS);
   },
 );
 
@@ -202,6 +205,22 @@
   },
 );
 
+When(
+  '{string} finishes item {int} and stops while the store is away for {int} ms',
+  async function (this: JobsWorld, host: string, index: number, awayMs: number) {
+    const held = await openJob(this, host);
+    const task = held.tasks.get(index)!;
+    task.answer.begin(200);
+    task.answer.write(Buffer.from(`id: 1\ndata: output ${index}\n\n`));
+    this.store.down = true;
+    held.finish(task, 'completed');
+    setTimeout(() => {
+      this.store.down = false;
+    }, awayMs);
+    await held.handOver(performance.now() + STOP_MS);
+  },
+);
+
 When('{string} removes the job', async function (this: JobsWorld, host: string) {
   const { book, jobs } = this.hosts.get(host)!;
   await jobs.remove(book.find(ACCOUNT, this.job)!);
