--- a/packages/serving/test/steps/following.steps.ts
+++ b/packages/serving/test/steps/following.steps.ts
@@ -75,9 +75,9 @@
 When('the store is silent for {int} ms', async function (this: FollowingWorld, ms: number) {
   const { store, clock } = this;
   const follow = store.follow.bind(store);
-  const isSilentUntil = clock.now() + ms;
+  const silentUntil = clock.now() + ms;
   store.follow = (table, after, holdMs = 0) => {
-    if (clock.now() >= isSilentUntil) return follow(table, after, holdMs);
+    if (clock.now() >= silentUntil) return follow(table, after, holdMs);
     const givenUp = clock.sleep(holdMs + SLACK_MS);
     return ResultAsync.fromSafePromise(givenUp).andThen(() =>
       errAsync({ kind: 'unknown' as const, message: 'no answer' }),
--- a/packages/serving/test/steps/jobs.steps.ts
+++ b/packages/serving/test/steps/jobs.steps.ts
@@ -92,13 +92,17 @@
   return held;
 };
 
-const putOut = (task: ItemTask, first: number, last: number): void => {
+/** Lets an item put out one event for each text. */
+const putOut = (task: ItemTask, texts: readonly string[], first = 1): void => {
   task.answer.begin(200);
-  for (let event = first; event <= last; event += 1) {
-    task.answer.write(Buffer.from(`id: ${event}\ndata: event ${event}\n\n`));
-  }
+  texts.forEach((text, index) =>
+    task.answer.write(Buffer.from(`id: ${first + index}\ndata: ${text}\n\n`)),
+  );
 };
 
+const eventTexts = (first: number, last: number): string[] =>
+  Array.from({ length: last - first + 1 }, (_, index) => `event ${first + index}`);
+
 const listResult = async (
   world: JobsWorld,
   host: string,
@@ -108,8 +112,7 @@
 ) => {
   const held = await openJob(world, host);
   const task = held.tasks.get(index) ?? new ItemTask(index, itemOf(index), 3);
-  task.answer.begin(200);
-  task.answer.write(Buffer.from(`id: 1\ndata: ${text}\n\n`));
+  putOut(task, [text]);
   held.finish(task, 'completed');
   await meanwhile?.(held);
   await held.settled();
@@ -180,7 +183,7 @@
   '{string} puts out events {int} to {int} of item {int} and saves its progress',
   async function (this: JobsWorld, host: string, first: number, last: number, index: number) {
     const held = await openJob(this, host);
-    putOut(held.tasks.get(index)!, first, last);
+    putOut(held.tasks.get(index)!, eventTexts(first, last), first);
     await held.handOver(performance.now() + STOP_MS);
   },
 );
@@ -199,7 +202,7 @@
   '{string} puts out events {int} to {int} of item {int} and lists its result',
   async function (this: JobsWorld, _host: string, first: number, last: number, index: number) {
     const task = this.held!.tasks.get(index)!;
-    putOut(task, first, last);
+    putOut(task, eventTexts(first, last), first);
     this.held!.finish(task, 'completed');
     await this.held!.settled();
   },
@@ -210,8 +213,7 @@
   async function (this: JobsWorld, host: string, index: number, awayMs: number) {
     const held = await openJob(this, host);
     const task = held.tasks.get(index)!;
-    task.answer.begin(200);
-    task.answer.write(Buffer.from(`id: 1\ndata: output ${index}\n\n`));
+    putOut(task, [`output ${index}`]);
     this.store.down = true;
     held.finish(task, 'completed');
     setTimeout(() => {
@@ -314,9 +316,8 @@
   '{string} reads events {int} to {int} as the result of item {int}',
   async function (this: JobsWorld, host: string, first: number, last: number, index: number) {
     const results = await readAll(this, host);
-    const events = Array.from({ length: last - first + 1 }, (_, each) => `event ${first + each}`);
     assert.deepEqual(results, [
-      { item: `item-${index}`, state: 'completed', text: events.join('\n') },
+      { item: `item-${index}`, state: 'completed', text: eventTexts(first, last).join('\n') },
     ]);
   },
 );
