--- a/packages/agent/src/core/http/InnerRequest.ts
+++ b/packages/agent/src/core/http/InnerRequest.ts
@@ -3,7 +3,7 @@
 import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
 import { innerHeaders } from '@jacinthlug/protocol/headers';
 import { err, ok, type Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const text = z.string().min(1);
 const whole = z.coerce.number().pipe(z.int().nonnegative());
--- a/packages/agent/src/core/target/ServedModels.ts
+++ b/packages/agent/src/core/target/ServedModels.ts
@@ -2,7 +2,7 @@
 import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
 import type { ConfigurationFollower } from '@jacinthlug/control/ConfigurationFollower';
 import type { AgentSettings } from '@jacinthlug/settings/process/hostSettings';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { TargetMonitor } from './TargetMonitor.js';
 
 const namedModel = z.looseObject({ model: z.string() });
--- a/packages/agent/src/core/target/TargetMonitor.ts
+++ b/packages/agent/src/core/target/TargetMonitor.ts
@@ -3,7 +3,7 @@
 import type { Journal } from '@jacinthlug/catalog/Journal';
 import type { AgentSettings } from '@jacinthlug/settings/process/hostSettings';
 import { request, type Dispatcher } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 import { probeTarget } from './probeTarget.js';
 
 const modelList = z.object({ data: z.array(z.object({ id: z.string() })) });
--- a/packages/backing/src/PrometheusHostList.ts
+++ b/packages/backing/src/PrometheusHostList.ts
@@ -5,7 +5,7 @@
 import type { PlatformSettings } from '@jacinthlug/settings/process/hostSettings';
 import { ResultAsync } from 'neverthrow';
 import { request } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { HostList, HostListFailure } from './HostList.js';
 
 const OPERATION = 'hosts.list';
--- a/packages/batch/src/input/item.ts
+++ b/packages/batch/src/input/item.ts
@@ -1,5 +1,5 @@
 /** Lines of the batch input, in the OpenAI batch format. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Endpoints that batch items may use; requests to them may run twice without harm. */
 export const batchEndpoint = z.enum(['/v1/chat/completions']);
--- a/packages/batch/src/manifest.ts
+++ b/packages/batch/src/manifest.ts
@@ -1,5 +1,5 @@
 /** The manifest of a job: where its chunks are in the input. Written once, before the job is accepted. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Schema of the place of a chunk in the input object. */
 export const chunkRange = z.object({
--- a/packages/batch/src/results/resultLine.ts
+++ b/packages/batch/src/results/resultLine.ts
@@ -1,5 +1,5 @@
 /** Lines of the results, in the OpenAI batch output format. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Schema of one line. */
 export const resultLine = z.object({
--- a/packages/batch/src/rows/rows.ts
+++ b/packages/batch/src/rows/rows.ts
@@ -1,7 +1,7 @@
 /** Schemas of the rows that the job store owns. Times are wall-clock ms since 1970. */
 import type { Attributes, Row } from '@jacinthlug/backing/Table';
 import { err, ok, type Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Malformed } from '../BatchFailure.js';
 
 const count = z.int().nonnegative();
--- a/packages/bench/src/experiment/experiment.ts
+++ b/packages/bench/src/experiment/experiment.ts
@@ -1,7 +1,7 @@
 /** Schema of an experiment file. */
 import { deployments, type DeploymentName } from '@jacinthlug/demo/launch/deployments';
 import { inheritedSettings } from '@jacinthlug/settings/tree/declarations';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const deploymentNames = Object.keys(deployments) as [DeploymentName, ...DeploymentName[]];
 
--- a/packages/bench/src/load/countBatchItems.ts
+++ b/packages/bench/src/load/countBatchItems.ts
@@ -1,6 +1,6 @@
 /** Counts batch items at the engines, where a chunk in progress shows too. */
 import type { Fleet } from '@jacinthlug/demo/launch/Fleet';
-import { z } from 'zod';
+import * as z from 'zod';
 import { BATCH_MARK } from './runBatchJob.js';
 
 const requestLog = z.array(z.object({ body: z.string(), outcome: z.string() }));
--- a/packages/bench/src/load/runBatchJob.ts
+++ b/packages/bench/src/load/runBatchJob.ts
@@ -1,7 +1,7 @@
 /** Submits a batch job and waits for its end. */
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Fleet } from '@jacinthlug/demo/launch/Fleet';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { BatchJobPlan } from '../experiment/experiment.js';
 import { openRandom } from '../schedule/openRandom.js';
 import { makeWords } from '../schedule/planSends.js';
--- a/packages/bench/src/load/sendChat.ts
+++ b/packages/bench/src/load/sendChat.ts
@@ -1,6 +1,6 @@
 /** Sends one streamed chat and times it. */
 import type { Dispatcher } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** How a request ended. */
 export type Ending = 'completed' | 'refused' | 'cut' | 'unanswered';
--- a/packages/cli/src/core/answers.ts
+++ b/packages/cli/src/core/answers.ts
@@ -1,6 +1,6 @@
 /** Schemas of the answers of an entry host. */
 import { configuration } from '@jacinthlug/settings/tree/configuration';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Answer of `GET /operator/v1/configuration`. */
 export const configurationAnswer = configuration;
--- a/packages/cli/src/core/callFailures.ts
+++ b/packages/cli/src/core/callFailures.ts
@@ -1,5 +1,5 @@
 /** Failures of calls to an entry host, and how a command ends with them. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { CommandFailure, type FailureReport } from './CommandFailure.js';
 import { exitCodes, type ExitCode } from './exitCodes.js';
 
--- a/packages/control/src/follower/configurationRows.ts
+++ b/packages/control/src/follower/configurationRows.ts
@@ -8,7 +8,7 @@
   type ConfigurationContent,
 } from '@jacinthlug/settings/tree/configuration';
 import { err, ok, type Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const PARTITION = 'configuration';
 const VERSION_PREFIX = 'version#';
--- a/packages/control/src/rates/createHomeLease.ts
+++ b/packages/control/src/rates/createHomeLease.ts
@@ -2,7 +2,7 @@
 import { randomUUID } from 'node:crypto';
 import type { Journal } from '@jacinthlug/catalog/Journal';
 import type { Attributes, Condition, Row, Table, Write } from '@jacinthlug/backing/Table';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Follower } from '../follower/createFollower.js';
 import type { Clock } from '../time/Clock.js';
 import type { FreePart } from './createAccountBook.js';
--- a/packages/control/src/rates/createHomeRoute.ts
+++ b/packages/control/src/rates/createHomeRoute.ts
@@ -1,6 +1,6 @@
 /** Finds the home of a shard. */
 import type { Table } from '@jacinthlug/backing/Table';
-import { z } from 'zod';
+import * as z from 'zod';
 import { leaseKey } from './shards.js';
 
 /** Addresses of the home of one shard. */
--- a/packages/demo/src/launch/Operator.ts
+++ b/packages/demo/src/launch/Operator.ts
@@ -1,7 +1,7 @@
 /** Client of the operators' interface, as the launcher needs it. */
 import { randomUUID } from 'node:crypto';
 import type { Declarations } from '@jacinthlug/settings/tree/declarations';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const granted = z.object({ id: z.string(), secret: z.string(), version: z.number() });
 
--- a/packages/entry/src/core/batches/batchRequest.ts
+++ b/packages/entry/src/core/batches/batchRequest.ts
@@ -1,6 +1,6 @@
 /** Schema of the body of `POST /v1/batches`. */
 import { batchEndpoint } from '@jacinthlug/batch/input/item';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const MAX_METADATA = 16;
 const MAX_METADATA_KEY = 64;
--- a/packages/entry/src/core/forwarding/readAnswer.ts
+++ b/packages/entry/src/core/forwarding/readAnswer.ts
@@ -4,7 +4,7 @@
 import { innerHeaders } from '@jacinthlug/protocol/headers';
 import { loadReport, type LoadReport } from '@jacinthlug/protocol/messages';
 import type { Dispatcher } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { OnlineRequest } from '../online/OnlineRequest.js';
 import { Abandoned, type AgentRefusal, type Attempt } from './Attempt.js';
 import type { AttemptTerms } from './AttemptTerms.js';
--- a/packages/entry/src/core/online/chatCompletions.ts
+++ b/packages/entry/src/core/online/chatCompletions.ts
@@ -3,7 +3,7 @@
 import type { ConfigurationFollower } from '@jacinthlug/control/ConfigurationFollower';
 import type { Catalogue } from '@jacinthlug/settings/tree/Catalogue';
 import { err, ok } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { CallerHandler, Endpoint } from '../http/Exchange.js';
 import { hashParts } from './OnlineRequest.js';
 import type { OnlineRunner } from './OnlineRunner.js';
--- a/packages/entry/src/core/operators/configurationEndpoints.ts
+++ b/packages/entry/src/core/operators/configurationEndpoints.ts
@@ -4,7 +4,7 @@
 import { checkStructure } from '@jacinthlug/settings/tree/checkStructure';
 import { declarations, type Declarations } from '@jacinthlug/settings/tree/declarations';
 import { err, ok, type Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Endpoint, OperatorHandler } from '../http/Exchange.js';
 import { readBody, sendJson } from './json.js';
 import type { OperatorDeps } from './OperatorDeps.js';
--- a/packages/entry/src/core/operators/hostEndpoints.ts
+++ b/packages/entry/src/core/operators/hostEndpoints.ts
@@ -1,7 +1,7 @@
 /** Operators' endpoints on hosts and on the state of the answering host. */
 import { drainHost } from '@jacinthlug/control/edits/contentChanges';
 import { err } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Endpoint, OperatorHandler } from '../http/Exchange.js';
 import { OPERATOR } from './configurationEndpoints.js';
 import { readBody, sendJson } from './json.js';
--- a/packages/entry/src/core/operators/keyEndpoints.ts
+++ b/packages/entry/src/core/operators/keyEndpoints.ts
@@ -2,7 +2,7 @@
 import { grantKey, withdrawKey } from '@jacinthlug/control/edits/contentChanges';
 import { deriveKey } from '@jacinthlug/control/edits/keySecrets';
 import { err } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Endpoint, OperatorHandler } from '../http/Exchange.js';
 import { OPERATOR } from './configurationEndpoints.js';
 import { readBody, sendJson } from './json.js';
--- a/packages/protocol/src/loadReport.ts
+++ b/packages/protocol/src/loadReport.ts
@@ -1,6 +1,6 @@
 /** What serving hosts tell each other by datagram: loads of targets, use of rates, silent targets. */
 import { pack, unpack } from 'msgpackr';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Running requests of one host on one target. */
 const targetLoad = z.tuple([
--- a/packages/protocol/src/members.ts
+++ b/packages/protocol/src/members.ts
@@ -1,5 +1,5 @@
 /** Members of the fleet as the platform's host list describes them. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Schema of a member. */
 export const member = z.object({
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -1,6 +1,6 @@
 /** Messages of the control procedures. Durations in messages become deadlines on receipt. */
 import { configuration } from '@jacinthlug/settings/tree/configuration';
-import { z } from 'zod';
+import * as z from 'zod';
 import { member } from './members.js';
 
 /** Schema of a suspect. */
--- a/packages/serving/src/batch/JobRecord.ts
+++ b/packages/serving/src/batch/JobRecord.ts
@@ -1,5 +1,5 @@
 /** What the store keeps about a batch job. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Final state of an item. */
 const itemState = z.enum(['completed', 'dead-lettered']);
--- a/packages/serving/src/fleet/Members.ts
+++ b/packages/serving/src/fleet/Members.ts
@@ -1,7 +1,7 @@
 /** The hosts of the fleet: their rows in the store, and which of them are heard. */
 import type { Journal } from '@jacinthlug/catalog/Journal';
 import type { LoadReport } from '@jacinthlug/protocol/loadReport';
-import { z } from 'zod';
+import * as z from 'zod';
 import { parseJson } from '../store/parseJson.js';
 import type { RecordChange, RecordStore, StoredRecord } from '../store/RecordStore.js';
 import type { TableListener } from '../store/TableFollower.js';
--- a/packages/settings/src/process/hostSettings.ts
+++ b/packages/settings/src/process/hostSettings.ts
@@ -1,5 +1,5 @@
 /** Settings that entry hosts and agents share. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 const address = z.object({
   /** IP number to listen on and to be reached at. */
--- a/packages/settings/src/tree/configuration.ts
+++ b/packages/settings/src/tree/configuration.ts
@@ -1,5 +1,5 @@
 /** A version of the configuration: declarations and keys, as it is stored and spread. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { declarations, inheritedSettings } from './declarations.js';
 
 const key = z.strictObject({
--- a/packages/settings/src/tree/declarations.ts
+++ b/packages/settings/src/tree/declarations.ts
@@ -1,5 +1,5 @@
 /** Schema of the declaration tree that operators keep in version control. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Settings that any node may set and that its descendants inherit. */
 export const inheritedSettings = z.strictObject({
--- a/packages/standins/src/core/faults.ts
+++ b/packages/standins/src/core/faults.ts
@@ -1,5 +1,5 @@
 /** Faults that a stand-in can be told to show. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 const faults = z.strictObject({
   /** Wait before a request is handled; it is handled even when its caller has gone. Unit: ms. */
--- a/packages/standins/src/engine/ModelOrders.ts
+++ b/packages/standins/src/engine/ModelOrders.ts
@@ -1,6 +1,6 @@
 /** Models of the engine and the orders that change them. */
 import { setTimeout as sleep } from 'node:timers/promises';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Schema of `POST /orders`. */
 export const modelOrder = z.strictObject({
--- a/packages/standins/src/engine/chatRequest.ts
+++ b/packages/standins/src/engine/chatRequest.ts
@@ -1,5 +1,5 @@
 /** Body of `POST /v1/chat/completions`, as far as the stand-in reads it. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 const message = z.looseObject({
   role: z.string(),
--- a/packages/standins/src/target/targetFaults.ts
+++ b/packages/standins/src/target/targetFaults.ts
@@ -1,5 +1,5 @@
 /** Faults that a test sets on a stand-in of a target. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Schema of `POST /_standin/faults`. The body replaces all faults; an absent one is off. */
 export const targetFaults = z.strictObject({
