--- a/packages/protocol/src/loadReport.ts
+++ b/packages/protocol/src/loadReport.ts
@@ -1,97 +1,117 @@
 /** What serving hosts tell each other by datagram: loads of targets, use of rates, silent targets. */
 import { pack, unpack } from 'msgpackr';
-import * as z from 'zod';
+import { amount, count, listOf, text, tuple, type ContentOf } from './shapes.js';
 
-/** Running requests of one host on one target. */
-const targetLoad = z.tuple([
-  /** Identity of the target. */
-  z.string(),
-  /** Online requests. */
-  z.int().nonnegative(),
-  /** Batch items. */
-  z.int().nonnegative(),
-]);
+/** Running requests of one host on one target: identity of the target, online requests, batch items. */
+const targetLoad = tuple(text, count, count);
 
-/** Use of one account's rate through one host. */
-const rateUse = z.tuple([
-  /** Name of the account. */
-  z.string(),
-  /** Requests counted since the start of the process. */
-  z.int().nonnegative(),
-]);
+/** Use of one account's rate through one host: name, and requests since the start of the process. */
+const rateUse = tuple(text, count);
 
-/** Broken sends of one request through one host. */
-const brokenSends = z.tuple([
-  /** Fingerprint of the request. */
-  z.string(),
-  z.int().positive(),
-]);
+/** Broken sends of one request through one host: fingerprint of the request, and their number. */
+const brokenSends = tuple(text, count);
 
 /**
- * Schema of a report. Every report carries the whole state, so that a lost one does no harm. It
- * travels as a list without field names, because bytes between failure domains are paid for.
+ * Shape of a report. Every report carries the whole state, so that a lost one does no harm. It
+ * travels as a list without field names, because bytes between failure domains are paid for. Fields in
+ * order as in {@link LoadReport}.
  */
-export const loadReport = z.tuple([
-  /** Name of the sending host. */
-  z.string(),
-  /** Incarnation of its process: a number that no other process of the host has. */
-  z.number(),
-  /** Counts the reports of the incarnation, so that a crossed one is dropped. */
-  z.int().nonnegative(),
-  /** Time since the start of the process. Wall clocks may be stepped, so starts are told apart by age. Unit: ms. */
-  z.number().nonnegative(),
-  /** Age of the sender's contact with the store. Unit: ms. */
-  z.number().nonnegative(),
-  z.array(targetLoad),
-  z.array(rateUse),
-  /** Identities of targets that do not answer the sender. */
-  z.array(z.string()),
-  /** Batch items of the sender that wait for a slot. */
-  z.int().nonnegative(),
-  z.array(brokenSends),
-]);
+const wireReport = tuple(
+  text,
+  amount,
+  count,
+  amount,
+  amount,
+  amount,
+  listOf(targetLoad),
+  listOf(rateUse),
+  listOf(text),
+  count,
+  listOf(brokenSends),
+);
+
+/** Content of a datagram: reports of one or more hosts. */
+const wireReports = listOf(wireReport);
 
 /** A report by its field names. */
 export interface LoadReport {
+  /** Name of the host that it is about. */
   readonly host: string;
+  /** Incarnation of its process: a number that no other process of the host has. */
   readonly incarnation: number;
+  /** Counts the reports of the incarnation, so that a crossed one is dropped. */
   readonly sequence: number;
+  /** How long ago the host wrote it, when another host passes it on. Unit: ms. */
+  readonly ageMs: number;
+  /** Time since the start of the process. Wall clocks may be stepped, so starts are told apart by age. Unit: ms. */
   readonly upMs: number;
+  /** Age of the host's contact with the store. Unit: ms. */
   readonly storeAgeMs: number;
-  readonly loads: readonly z.infer<typeof targetLoad>[];
-  readonly rates: readonly z.infer<typeof rateUse>[];
+  readonly loads: readonly ContentOf<typeof targetLoad>[];
+  readonly rates: readonly ContentOf<typeof rateUse>[];
+  /** Identities of targets that do not answer the host. */
   readonly silent: readonly string[];
+  /** Batch items of the host that wait for a slot. */
   readonly waitingItems: number;
-  readonly breaks: readonly z.infer<typeof brokenSends>[];
+  readonly breaks: readonly ContentOf<typeof brokenSends>[];
 }
 
+const toWire = (report: LoadReport) => [
+  report.host,
+  report.incarnation,
+  report.sequence,
+  report.ageMs,
+  report.upMs,
+  report.storeAgeMs,
+  report.loads,
+  report.rates,
+  report.silent,
+  report.waitingItems,
+  report.breaks,
+];
+
+const fromWire = ([
+  host,
+  incarnation,
+  sequence,
+  ageMs,
+  upMs,
+  storeAgeMs,
+  loads,
+  rates,
+  silent,
+  waitingItems,
+  breaks,
+]: ContentOf<typeof wireReport>): LoadReport => ({
+  host,
+  incarnation,
+  sequence,
+  ageMs,
+  upMs,
+  storeAgeMs,
+  loads,
+  rates,
+  silent,
+  waitingItems,
+  breaks,
+});
+
 /**
- * Encodes a report.
+ * Encodes reports.
  *
- * @param report - the report
+ * @param reports - reports of one or more hosts
  * @returns content of a datagram
  */
-export const encodeLoadReport = (report: LoadReport): Buffer =>
-  pack([
-    report.host,
-    report.incarnation,
-    report.sequence,
-    report.upMs,
-    report.storeAgeMs,
-    report.loads,
-    report.rates,
-    report.silent,
-    report.waitingItems,
-    report.breaks,
-  ]);
+export const encodeLoadReports = (reports: readonly LoadReport[]): Buffer =>
+  pack(reports.map(toWire));
 
 /**
- * Decodes a report.
+ * Decodes reports.
  *
  * @param datagram - content of a datagram, from anywhere
- * @returns the report, or nothing when it is none
+ * @returns the reports, or nothing when it holds anything else
  */
-export const decodeLoadReport = (datagram: Uint8Array): LoadReport | undefined => {
+export const decodeLoadReports = (datagram: Uint8Array): LoadReport[] | undefined => {
   let content: unknown;
   try {
     content = unpack(datagram);
@@ -99,30 +119,5 @@
     // Not one of ours; the caller counts it.
     return undefined;
   }
-  const parsed = loadReport.safeParse(content);
-  if (!parsed.success) return undefined;
-  const [
-    host,
-    incarnation,
-    sequence,
-    upMs,
-    storeAgeMs,
-    loads,
-    rates,
-    silent,
-    waitingItems,
-    breaks,
-  ] = parsed.data;
-  return {
-    host,
-    incarnation,
-    sequence,
-    upMs,
-    storeAgeMs,
-    loads,
-    rates,
-    silent,
-    waitingItems,
-    breaks,
-  };
+  return wireReports(content) ? content.map(fromWire) : undefined;
 };
--- a/packages/serving/src/batch/BatchWorker.ts
+++ b/packages/serving/src/batch/BatchWorker.ts
@@ -1,13 +1,13 @@
 /** Runs the items of the jobs that this host holds where online requests leave room. */
 import type { Metrics } from '@jacinthlug/catalog/Metrics';
 import { STORE_WITHIN_MS } from '../fleet/Members.js';
-import { spreadMs } from '../fleet/reportIntervals.js';
+import { spreadMs } from '../fleet/reportPlan.js';
 import type { Target } from '../fleet/Target.js';
 import type { TargetList } from '../fleet/TargetList.js';
 import type { Dialect } from '../http/Dialect.js';
 import type { TargetClient } from '../http/TargetClient.js';
 import { sendOnce, type AttemptEnd } from '../online/sendOnce.js';
-import { BatchTurns } from '../routing/BatchTurns.js';
+import { BatchTurns, type FreeSlots } from '../routing/BatchTurns.js';
 import type { Candidate } from '../routing/chooseTarget.js';
 import type { LoadBook } from '../routing/LoadBook.js';
 import type { TargetHealth } from '../routing/TargetHealth.js';
@@ -37,6 +37,9 @@
 /** Time that a run may take; targets drop requests whose time is up. Unit: ms. */
 const RUN_LIMIT_MS = 60_000;
 
+/** How long reports of other hosts are collected before items start or make room. Unit: ms. */
+const REPORTS_COLLECT_MS = 20;
+
 /** What the worker needs. */
 export interface BatchWorkerNeeds extends Omit<HeldJobsNeeds, 'onOpened' | 'onOutdated'> {
   readonly targets: TargetList;
@@ -63,6 +66,8 @@
 
   private turnTimer: NodeJS.Timeout | undefined;
 
+  private soonTimer: NodeJS.Timeout | undefined;
+
   private stopping = false;
 
   private pumpPlanned = false;
@@ -100,20 +105,34 @@
   async stop(deadline: number): Promise<void> {
     this.stopping = true;
     clearTimeout(this.turnTimer);
+    clearTimeout(this.soonTimer);
     await this.held.stop(deadline);
   }
 
-  /** Looks at once whether items can start or must make room, after a change of loads or targets. */
+  /** Looks at once whether items can start or must make room, after a change of own loads or of targets. */
   wake(): void {
-    if (this.pumpPlanned) return;
+    if (this.pumpPlanned || this.held.isIdle) return;
     this.pumpPlanned = true;
     setImmediate(() => {
       this.pumpPlanned = false;
-      this.makeRoom();
-      this.startItems();
+      this.pump();
     });
   }
 
+  /** Looks soon, after a report of another host: reports come by the hundred a second. */
+  wakeSoon(): void {
+    if (this.soonTimer || this.held.isIdle) return;
+    this.soonTimer = setTimeout(() => {
+      this.soonTimer = undefined;
+      this.pump();
+    }, REPORTS_COLLECT_MS);
+  }
+
+  private pump(): void {
+    this.makeRoom();
+    this.startItems();
+  }
+
   /** Ends the items of a job that nobody waits for any more. */
   private giveUp(job: HeldJob): void {
     [...job.tasks.values()].forEach((task) => {
@@ -150,7 +169,7 @@
   }
 
   private startItems(): void {
-    const { router, view, members, identity } = this.needs;
+    const { router, view, members, targets, identity } = this.needs;
     if (this.stopping || this.needs.storeAge() > STORE_WITHIN_MS) return;
     const now = performance.now();
     const waiting = this.allItems()
@@ -180,8 +199,10 @@
       taken.set(target.id, (taken.get(target.id) ?? 0) + 1);
       void this.runItem(job, task, target);
     });
-    const spread = spreadMs(members.peers, identity.failureDomain);
-    taken.forEach((_, id) => this.turns.take(id, now, spread));
+    taken.forEach((_, id) => {
+      const isNear = targets.find(id)?.failureDomain === identity.failureDomain;
+      this.turns.take(id, now, spreadMs(members.size, isNear));
+    });
     this.planTurn(waiting.length > 0, now);
   }
 
@@ -191,19 +212,41 @@
     reserve: number,
     taken: ReadonlyMap<string, number>,
   ): (candidate: Candidate) => number {
-    const { identity, loads } = this.needs;
-    const waitingHosts = [identity.name, ...loads.hostsWithWaitingItems()];
+    const hostsOf = this.groupWaitingHosts();
     const allowances = new Map<string, number>();
     return ({ target, load }) => {
       const free = target.slots - reserve - load.online - load.batch;
       const allowance =
         allowances.get(target.id) ??
-        this.turns.allowance({ target: target.id, free, waitingHosts }, now);
+        this.turns.allowance({ target: target.id, free, ...hostsOf(target.failureDomain) }, now);
       allowances.set(target.id, allowance);
       return allowance - (taken.get(target.id) ?? 0);
     };
   }
 
+  /** Groups the hosts with waiting items by whether they stand in a failure domain. */
+  private groupWaitingHosts(): (
+    failureDomain: string,
+  ) => Pick<FreeSlots, 'nearHosts' | 'farHosts'> {
+    const { identity, loads, members } = this.needs;
+    const hosts = [
+      { name: identity.name, failureDomain: identity.failureDomain },
+      ...members.peers.filter(({ name }) => loads.hostsWithWaitingItems.has(name)),
+    ];
+    const namesOf = (group: typeof hosts): string[] => group.map(({ name }) => name);
+    const groups = new Map<string, Pick<FreeSlots, 'nearHosts' | 'farHosts'>>();
+    return (failureDomain) => {
+      const known = groups.get(failureDomain);
+      if (known) return known;
+      const group = {
+        nearHosts: namesOf(hosts.filter((host) => host.failureDomain === failureDomain)),
+        farHosts: namesOf(hosts.filter((host) => host.failureDomain !== failureDomain)),
+      };
+      groups.set(failureDomain, group);
+      return group;
+    };
+  }
+
   /** Looks again when the next turn comes. */
   private planTurn(hasWaiting: boolean, now: number): void {
     const nextIn = this.turns.nextIn(now);
--- a/packages/serving/src/batch/HeldJobs.ts
+++ b/packages/serving/src/batch/HeldJobs.ts
@@ -1,10 +1,10 @@
 /** The jobs that this host holds: opened at acceptance, taken over from lost hosts, given back at a stop. */
 import type { Journal } from '@jacinthlug/catalog/Journal';
-import { rendezvousOrder } from '@jacinthlug/control/peers/rendezvous';
 import { ok } from 'neverthrow';
 import type { ConfigurationView } from '../configuration/ConfigurationView.js';
 import type { HostIdentity } from '../fleet/HostIdentity.js';
 import { STORE_WITHIN_MS, type Members } from '../fleet/Members.js';
+import { isFirst } from '../fleet/placement.js';
 import { HeldJob, type JobTerms } from './HeldJob.js';
 import type { JobBook, KnownJob } from './JobBook.js';
 import { isOpen, type ItemOutput } from './JobRecord.js';
@@ -30,6 +30,8 @@
   readonly keepMs: number;
   /** Age of the contact with the store. Unit: ms. */
   readonly storeAge: () => number;
+  /** How long ago the store came back; infinite when it never failed. Unit: ms. */
+  readonly sinceStoreReturn: () => number;
   /** Called when items may have come. */
   readonly onOpened: () => void;
   /** Called with a job whose items nobody waits for any more. */
@@ -90,6 +92,15 @@
     return [...this.held.values()];
   }
 
+  /**
+   * Tells whether there is nothing to run.
+   *
+   * @returns whether this host has no job
+   */
+  get isIdle(): boolean {
+    return this.held.size === 0;
+  }
+
   /** Terms of a job by its route; nothing while it is unknown whether the route still exists. */
   private termsOf(route: string): JobTerms | undefined {
     const { view } = this.needs;
@@ -170,20 +181,26 @@
     id: string,
     atWork: readonly string[],
   ): boolean {
-    const { members, identity } = this.needs;
-    if (holder && members.isAtWork(holder[0], holder[1])) return false;
-    return rendezvousOrder(id, atWork)[0] === identity.name;
+    return this.isFree(holder) && isFirst(id, this.needs.identity.name, atWork);
+  }
+
+  /** Whether nobody works on a job any more. */
+  private isFree(holder: readonly [string, number] | null): boolean {
+    if (!holder) return true;
+    const { members, sinceStoreReturn } = this.needs;
+    // Monotonic time counts from the start of the process.
+    const own = { storeRegainedMsAgo: sinceStoreReturn(), upMs: performance.now() };
+    return members.isLost(holder[0], holder[1], own);
   }
 
   private async takeOver({ record }: KnownJob): Promise<void> {
-    const { jobs, identity, journal, members } = this.needs;
+    const { jobs, identity, journal } = this.needs;
     if (this.loading.has(record.id)) return;
     this.loading.add(record.id);
     // Set before the write, which may take effect although its answer is lost.
     this.inherited.add(record.id);
     const changed = await jobs.change(record.account, record.id, (present) => {
-      const { holder } = present;
-      if (!isOpen(present) || (holder && members.isAtWork(holder[0], holder[1]))) return undefined;
+      if (!isOpen(present) || !this.isFree(present.holder)) return undefined;
       return { ...present, holder: [identity.name, identity.incarnation] };
     });
     this.loading.delete(record.id);
@@ -199,8 +216,7 @@
     const { jobs, identity, keepMs } = this.needs;
     const { record } = job;
     if (isOpen(record) || jobs.ageOf(record) < keepMs) return;
-    if (this.loading.has(record.id) || rendezvousOrder(record.id, atWork)[0] !== identity.name)
-      return;
+    if (this.loading.has(record.id) || !isFirst(record.id, identity.name, atWork)) return;
     this.loading.add(record.id);
     void jobs.remove(job).finally(() => this.loading.delete(record.id));
   }
--- a/packages/serving/src/fleet/LoadExchange.ts
+++ b/packages/serving/src/fleet/LoadExchange.ts
@@ -2,16 +2,25 @@
 import { createSocket, type Socket } from 'node:dgram';
 import type { Journal } from '@jacinthlug/catalog/Journal';
 import {
-  decodeLoadReport,
-  encodeLoadReport,
+  decodeLoadReports,
+  encodeLoadReports,
   type LoadReport,
 } from '@jacinthlug/protocol/loadReport';
 import type { HostIdentity } from './HostIdentity.js';
 import type { Member, Members } from './Members.js';
-import { farIntervalMs, NEAR_COLLECT_MS } from './reportIntervals.js';
+import { farIntervalMs, farReceivers, nearIntervalMs } from './reportPlan.js';
 
-/** Longest time between two reports. Unit: ms. */
-const IDLE_INTERVAL_MS = 250;
+/** Longest time between two reports to the own failure domain: four of them make a host silent. Unit: ms. */
+const IDLE_INTERVAL_MS = 350;
+
+/** How long reports go out more often after a request of an account that is close to its rate. Unit: ms. */
+const URGENT_MS = 500;
+
+/** Age up to which the report of another host is passed on. Unit: ms. */
+const PASSED_ON_WITHIN_MS = 1000;
+
+/** Reports of one datagram: a datagram of some 1,400 bytes is not split on its way. */
+const REPORTS_AT_ONCE = 8;
 
 /** The part of a report that its parts of the host fill. */
 export type ReportContent = Pick<
@@ -30,22 +39,38 @@
   readonly onReport: (report: LoadReport) => void;
 }
 
-/** Sends this host's reports and takes those of others. */
+interface HeardReport {
+  readonly report: LoadReport;
+  /** Monotonic time at which the host wrote it. Unit: ms. */
+  readonly writtenAt: number;
+}
+
+const inGroups = (reports: readonly LoadReport[]): LoadReport[][] =>
+  Array.from({ length: Math.ceil(reports.length / REPORTS_AT_ONCE) }, (_, group) =>
+    reports.slice(group * REPORTS_AT_ONCE, (group + 1) * REPORTS_AT_ONCE),
+  );
+
+/** Sends this host's reports, takes those of others and passes on those of its failure domain. */
 export class LoadExchange {
   private readonly socket: Socket;
 
   private sequence = 0;
 
-  private timer: NodeJS.Timeout | undefined;
+  private nearTimer: NodeJS.Timeout | undefined;
 
-  /** Monotonic time from which far hosts get the next report. Unit: ms. */
-  private farFrom = 0;
+  private farTimer: NodeJS.Timeout | undefined;
 
-  /** Whether the next report must reach far hosts too. */
-  private urgent = false;
+  /** Monotonic time at which the timer of the next near report ends. Unit: ms. */
+  private nearDue = Number.POSITIVE_INFINITY;
 
-  /** Monotonic time at which the timer ends. Unit: ms. */
-  private due = Number.POSITIVE_INFINITY;
+  /** Monotonic time of the latest near report. Unit: ms. */
+  private nearSentAt = Number.NEGATIVE_INFINITY;
+
+  /** Monotonic time until which reports go out more often. Unit: ms. */
+  private urgentUntil = Number.NEGATIVE_INFINITY;
+
+  /** Newest reports of hosts of the own failure domain, as they said themselves. */
+  private readonly nearReports = new Map<string, HeardReport>();
 
   constructor(private readonly needs: LoadExchangeNeeds) {
     this.socket = createSocket('udp4');
@@ -60,75 +85,122 @@
       this.socket.once('error', reject);
       this.socket.bind(port, address, resolve);
     });
-    this.plan(0);
+    this.planNear(0);
+    this.planFar();
   }
 
   /** Reports soon, together with other changes. */
   report(): void {
-    this.plan(NEAR_COLLECT_MS);
+    const { members } = this.needs;
+    const sinceSent = performance.now() - this.nearSentAt;
+    const intervalMs = nearIntervalMs(members.size, this.isUrgent);
+    // A change after a quiet time is also kept for a while: seldom does one come alone.
+    this.planNear(Math.max(intervalMs / 2, intervalMs - sinceSent));
   }
 
-  /** Reports at once, to far hosts as well. */
-  reportNow(): void {
-    this.urgent = true;
-    this.plan(0);
+  /** Reports sooner for a while, as an account is close to its rate. */
+  reportUrgently(): void {
+    this.urgentUntil = performance.now() + URGENT_MS;
+    this.report();
   }
 
   /** Stops reporting. */
   stop(): void {
-    clearTimeout(this.timer);
-    this.due = Number.NEGATIVE_INFINITY;
+    clearTimeout(this.nearTimer);
+    clearTimeout(this.farTimer);
+    this.nearDue = Number.NEGATIVE_INFINITY;
     this.socket.close();
   }
 
-  private plan(inMs: number): void {
+  private get isUrgent(): boolean {
+    return performance.now() < this.urgentUntil;
+  }
+
+  private planNear(inMs: number): void {
     const due = performance.now() + inMs;
-    if (due >= this.due) return;
-    clearTimeout(this.timer);
-    this.due = due;
-    this.timer = setTimeout(() => {
-      this.due = Number.POSITIVE_INFINITY;
-      this.send();
-      this.plan(IDLE_INTERVAL_MS);
+    if (due >= this.nearDue) return;
+    clearTimeout(this.nearTimer);
+    this.nearDue = due;
+    this.nearTimer = setTimeout(() => {
+      this.nearDue = Number.POSITIVE_INFINITY;
+      this.nearSentAt = performance.now();
+      this.send([this.describeOwn()], this.needs.members.near);
+      this.planNear(IDLE_INTERVAL_MS);
     }, inMs);
   }
 
-  private send(): void {
+  private planFar(): void {
+    const intervalMs = farIntervalMs(this.needs.members.size, this.isUrgent);
+    this.farTimer = setTimeout(() => {
+      this.passOn(intervalMs);
+      this.planFar();
+    }, intervalMs);
+  }
+
+  private describeOwn(): LoadReport {
     const { identity, describe } = this.needs;
     this.sequence += 1;
-    const datagram = encodeLoadReport({
+    return {
       host: identity.name,
       incarnation: identity.incarnation,
       sequence: this.sequence,
+      ageMs: 0,
       upMs: Math.round(performance.now()),
       ...describe(),
-    });
-    this.receivers().forEach(({ address, port }) => {
-      // A lost report is made good by the next one.
-      this.socket.send(datagram, port, address, () => undefined);
-    });
+    };
   }
 
-  /** Hosts that get the next report: those nearby, and the others when their time has come. */
-  private receivers(): Member[] {
+  /** Sends what the hosts of this failure domain last said to some hosts of the others. */
+  private passOn(intervalMs: number): void {
     const { identity, members } = this.needs;
-    const { peers } = members;
     const now = performance.now();
-    if (!this.urgent && now < this.farFrom) {
-      return peers.filter(({ failureDomain }) => failureDomain === identity.failureDomain);
-    }
-    this.urgent = false;
-    this.farFrom = now + farIntervalMs(peers, identity.failureDomain);
-    return peers;
+    const heard = [...this.nearReports.values()].filter(
+      ({ writtenAt }) => now - writtenAt < PASSED_ON_WITHIN_MS,
+    );
+    const senders = [identity.name, ...heard.map(({ report }) => report.host)].sort();
+    const receivers = farReceivers({
+      far: members.far,
+      senders: senders.length,
+      rank: senders.indexOf(identity.name),
+      // Wall clocks of hosts are close to each other; a clock that is not only shifts the turns of its host.
+      pass: Math.floor(Date.now() / intervalMs),
+    });
+    if (receivers.length === 0) return;
+    const passedOn = heard.map(({ report, writtenAt }) => ({
+      ...report,
+      ageMs: Math.round(now - writtenAt),
+    }));
+    this.send([this.describeOwn(), ...passedOn], receivers);
+  }
+
+  private send(reports: readonly LoadReport[], receivers: readonly Member[]): void {
+    if (receivers.length === 0) return;
+    inGroups(reports).forEach((group) => {
+      const datagram = encodeLoadReports(group);
+      receivers.forEach(({ address, port }) => {
+        // A lost report is made good by the next one.
+        this.socket.send(datagram, port, address, () => undefined);
+      });
+    });
   }
 
   private receive(datagram: Buffer): void {
-    const { identity, members, onReport, journal } = this.needs;
-    const report = decodeLoadReport(datagram);
-    if (!report) {
+    const { journal } = this.needs;
+    const reports = decodeLoadReports(datagram);
+    if (!reports) {
       journal.record('report-failed', { cause: 'not a report', bytes: datagram.length });
       return;
     }
-    if (report.host !== identity.name && members.hear(report)) onReport(report);
+    const now = performance.now();
+    reports.forEach((report) => this.take(report, now));
+  }
+
+  private take(report: LoadReport, now: number): void {
+    const { identity, members, onReport } = this.needs;
+    if (report.host === identity.name || !members.hear(report, now)) return;
+    if (members.isNear(report.host)) {
+      this.nearReports.set(report.host, { report, writtenAt: now - report.ageMs });
+    }
+    onReport(report);
   }
 }
--- a/packages/serving/src/fleet/Members.ts
+++ b/packages/serving/src/fleet/Members.ts
@@ -6,15 +6,28 @@
 import type { RecordChange, RecordStore, StoredRecord } from '../store/RecordStore.js';
 import type { TableListener } from '../store/TableFollower.js';
 import type { HostIdentity } from './HostIdentity.js';
+import type { FleetSize } from './reportPlan.js';
 
 /** Table of the hosts' rows. */
 export const MEMBERS_TABLE = 'members';
 
 /**
- * Silence after which a host's share of the rates is not used by others, and its batch jobs are taken
- * over. Reports come every 250 ms at least, so three may be lost. Unit: ms.
+ * Silence after which a host's share of the rates is not used by others and its loads do not count. Reports come
+ * every 350 ms at least, and from other failure domains some 250 ms later, so two or three may be lost. Unit: ms.
  */
-const HEARD_WITHIN_MS = 1000;
+const HEARD_WITHIN_MS = 1500;
+
+/**
+ * Silence after which a host's batch jobs are taken over. A host that was paused for less, or whose link lost
+ * some reports, goes on with its runs, which would otherwise be made twice. Unit: ms.
+ */
+const LOST_AFTER_MS = 2500;
+
+/**
+ * Age of this host's own unbroken contact with the store from which another one without contact counts as cut off
+ * from it. After an outage hosts regain the store one after the other. Unit: ms.
+ */
+const STORE_REGAINED_BY_ALL_MS = 3000;
 
 /**
  * Age of the contact with the store above which a host starts no batch items, as it could not list their
@@ -53,6 +66,14 @@
   readonly storeAgeMs: number;
 }
 
+/** What a host knows of itself when it judges another one. */
+export interface OwnState {
+  /** How long it has been in contact with the store; infinite when it never lost it. Unit: ms. */
+  readonly storeRegainedMsAgo: number;
+  /** Time since the start of its process. Unit: ms. */
+  readonly upMs: number;
+}
+
 /** What the members need. */
 export interface MembersNeeds {
   readonly identity: HostIdentity;
@@ -66,9 +87,14 @@
 
   private readonly heard = new Map<string, Heard>();
 
-  /** Monotonic time at which a member was first missed. Unit: ms. */
+  /** Monotonic time at which a member was first listed. Unit: ms. */
   private readonly listedAt = new Map<string, number>();
 
+  /** Members of this host's failure domain and of the others, without itself, by name. */
+  private nearMembers: Member[] = [];
+
+  private farMembers: Member[] = [];
+
   private registering = false;
 
   constructor(private readonly needs: MembersNeeds) {}
@@ -76,6 +102,7 @@
   replace(records: readonly StoredRecord[]): void {
     this.members.clear();
     records.forEach((record) => this.put(record));
+    this.sortMembers();
     this.keepOwnRow();
   }
 
@@ -84,6 +111,7 @@
       if (change.kind === 'written') this.put(change.record);
       else this.members.delete(change.key.key);
     });
+    this.sortMembers();
     this.keepOwnRow();
   }
 
@@ -95,15 +123,16 @@
    * @returns whether it is newer than the reports before it
    */
   hear(report: LoadReport, now = performance.now()): boolean {
-    const { host, incarnation, sequence, upMs, storeAgeMs } = report;
+    const { host, incarnation, sequence, ageMs, upMs, storeAgeMs } = report;
     const before = this.heard.get(host);
-    const startedAt = now - upMs;
+    const at = now - ageMs;
+    const startedAt = at - upMs;
     if (before?.incarnation === incarnation) {
       if (sequence <= before.sequence) return false;
     } else if (before && startedAt < before.startedAt) {
       return false;
     }
-    this.heard.set(host, { incarnation, startedAt, sequence, at: now, storeAgeMs });
+    this.heard.set(host, { incarnation, startedAt, sequence, at, storeAgeMs });
     return true;
   }
 
@@ -113,7 +142,44 @@
    * @returns their rows
    */
   get peers(): Member[] {
-    return [...this.members.values()].filter(({ name }) => name !== this.needs.identity.name);
+    return [...this.nearMembers, ...this.farMembers];
+  }
+
+  /**
+   * Lists the other hosts of this failure domain.
+   *
+   * @returns their rows by name
+   */
+  get near(): readonly Member[] {
+    return this.nearMembers;
+  }
+
+  /**
+   * Lists the hosts of other failure domains.
+   *
+   * @returns their rows by name
+   */
+  get far(): readonly Member[] {
+    return this.farMembers;
+  }
+
+  /**
+   * Counts the other hosts.
+   *
+   * @returns hosts of this failure domain and of the others
+   */
+  get size(): FleetSize {
+    return { near: this.nearMembers.length, far: this.farMembers.length };
+  }
+
+  /**
+   * Tells whether a host stands in this failure domain.
+   *
+   * @param name - name of the host
+   * @returns false for unknown hosts
+   */
+  isNear(name: string): boolean {
+    return this.members.get(name)?.failureDomain === this.needs.identity.failureDomain;
   }
 
   /**
@@ -129,7 +195,7 @@
   }
 
   /**
-   * Tells whether another host's process can still do its work.
+   * Tells whether another host's process can do work.
    *
    * @param name - name of the host
    * @param incarnation - the process that is meant
@@ -144,6 +210,31 @@
     return heard.incarnation === incarnation && heard.storeAgeMs < STORE_WITHIN_MS;
   }
 
+  /**
+   * Tells whether the work of another host's process may be given to others: the process has ended, has been
+   * silent for long, or is cut off from the store while others reach it.
+   *
+   * @param name - name of the host
+   * @param incarnation - the process that is meant
+   * @param own - what this host knows of itself
+   * @param now - monotonic time. Unit: ms
+   * @returns false while it may still be at work
+   */
+  isLost(
+    name: string,
+    incarnation: number,
+    { storeRegainedMsAgo, upMs }: OwnState,
+    now = performance.now(),
+  ): boolean {
+    const { identity } = this.needs;
+    if (name === identity.name) return incarnation !== identity.incarnation;
+    const heard = this.heard.get(name);
+    // A process that just started has heard nobody yet.
+    if (!heard) return upMs > LOST_AFTER_MS;
+    if (heard.incarnation !== incarnation || now - heard.at > LOST_AFTER_MS) return true;
+    return heard.storeAgeMs > STORE_WITHIN_MS && storeRegainedMsAgo > STORE_REGAINED_BY_ALL_MS;
+  }
+
   /**
    * Lists the names of the hosts that can take over work.
    *
@@ -162,7 +253,7 @@
    * Removes the rows of hosts that have been silent for long.
    *
    * @param now - monotonic time. Unit: ms
-   * @returns names of hosts that are not heard, whose loads no longer count
+   * @returns names of hosts that were heard once and are not now, whose loads no longer count
    */
   async dropSilent(now = performance.now()): Promise<string[]> {
     const silent = this.peers.filter(({ name }) => !this.isHeard(name, now));
@@ -170,7 +261,8 @@
       const since = this.heard.get(member.name)?.at ?? this.listedAt.get(member.name) ?? now;
       if (now - since > FORGET_AFTER_MS) await this.remove(member);
     }
-    return silent.map(({ name }) => name);
+    // Also hosts that have left, whose rows are gone.
+    return [...this.heard.keys()].filter((name) => !this.isHeard(name, now));
   }
 
   /** Writes this host's row when it is missing or an earlier process wrote it; tried again after a failure. */
@@ -203,6 +295,16 @@
     if (own) await this.remove(own);
   }
 
+  private sortMembers(): void {
+    const { identity } = this.needs;
+    const others = [...this.members.values()]
+      .filter(({ name }) => name !== identity.name)
+      .sort((a, b) => (a.name < b.name ? -1 : 1));
+    const isNear = ({ failureDomain }: Member): boolean => failureDomain === identity.failureDomain;
+    this.nearMembers = others.filter(isNear);
+    this.farMembers = others.filter((member) => !isNear(member));
+  }
+
   private isHeard(name: string, now: number): boolean {
     return now - (this.heard.get(name)?.at ?? Number.NEGATIVE_INFINITY) < HEARD_WITHIN_MS;
   }
--- a/packages/serving/src/online/BreakBook.ts
+++ b/packages/serving/src/online/BreakBook.ts
@@ -67,7 +67,8 @@
    * @param report - its newest report
    */
   hear({ host, breaks }: LoadReport): void {
-    this.others.set(host, new Map(breaks));
+    if (breaks.length > 0) this.others.set(host, new Map(breaks));
+    else this.others.delete(host);
   }
 
   /**
@@ -76,7 +77,7 @@
    * @returns whether no send broke lately
    */
   get isEmpty(): boolean {
-    return this.own.size === 0 && [...this.others.values()].every(({ size }) => size === 0);
+    return this.own.size === 0 && this.others.size === 0;
   }
 
   /**
--- a/packages/serving/src/rates/AccountRates.ts
+++ b/packages/serving/src/rates/AccountRates.ts
@@ -105,12 +105,12 @@
    * @param report - its newest report
    * @param now - monotonic time. Unit: ms
    */
-  hear({ host, incarnation, upMs, rates }: LoadReport, now = performance.now()): void {
+  hear({ host, incarnation, ageMs, upMs, rates }: LoadReport, now = performance.now()): void {
     const before = this.peers.get(host);
     const used = before?.incarnation === incarnation ? before.used : new Map<string, number>();
     this.peers.set(host, { incarnation, used });
     // What an older process admitted before this one started is not held against the new bucket.
-    const isOlder = now - upMs < this.fleet.startedAt;
+    const isOlder = now - ageMs - upMs < this.fleet.startedAt;
     rates.forEach(([account, count]) => {
       const counted = used.get(account) ?? (isOlder ? count : 0);
       used.set(account, count);
--- a/packages/serving/src/routing/BatchTurns.ts
+++ b/packages/serving/src/routing/BatchTurns.ts
@@ -1,5 +1,5 @@
 /** Shares out the free slots of targets among hosts that see them at the same time. */
-import { rendezvousOrder } from '@jacinthlug/control/peers/rendezvous';
+import { rankOf } from '../fleet/placement.js';
 
 /** Time without takes on a target where items had to make room: online load lasts longer. Unit: ms. */
 const YIELD_MS = 300;
@@ -10,8 +10,10 @@
   readonly target: string;
   /** Slots that neither run a request nor are reserved. */
   readonly free: number;
-  /** Hosts with waiting items, this one included. */
-  readonly waitingHosts: readonly string[];
+  /** Hosts with waiting items in the target's failure domain; they know its load best and come first. */
+  readonly nearHosts: readonly string[];
+  /** Hosts with waiting items in other failure domains. */
+  readonly farHosts: readonly string[];
 }
 
 /** The turns of one host. */
@@ -29,11 +31,14 @@
    * @param now - monotonic time. Unit: ms
    * @returns number of slots
    */
-  allowance({ target, free, waitingHosts }: FreeSlots, now: number): number {
+  allowance({ target, free, nearHosts, farHosts }: FreeSlots, now: number): number {
     if (free <= 0 || now < (this.nextAt.get(target) ?? 0)) return 0;
-    const rank = rendezvousOrder(target, waitingHosts).indexOf(this.ownName);
-    if (rank < 0 || rank >= free) return 0;
-    return Math.floor((free - 1 - rank) / waitingHosts.length) + 1;
+    const isNear = nearHosts.includes(this.ownName);
+    const before = isNear ? 0 : nearHosts.length;
+    if (before >= free) return 0;
+    const rank = before + rankOf(target, this.ownName, isNear ? nearHosts : farHosts);
+    if (rank >= free) return 0;
+    return Math.floor((free - 1 - rank) / (nearHosts.length + farHosts.length)) + 1;
   }
 
   /**
--- a/packages/serving/src/routing/LoadBook.ts
+++ b/packages/serving/src/routing/LoadBook.ts
@@ -10,11 +10,17 @@
   readonly batch: number;
 }
 
-/** One other host's loads. */
-interface HostLoads {
-  readonly loads: ReadonlyMap<string, TargetLoad>;
-  readonly silent: ReadonlySet<string>;
-  readonly waitingItems: number;
+/** One other host's newest report. */
+type HostLoads = Pick<LoadReport, 'loads' | 'silent' | 'waitingItems'>;
+
+/** What the other hosts together say of a target. */
+interface TargetTotal {
+  online: number;
+  batch: number;
+  /** Hosts that get no answer from it. */
+  silent: number;
+  /** Batch items by host. */
+  readonly holders: Map<string, number>;
 }
 
 const NOTHING: TargetLoad = { online: 0, batch: 0 };
@@ -25,6 +31,10 @@
 
   private readonly others = new Map<string, HostLoads>();
 
+  private readonly totals = new Map<string, TargetTotal>();
+
+  private readonly waitingHosts = new Set<string>();
+
   private readonly listeners: (() => void)[] = [];
 
   /**
@@ -59,16 +69,15 @@
   }
 
   /**
-   * Takes the loads of another host.
+   * Takes the loads of another host. Sums are kept up here, as choices are made far more often than reports come.
    *
    * @param report - its newest report
    */
   hear(report: LoadReport): void {
-    this.others.set(report.host, {
-      loads: new Map(report.loads.map(([id, online, batch]) => [id, { online, batch }])),
-      silent: new Set(report.silent),
-      waitingItems: report.waitingItems,
-    });
+    const before = this.others.get(report.host);
+    if (before) this.add(report.host, before, -1);
+    this.others.set(report.host, report);
+    this.add(report.host, report, 1);
   }
 
   /**
@@ -77,6 +86,9 @@
    * @param host - name of the host
    */
   forget(host: string): void {
+    const before = this.others.get(host);
+    if (!before) return;
+    this.add(host, before, -1);
     this.others.delete(host);
   }
 
@@ -97,14 +109,10 @@
    * @returns running requests
    */
   totalLoad(target: string): TargetLoad {
-    let { online, batch } = this.ownLoad(target);
-    this.others.forEach(({ loads }) => {
-      const load = loads.get(target);
-      if (!load) return;
-      online += load.online;
-      batch += load.batch;
-    });
-    return { online, batch };
+    const own = this.ownLoad(target);
+    const total = this.totals.get(target);
+    if (!total) return own;
+    return { online: own.online + total.online, batch: own.batch + total.batch };
   }
 
   /**
@@ -114,7 +122,16 @@
    * @returns number of other hosts
    */
   silentFor(target: string): number {
-    return [...this.others.values()].filter(({ silent }) => silent.has(target)).length;
+    return this.totals.get(target)?.silent ?? 0;
+  }
+
+  /**
+   * Counts the hosts whose loads are known.
+   *
+   * @returns number of other hosts
+   */
+  get hosts(): number {
+    return this.others.size;
   }
 
   /**
@@ -125,9 +142,9 @@
    * @returns hosts with batch items there, in an order that is the same on every host
    */
   batchHolders(target: string, ownName: string): { host: string; batch: number }[] {
-    const holders = [...this.others.entries()].map(([host, { loads }]) => ({
+    const holders = [...(this.totals.get(target)?.holders ?? [])].map(([host, batch]) => ({
       host,
-      batch: loads.get(target)?.batch ?? 0,
+      batch,
     }));
     holders.push({ host: ownName, batch: this.ownLoad(target).batch });
     return holders
@@ -140,10 +157,8 @@
    *
    * @returns names of hosts
    */
-  hostsWithWaitingItems(): string[] {
-    return [...this.others.entries()]
-      .filter(([, { waitingItems }]) => waitingItems > 0)
-      .map(([host]) => host);
+  get hostsWithWaitingItems(): ReadonlySet<string> {
+    return this.waitingHosts;
   }
 
   /**
@@ -155,6 +170,30 @@
     return [...this.own.entries()].map(([id, { online, batch }]) => [id, online, batch]);
   }
 
+  private add(host: string, { loads, silent, waitingItems }: HostLoads, sign: 1 | -1): void {
+    loads.forEach(([target, online, batch]) => {
+      const total = this.totalOf(target);
+      total.online += sign * online;
+      total.batch += sign * batch;
+      if (batch === 0) return;
+      if (sign > 0) total.holders.set(host, batch);
+      else total.holders.delete(host);
+    });
+    silent.forEach((target) => {
+      this.totalOf(target).silent += sign;
+    });
+    if (sign > 0 && waitingItems > 0) this.waitingHosts.add(host);
+    else this.waitingHosts.delete(host);
+  }
+
+  private totalOf(target: string): TargetTotal {
+    const known = this.totals.get(target);
+    if (known) return known;
+    const total = { online: 0, batch: 0, silent: 0, holders: new Map<string, number>() };
+    this.totals.set(target, total);
+    return total;
+  }
+
   private changed(): void {
     this.listeners.forEach((listener) => listener());
   }
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -193,6 +193,7 @@
     metrics,
     keepMs: needs.keepJobsMs,
     storeAge: () => configurationFollower.age,
+    sinceStoreReturn: () => configurationFollower.sinceReturn,
   });
   const exchange = new LoadExchange({
     identity,
@@ -210,7 +211,7 @@
       loads.hear(report);
       rates.hear(report);
       breaks.hear(report);
-      worker.wake();
+      worker.wakeSoon();
     },
   });
   const online = new OnlinePath({
@@ -224,7 +225,7 @@
     dialect,
     journal,
     metrics,
-    onLowRate: () => exchange.reportNow(),
+    onLowRate: () => exchange.reportUrgently(),
   });
   view.onChange(({ configuration }) => rates.configure(configuration));
   loads.onOwnChange(() => {
--- a/packages/serving/test/features/members.feature
+++ b/packages/serving/test/features/members.feature
@@ -23,3 +23,52 @@
     When process 900 of "h-2" reports for the 41st time, 60 s after its start
     And process 900 of "h-2" reports for the 40th time, 60 s after its start
     Then the last report is dropped
+
+  Scenario Outline: Work of a host that is only silent or slow for a while stays where it is
+    Given a host that hears others
+    When process 900 of "h-2" reports for the 40th time, 60 s after its start
+    And <ms> ms pass
+    Then the work of process 900 of "h-2" <may> be given to others
+
+    Examples:
+      | ms   | may     |
+      | 1600 | may not |
+      | 2400 | may not |
+      | 2700 | may     |
+
+  Scenario: Work of a process that has ended is given to others at once
+    Given a host that hears others
+    When process 900 of "h-2" reports for the 40th time, 60 s after its start
+    And process 100 of "h-2" reports for the 1st time, 1 s after its start
+    Then the work of process 900 of "h-2" may be given to others
+    And the work of process 100 of "h-2" may not be given to others
+
+  Scenario Outline: A host that regains the store a little later than this one keeps its work
+    Given a host that hears others
+    And the store came back <ms> ms ago
+    When process 900 of "h-2" reports without contact to the store for 8000 ms
+    Then the work of process 900 of "h-2" <may> be given to others
+
+    Examples:
+      | ms   | may     |
+      | 0    | may not |
+      | 2500 | may not |
+      | 3500 | may     |
+
+  Scenario Outline: A host that just started waits until it can have heard the others
+    Given a host that hears others
+    And the host itself started <ms> ms ago
+    Then the work of process 900 of "h-2" <may> be given to others
+
+    Examples:
+      | ms   | may     |
+      | 600  | may not |
+      | 2600 | may     |
+
+  Scenario: A report that another host passes on counts from when it was written
+    Given a host that hears others
+    When process 900 of "h-2" reports for the 40th time, 60 s after its start
+    And its next report is passed on 1400 ms late
+    And 1200 ms pass
+    Then the last report is taken
+    And the work of process 900 of "h-2" may be given to others
--- a/packages/serving/test/features/routing.feature
+++ b/packages/serving/test/features/routing.feature
@@ -65,6 +65,19 @@
       | 1     | 7    | 7     |
       | 8     | 0    | 0     |
 
+  Scenario Outline: Hosts of the target's failure domain, whose knowledge is fresh, take free slots first
+    Given <hosts> hosts with waiting items and a target with <free> free slots
+    And <far> of the hosts in another failure domain
+    When all hosts take what they may at the same time
+    Then <free> slots are taken
+    And hosts of the target's failure domain have taken <near> of them
+
+    Examples:
+      | hosts | far | free | near |
+      | 40    | 30  | 6    | 6    |
+      | 5     | 3   | 4    | 2    |
+      | 3     | 3   | 2    | 0    |
+
   Scenario: A host does not take again before the others know, nor right after it made room
     Given 1 hosts with waiting items and a target with 4 free slots
     When the host takes a slot at 0 ms
--- a/packages/serving/test/steps/members.steps.ts
+++ b/packages/serving/test/steps/members.steps.ts
@@ -9,6 +9,9 @@
   members: Members;
   now: number;
   taken: boolean;
+  storeRegainedMsAgo: number;
+  upMs: number;
+  last: LoadReport;
 }
 
 Given('a host that hears others', function (this: MembersWorld) {
@@ -21,6 +24,8 @@
   };
   this.members = new Members({ identity, store: new MemoryRecordStore(), journal: silentJournal });
   this.now = 100_000;
+  this.storeRegainedMsAgo = Number.POSITIVE_INFINITY;
+  this.upMs = 100_000;
 });
 
 When(
@@ -33,10 +38,11 @@
     seconds: number,
   ) {
     this.now += 50;
-    const report: LoadReport = {
+    this.last = {
       host,
       incarnation,
       sequence,
+      ageMs: 0,
       upMs: seconds * 1000,
       storeAgeMs: 0,
       loads: [],
@@ -45,7 +51,7 @@
       waitingItems: 0,
       breaks: [],
     };
-    this.taken = this.members.hear(report, this.now);
+    this.taken = this.members.hear(this.last, this.now);
   },
 );
 
@@ -59,3 +65,53 @@
     assert.equal(this.members.isAtWork(host, incarnation, this.now), is === 'is');
   },
 );
+
+Given('the store came back {int} ms ago', function (this: MembersWorld, ms: number) {
+  this.storeRegainedMsAgo = ms;
+});
+
+Given('the host itself started {int} ms ago', function (this: MembersWorld, ms: number) {
+  this.upMs = ms;
+});
+
+When('{int} ms pass', function (this: MembersWorld, ms: number) {
+  this.now += ms;
+});
+
+When('its next report is passed on {int} ms late', function (this: MembersWorld, ageMs: number) {
+  this.now += ageMs;
+  const { sequence, upMs } = this.last;
+  const next = { ...this.last, sequence: sequence + 1, upMs: upMs + 50, ageMs };
+  this.taken = this.members.hear(next, this.now);
+});
+
+When(
+  'process {int} of {string} reports without contact to the store for {int} ms',
+  function (this: MembersWorld, incarnation: number, host: string, storeAgeMs: number) {
+    this.members.hear(
+      {
+        host,
+        incarnation,
+        sequence: 1,
+        ageMs: 0,
+        upMs: 60_000,
+        storeAgeMs,
+        loads: [],
+        rates: [],
+        silent: [],
+        waitingItems: 0,
+        breaks: [],
+      },
+      this.now,
+    );
+  },
+);
+
+Then(
+  /^the work of process (\d+) of "([^"]+)" (may|may not) be given to others$/,
+  function (this: MembersWorld, incarnation: number, host: string, may: string) {
+    const { storeRegainedMsAgo, upMs } = this;
+    const lost = this.members.isLost(host, incarnation, { storeRegainedMsAgo, upMs }, this.now);
+    assert.equal(lost, may === 'may');
+  },
+);
--- a/packages/serving/test/steps/rates.steps.ts
+++ b/packages/serving/test/steps/rates.steps.ts
@@ -121,6 +121,7 @@
         host: `host-${from}`,
         incarnation: host.incarnation,
         sequence: host.sequence,
+        ageMs: 0,
         upMs: now - host.startedAt,
         storeAgeMs: 0,
         loads: [],
--- /dev/null
+++ b/packages/serving/test/steps/reports.steps.ts
@@ -0,0 +1,190 @@
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import { createRandom } from '@jacinthlug/batch/testing/createRandom';
+import {
+  decodeLoadReports,
+  encodeLoadReports,
+  type LoadReport,
+} from '@jacinthlug/protocol/loadReport';
+import { farIntervalMs, farReceivers, nearIntervalMs } from '@jacinthlug/serving/fleet/reportPlan';
+import { LoadBook } from '@jacinthlug/serving/routing/LoadBook';
+import { pack } from 'msgpackr';
+
+interface SimulatedHost {
+  readonly name: string;
+  readonly domain: number;
+}
+
+interface ReportsWorld {
+  hosts: SimulatedHost[];
+  book: LoadBook;
+  newest: Map<string, LoadReport>;
+  reports: LoadReport[];
+  datagram: Buffer;
+}
+
+const reportOf = (host: string, sequence: number, content: Partial<LoadReport>): LoadReport => ({
+  host,
+  incarnation: 1,
+  sequence,
+  ageMs: 0,
+  upMs: 1000,
+  storeAgeMs: 0,
+  loads: [],
+  rates: [],
+  silent: [],
+  waitingItems: 0,
+  breaks: [],
+  ...content,
+});
+
+/** Counts how often each host hears of a domain in one pass, without the senders left out. */
+const playPass = (
+  hosts: readonly SimulatedHost[],
+  domain: number,
+  pass: number,
+  lost?: SimulatedHost,
+): Map<string, number> => {
+  const far = hosts.filter((host) => host.domain !== domain);
+  const near = hosts.filter((host) => host.domain === domain);
+  const heard = new Map(far.map(({ name }) => [name, 0]));
+  near.forEach((sender, rank) => {
+    if (sender === lost) return;
+    farReceivers({ far, senders: near.length, rank, pass }).forEach(({ name }) =>
+      heard.set(name, heard.get(name)! + 1),
+    );
+  });
+  return heard;
+};
+
+Given(
+  '{int} hosts in {int} failure domains',
+  function (this: ReportsWorld, count: number, domains: number) {
+    this.hosts = Array.from({ length: count }, (_, index) => ({
+      name: `h-${String(index).padStart(3, '0')}`,
+      domain: index % domains,
+    }));
+  },
+);
+
+Then(
+  'each pass reaches every host of the other domains, from each domain once',
+  function (this: ReportsWorld) {
+    const domains = new Set(this.hosts.map(({ domain }) => domain));
+    domains.forEach((domain) => {
+      const near = this.hosts.filter((host) => host.domain === domain).length;
+      const far = this.hosts.length - near;
+      const surplus = Math.ceil(far / near) * near - far;
+      [0, 1, 7, 1234].forEach((pass) => {
+        const heard = [...playPass(this.hosts, domain, pass).values()];
+        assert.ok(heard.every((times) => times >= 1));
+        assert.equal(heard.filter((times) => times > 1).length, surplus);
+      });
+    });
+  },
+);
+
+Then(
+  'after {int} passes without one sender no host has been missed twice in a row',
+  function (this: ReportsWorld, passes: number) {
+    const [lost] = this.hosts;
+    const missed = new Map<string, number>();
+    for (let pass = 0; pass < passes; pass += 1) {
+      playPass(this.hosts, lost!.domain, pass, lost).forEach((times, name) => {
+        missed.set(name, times > 0 ? 0 : (missed.get(name) ?? 0) + 1);
+        assert.ok(missed.get(name)! < 2, `${name} was missed twice`);
+      });
+    }
+  },
+);
+
+Then('a host sends at most {int} datagrams a second', function (this: ReportsWorld, most: number) {
+  const near = this.hosts.filter(({ domain }) => domain === 0).length - 1;
+  const far = this.hosts.length - near - 1;
+  const nearSends = (near * 1000) / nearIntervalMs({ near, far }, false);
+  const receivers = Math.ceil(far / (near + 1));
+  const farSends = (receivers * 1000) / farIntervalMs({ near, far }, false);
+  assert.ok(nearSends + farSends <= most, `${nearSends} to near hosts, ${farSends} to far ones`);
+});
+
+Given(
+  'hosts that report loads of {int} targets in {int} random steps, seed {int}',
+  function (this: ReportsWorld, targets: number, steps: number, seed: number) {
+    const random = createRandom(seed);
+    const below = (bound: number): number => Math.floor(random() * bound);
+    this.book = new LoadBook();
+    this.newest = new Map();
+    for (let step = 0; step < steps; step += 1) {
+      const host = `h-${below(9)}`;
+      if (below(8) === 0) {
+        this.book.forget(host);
+        this.newest.delete(host);
+      } else {
+        const names = Array.from({ length: targets }, (_, index) => `t-${index}`);
+        const report = reportOf(host, step, {
+          loads: names
+            .filter(() => below(3) === 0)
+            .map((name) => [name, below(4), below(3)] as [string, number, number]),
+          silent: names.filter(() => below(9) === 0),
+          waitingItems: below(2),
+        });
+        this.book.hear(report);
+        this.newest.set(host, report);
+      }
+    }
+  },
+);
+
+Then('the sums are those of the newest reports', function (this: ReportsWorld) {
+  const { book } = this;
+  const reports = [...this.newest.values()];
+  for (let index = 0; index < 12; index += 1) {
+    const target = `t-${index}`;
+    const loads = reports.flatMap((report) => report.loads.filter(([id]) => id === target));
+    const sum = (field: 1 | 2): number => loads.reduce((total, load) => total + load[field], 0);
+    assert.deepEqual(book.totalLoad(target), { online: sum(1), batch: sum(2) });
+    assert.equal(
+      book.silentFor(target),
+      reports.filter(({ silent }) => silent.includes(target)).length,
+    );
+    assert.equal(
+      book.batchHolders(target, 'h-own').reduce((total, { batch }) => total + batch, 0),
+      sum(2),
+    );
+  }
+  const waiting = reports.filter(({ waitingItems }) => waitingItems > 0).map(({ host }) => host);
+  assert.deepEqual([...book.hostsWithWaitingItems].sort(), waiting.sort());
+});
+
+When('two reports are encoded together', function (this: ReportsWorld) {
+  this.reports = [
+    reportOf('h-1', 7, { loads: [['t-1', 2, 1]], rates: [['a', 40]], breaks: [['f', 1]] }),
+    reportOf('h-2', 9, { ageMs: 120, silent: ['t-2'], waitingItems: 3 }),
+  ];
+  this.datagram = encodeLoadReports(this.reports);
+});
+
+Then('both are decoded as they were', function (this: ReportsWorld) {
+  assert.deepEqual(decodeLoadReports(this.datagram), this.reports);
+});
+
+const FIELDS = ['h-1', 1, 1, 0, 0, 0, [['t-1', 1, 0]], [], [], 0, []];
+
+const withLoads = (loads: unknown): Buffer => pack([FIELDS.with(6, loads as never)]);
+
+const datagrams: Readonly<Record<string, () => Buffer>> = {
+  nothing: () => Buffer.alloc(0),
+  text: () => Buffer.from('GET / HTTP/1.1'),
+  'a report with a field missing': () => pack([FIELDS.slice(0, -1)]),
+  'a report with a negative load': () => withLoads([['t-1', -1, 0]]),
+  'a report with a name for a load': () => withLoads([['t-1', 'one', 0]]),
+};
+
+When(/^a datagram holds (.+)$/, function (this: ReportsWorld, content: string) {
+  this.datagram = datagrams[content]!();
+});
+
+Then('no report is decoded', function (this: ReportsWorld) {
+  assert.notEqual(decodeLoadReports(pack([FIELDS])), undefined);
+  assert.equal(decodeLoadReports(this.datagram), undefined);
+});
--- a/packages/serving/test/steps/routing.steps.ts
+++ b/packages/serving/test/steps/routing.steps.ts
@@ -13,6 +13,8 @@
   chosen: string;
   turns: BatchTurns[];
   free: number;
+  /** Hosts, the first ones, that stand in another failure domain than the target. */
+  farHosts?: number;
   taken: number;
   excess: { slots: number; online: number; holders: { host: string; batch: number }[] };
 }
@@ -52,7 +54,7 @@
     const turns = new BatchTurns('h-1');
     const allowanceOf = ({ target, load }: Candidate): number => {
       const free = target.slots - reserve - load.online - load.batch;
-      return turns.allowance({ target: target.id, free, waitingHosts: ['h-1'] }, 0);
+      return turns.allowance({ target: target.id, free, nearHosts: ['h-1'], farHosts: [] }, 0);
     };
     const choice = { candidates, failureDomain, allowanceOf, random };
     this.chosen = chooseBatchTarget(choice)?.id ?? 'none';
@@ -95,7 +97,15 @@
 const namesOf = (world: RoutingWorld): string[] => world.turns.map((_, index) => `h-${index}`);
 
 const allowanceOf = (world: RoutingWorld, turns: BatchTurns, now: number): number =>
-  turns.allowance({ target: 't-1', free: world.free, waitingHosts: namesOf(world) }, now);
+  turns.allowance(
+    {
+      target: 't-1',
+      free: world.free,
+      nearHosts: namesOf(world).slice(world.farHosts ?? 0),
+      farHosts: namesOf(world).slice(0, world.farHosts ?? 0),
+    },
+    now,
+  );
 
 Given(
   '{int} hosts with waiting items and a target with {int} free slots',
@@ -105,6 +115,21 @@
   },
 );
 
+Given('{int} of the hosts in another failure domain', function (this: RoutingWorld, far: number) {
+  this.farHosts = far;
+});
+
+Then(
+  "hosts of the target's failure domain have taken {int} of them",
+  function (this: RoutingWorld, near: number) {
+    const taken = this.turns.slice(this.farHosts).map((turns) => allowanceOf(this, turns, 0));
+    assert.equal(
+      taken.reduce((sum, each) => sum + each, 0),
+      near,
+    );
+  },
+);
+
 When('all hosts take what they may at the same time', function (this: RoutingWorld) {
   this.taken = this.turns.reduce((sum, turns) => sum + allowanceOf(this, turns, 0), 0);
 });
