Judge silence by whole events, and targets by their share of failures

Cause: any byte renewed the limit on silence, so a target that sent a byte now and then held its request until the deadline; a limit that a slow caller had suspended never came back, as a cleared timer of Node.js cannot be refreshed; a silence that was borne once was not looked for again; 800 ms were fixed whatever pauses a route allows. One answer cleared all failures of a target, so one that failed each third request was never avoided. Ruled out: ending silent streams that may run once (their callers leave by themselves, and the answer may still come).

--- a/packages/serving/src/batch/BatchWorker.ts
+++ b/packages/serving/src/batch/BatchWorker.ts
@@ -323,6 +323,8 @@
         return true;
       },
       onSign: () => health.succeed(target.id),
+      // An item may be impossible at every target, so its failures say nothing about the target.
+      isFailure: () => false,
     });
   }
 
--- a/packages/serving/src/batch/ItemAnswer.ts
+++ b/packages/serving/src/batch/ItemAnswer.ts
@@ -23,6 +23,10 @@
     return this.events.lastEventId;
   }
 
+  get progress(): number {
+    return this.events.count;
+  }
+
   get isTorn(): boolean {
     return this.collects && this.events.isTorn;
   }
--- a/packages/serving/src/configuration/ServingConfiguration.ts
+++ b/packages/serving/src/configuration/ServingConfiguration.ts
@@ -24,6 +24,8 @@
   readonly timeoutMs: number;
   /** Time to the first event within which an answer is on time. Unit: ms. */
   readonly objectiveMs: number;
+  /** Longest pause between events of a stream within which an answer is on time. Unit: ms. */
+  readonly pauseObjectiveMs: number;
   /** 0 is the most urgent. */
   readonly priority: number;
   /** Whether requests need no key. */
--- a/packages/serving/src/fleet/TargetList.ts
+++ b/packages/serving/src/fleet/TargetList.ts
@@ -83,6 +83,15 @@
     );
   }
 
+  /**
+   * Counts the targets.
+   *
+   * @returns targets of all services in any state
+   */
+  get size(): number {
+    return this.targets.size;
+  }
+
   /**
    * Finds a target.
    *
--- a/packages/serving/src/online/AnswerSink.ts
+++ b/packages/serving/src/online/AnswerSink.ts
@@ -8,6 +8,9 @@
   /** Last event that was taken whole. */
   readonly lastEventId: string | undefined;
 
+  /** Grows with each event that was taken whole, or with each write where events are not told apart. */
+  readonly progress: number;
+
   /** Whether the bytes so far stop inside an event, or events are missing between them. */
   readonly isTorn: boolean;
 
--- a/packages/serving/src/online/CallerAnswer.ts
+++ b/packages/serving/src/online/CallerAnswer.ts
@@ -9,6 +9,8 @@
 
   private splits = false;
 
+  private writes = 0;
+
   /** Monotonic time of the first and the latest write. Unit: ms. */
   private firstAt: number | undefined;
 
@@ -31,6 +33,10 @@
     return this.events.lastEventId;
   }
 
+  get progress(): number {
+    return this.splits ? this.events.count : this.writes;
+  }
+
   get isTorn(): boolean {
     return this.splits && this.events.isTorn;
   }
@@ -52,7 +58,10 @@
   }
 
   write(chunk: Buffer): boolean {
-    if (!this.splits) return this.pass(chunk);
+    if (!this.splits) {
+      this.writes += 1;
+      return this.pass(chunk);
+    }
     const events = this.events.push(chunk);
     if (events.length === 0) return true;
     return this.pass(Buffer.concat(events.map(({ bytes }) => bytes)));
--- a/packages/serving/src/online/EventSequence.ts
+++ b/packages/serving/src/online/EventSequence.ts
@@ -18,6 +18,9 @@
 export class EventSequence {
   lastEventId: string | undefined;
 
+  /** Number of events so far. */
+  count = 0;
+
   private splitter = new EventSplitter();
 
   private hasGap = false;
@@ -39,6 +42,7 @@
       this.hasGap ||= !isNextEvent(this.lastEventId, event.id);
       if (this.hasGap) return false;
       this.lastEventId = event.id ?? this.lastEventId;
+      this.count += 1;
       return true;
     });
   }
--- a/packages/serving/src/online/OnlinePath.ts
+++ b/packages/serving/src/online/OnlinePath.ts
@@ -33,8 +33,20 @@
 /** Least silence before the first event that counts. Unit: ms. */
 const FIRST_SILENCE_MIN_MS = 800;
 
-/** Silence inside an answer that counts; callers leave after two seconds. Unit: ms. */
-const NEXT_SILENCE_MS = 800;
+/**
+ * Silence inside an answer after which a stream goes on elsewhere, as a multiple of the objective for pauses: a
+ * loaded target pauses for two or three of them. Callers leave after eight, but not before two seconds.
+ */
+const NEXT_SILENCE_OBJECTIVES = 4;
+
+/** Least silence inside an answer that counts. Unit: ms. */
+const NEXT_SILENCE_MIN_MS = 800;
+
+/** Longest silence inside an answer, so that another target can go on before the caller leaves. Unit: ms. */
+const NEXT_SILENCE_MAX_MS = 1400;
+
+/** Status with which a target says that it failed; 504 only says that the deadline came. */
+const FAILED_STATUS = 500;
 
 /** Bounds of the time after which a caller may come back to a full fleet. Unit: seconds. */
 const OVERLOAD_RETURN = { least: 0.3, most: 1.1 } as const;
@@ -97,6 +109,12 @@
   body,
 });
 
+const nextSilenceOf = ({ pauseObjectiveMs }: Route): number =>
+  Math.min(
+    NEXT_SILENCE_MAX_MS,
+    Math.max(NEXT_SILENCE_MIN_MS, pauseObjectiveMs * NEXT_SILENCE_OBJECTIVES),
+  );
+
 const isRepeatable = ({ kind, resumable }: Route): boolean =>
   kind === 'idempotent' || (kind === 'streaming' && resumable);
 
@@ -242,6 +260,10 @@
   ): Promise<AttemptEnd> {
     const { client, dialect, loads, health, router } = this.needs;
     const { head, route, account, life, answer, message, body, repeatable } = request;
+    const mayRunElsewhere = (): boolean =>
+      repeatable &&
+      progress.mayHaveRun + 1 < route.attempts &&
+      router.hasAlternative(request.service, new Set(progress.excluded).add(target.id));
     const endLoad = loads.begin(target.id, 'online');
     const end = await sendOnce({
       client,
@@ -262,17 +284,16 @@
       answer,
       signal: life.signal,
       firstSilenceMs: Math.max(FIRST_SILENCE_MIN_MS, route.objectiveMs * FIRST_SILENCE_OBJECTIVES),
-      nextSilenceMs: NEXT_SILENCE_MS,
+      nextSilenceMs: nextSilenceOf(route),
       onSilence: () => {
         health.fail(target.id, 'silent');
-        const elsewhere = new Set(progress.excluded).add(target.id);
-        return (
-          repeatable &&
-          progress.mayHaveRun + 1 < route.attempts &&
-          router.hasAlternative(request.service, elsewhere)
-        );
+        return mayRunElsewhere();
+      },
+      onSign: (status) => {
+        if (status === FAILED_STATUS) health.fail(target.id, `status ${status}`);
+        else health.succeed(target.id);
       },
-      onSign: () => health.succeed(target.id),
+      isFailure: (status) => status === FAILED_STATUS && mayRunElsewhere(),
     });
     endLoad();
     return end;
--- a/packages/serving/src/online/sendOnce.ts
+++ b/packages/serving/src/online/sendOnce.ts
@@ -3,6 +3,7 @@
 import type { Dialect, HeadVerdict } from '../http/Dialect.js';
 import type { TargetCall, TargetClient, TargetRequest } from '../http/TargetClient.js';
 import type { AnswerSink } from './AnswerSink.js';
+import { SilenceWatch, type Timers } from './SilenceWatch.js';
 
 /** How an attempt ended. */
 export type AttemptEnd =
@@ -12,6 +13,8 @@
   | { readonly kind: 'not-run'; readonly cause: string; readonly unreachable: boolean }
   /** The target broke off, or its answer belongs to another request; the request may have run. */
   | { readonly kind: 'broken'; readonly cause: string }
+  /** The target answered that it failed; the request has run. */
+  | { readonly kind: 'failed'; readonly cause: string }
   /** The target gave no sign for too long; the request may have run. */
   | { readonly kind: 'silent' }
   /** The deadline came, or the caller went away. */
@@ -19,8 +22,8 @@
 
 /** What an attempt needs. */
 export interface AttemptTerms {
-  readonly client: TargetClient;
-  readonly dialect: Dialect;
+  readonly client: Pick<TargetClient, 'send'>;
+  readonly dialect: Pick<Dialect, 'judgeHead' | 'callerHeaders'>;
   readonly target: Target;
   readonly request: TargetRequest;
   readonly requestId: string;
@@ -29,16 +32,24 @@
   readonly signal: AbortSignal;
   /** Longest silence before the first byte of the answer. Unit: ms. */
   readonly firstSilenceMs: number;
-  /** Longest silence between parts of the answer. Unit: ms. */
+  /** Longest silence between events of the answer, or between its bytes where events are not told apart. Unit: ms. */
   readonly nextSilenceMs: number;
   /**
-   * Called when a silence has been too long.
+   * Called when a silence has been too long, again after each further time of that length.
    *
    * @returns whether the attempt ends with it
    */
   readonly onSilence: () => boolean;
-  /** Called when the target itself answers. */
-  readonly onSign: () => void;
+  /** Called when the target itself answers, with the status of its answer. */
+  readonly onSign: (status: number) => void;
+  /**
+   * Called with the status of an answer before anything of it is passed on.
+   *
+   * @returns whether the attempt ends with it, so that another target can answer
+   */
+  readonly isFailure: (status: number) => boolean;
+  /** Replaced in tests. */
+  readonly timers?: Timers;
 }
 
 type NotRun = Extract<AttemptEnd, { kind: 'not-run' }>;
@@ -60,14 +71,20 @@
 
   private status = 0;
 
-  private silenceTimer: NodeJS.Timeout | undefined;
+  private readonly silence: SilenceWatch;
+
+  private ended = false;
 
   private readonly giveUp = (): void => this.finish({ kind: 'given-up' }, true);
 
   constructor(
     private readonly terms: AttemptTerms,
     private readonly settle: (end: AttemptEnd) => void,
-  ) {}
+  ) {
+    this.silence = new SilenceWatch(() => {
+      if (terms.onSilence()) this.finish({ kind: 'silent' }, true);
+    }, terms.timers);
+  }
 
   run(): void {
     const { client, target, request, signal } = this.terms;
@@ -76,7 +93,7 @@
       return;
     }
     signal.addEventListener('abort', this.giveUp);
-    this.watchSilence(this.terms.firstSilenceMs);
+    this.silence.start(this.terms.firstSilenceMs);
     this.call = client.send(target, request, {
       sent: () => {
         this.sent = true;
@@ -89,10 +106,10 @@
   }
 
   private takeHead(status: number, headers: Parameters<Dialect['callerHeaders']>[0]): void {
-    const { dialect, requestId, answer, onSign, nextSilenceMs } = this.terms;
+    const { dialect, requestId, answer, onSign, isFailure, nextSilenceMs } = this.terms;
     const verdict = dialect.judgeHead(status, headers, requestId);
     const notRun = notRunVerdicts[verdict];
-    if (!notRun?.unreachable) onSign();
+    if (!notRun?.unreachable) onSign(status);
     if (notRun) {
       this.finish(notRun, false);
       return;
@@ -105,21 +122,30 @@
       this.finish({ kind: 'broken', cause: `status ${status} to a resumed stream` }, true);
       return;
     }
+    if (!answer.started && isFailure(status)) {
+      this.finish({ kind: 'failed', cause: `status ${status}` }, true);
+      return;
+    }
     this.status = status;
-    this.watchSilence(nextSilenceMs);
+    this.silence.start(nextSilenceMs);
     answer.begin(status, dialect.callerHeaders(headers));
   }
 
   private takeData(chunk: Buffer): void {
-    if (this.status === 0) return;
-    this.silenceTimer?.refresh();
-    if (this.terms.answer.write(chunk)) return;
+    if (this.status === 0 || this.ended) return;
+    const { answer } = this.terms;
+    const { progress } = answer;
+    const mayGoOn = answer.write(chunk);
+    // Bytes of an event that never ends are no sign of life.
+    if (answer.progress > progress) this.silence.sign();
+    if (mayGoOn) return;
     this.call?.pause();
     // A caller that does not read is no silence of the target.
-    clearTimeout(this.silenceTimer);
-    this.terms.answer.onceDrained(() => {
+    this.silence.stop();
+    answer.onceDrained(() => {
+      if (this.ended) return;
       this.call?.resume();
-      this.silenceTimer?.refresh();
+      this.silence.start(this.terms.nextSilenceMs);
     });
   }
 
@@ -141,16 +167,9 @@
     this.finish(end, false);
   }
 
-  private watchSilence(ms: number): void {
-    clearTimeout(this.silenceTimer);
-    this.silenceTimer = setTimeout(() => {
-      if (this.terms.onSilence()) this.finish({ kind: 'silent' }, true);
-    }, ms);
-  }
-
   private finish(end: AttemptEnd, abort: boolean): void {
-    clearTimeout(this.silenceTimer);
-    this.silenceTimer = undefined;
+    this.ended = true;
+    this.silence.stop();
     this.terms.signal.removeEventListener('abort', this.giveUp);
     this.settle(end);
     if (abort) this.call?.abort();
--- a/packages/serving/src/routing/TargetRouter.ts
+++ b/packages/serving/src/routing/TargetRouter.ts
@@ -84,10 +84,12 @@
 
   private candidatesOf(service: string): Candidate[] {
     const { targets, loads, health } = this.needs;
-    return targets.readyOf(service).map((target) => ({
+    const ready = targets.readyOf(service);
+    const unreliable = health.unreliable(ready.map(({ id }) => id));
+    return ready.map((target) => ({
       target,
       load: loads.totalLoad(target.id),
-      usable: health.isUsable(target.id),
+      usable: health.isUsable(target.id) && !unreliable.has(target.id),
       silentFor: loads.silentFor(target.id),
     }));
   }
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -203,7 +203,7 @@
       storeAgeMs: Math.min(Math.round(configurationFollower.age), Number.MAX_SAFE_INTEGER),
       loads: loads.ownLoads(),
       rates: rates.ownUse(),
-      silent: health.paused(),
+      silent: health.paused(targets.size),
       waitingItems: worker.waitingItems,
       breaks: breaks.recent(performance.now()),
     }),
