Read of events only what a stream needs, and pass on for far domains less often

Cause: each event was decoded and split into lines although callers' streams need its id alone; each observation of a histogram built a dozen labels. The interval for far domains is not measured yet.

--- a/packages/catalog/src/Metrics.ts
+++ b/packages/catalog/src/Metrics.ts
@@ -42,11 +42,25 @@
   readonly port: number;
 }
 
+/** Labels of a histogram's counts, by its name: built once, as there is one for each bound. */
+const histogramLabels = new Map<string, readonly (readonly [number, string])[]>();
+
 const labelOf = (name: string, tags: Readonly<Record<string, string>>): string => {
   const pairs = Object.entries(tags).map(([tag, value]) => `${tag}=${value}`);
   return pairs.length === 0 ? name : `${name}{${pairs.join(',')}}`;
 };
 
+const histogramLabelsOf = (name: string): readonly (readonly [number, string])[] => {
+  const known = histogramLabels.get(name);
+  if (known) return known;
+  const labels = [
+    ...BOUNDS_MS.map((bound) => [bound, labelOf(name, { le: String(bound) })] as const),
+    [Number.POSITIVE_INFINITY, labelOf(name, { le: 'inf' })] as const,
+  ];
+  histogramLabels.set(name, labels);
+  return labels;
+};
+
 /**
  * Opens the metrics of a process.
  *
@@ -75,10 +89,9 @@
       client?.increment(name, by, { ...tags });
     },
     observe(name, ms) {
-      BOUNDS_MS.filter((bound) => ms <= bound).forEach((bound) =>
-        add(labelOf(name, { le: String(bound) }), 1),
-      );
-      add(labelOf(name, { le: 'inf' }), 1);
+      histogramLabelsOf(name).forEach(([bound, label]) => {
+        if (ms <= bound) add(label, 1);
+      });
       add(`${name}.sum`, ms);
       client?.timing(name, ms);
     },
--- a/packages/serving/src/batch/ItemAnswer.ts
+++ b/packages/serving/src/batch/ItemAnswer.ts
@@ -1,6 +1,7 @@
 /** The output of a batch item, put together from the answers of one or more runs. */
 import type { AnswerSink } from '../online/AnswerSink.js';
 import { EventSequence } from '../online/EventSequence.js';
+import { dataOf } from '../online/EventSplitter.js';
 import type { ItemOutput } from './JobRecord.js';
 
 const callNow = (resume: () => void): void => resume();
@@ -76,7 +77,8 @@
 
   write(chunk: Buffer): boolean {
     if (!this.collects) return true;
-    this.events.push(chunk).forEach(({ data }) => {
+    this.events.push(chunk).forEach((event) => {
+      const data = dataOf(event);
       if (data !== undefined) this.data.push(data);
     });
     return true;
--- a/packages/serving/src/fleet/reportPlan.ts
+++ b/packages/serving/src/fleet/reportPlan.ts
@@ -14,11 +14,14 @@
 /** Part of the interval after which a report goes out when an account is close to its rate. */
 const URGENT_PART = 0.5;
 
-/** Time between two passes over the hosts of other domains, for each host that one pass reaches. Unit: ms. */
-const FAR_INTERVAL_PER_RECEIVER_MS = 75;
+/**
+ * Time between two passes over the hosts of other domains, for each host beyond the first that one host reaches in a
+ * pass. There are as many of them as there are other domains of the same size. Unit: ms.
+ */
+const FAR_INTERVAL_PER_RECEIVER_MS = 100;
 
-/** Least time between two passes. Unit: ms. */
-const FAR_INTERVAL_LEAST_MS = 100;
+/** Least and longest time between two passes; after several of the longest ones a host would count as silent. Unit: ms. */
+const FAR_INTERVAL_MS = { least: 100, most: 500 } as const;
 
 /** Time of a report on its way and in the queues of both hosts. Unit: ms. */
 const TRANSIT_MS = 15;
@@ -51,8 +54,10 @@
  * @returns the interval. Unit: ms
  */
 export const farIntervalMs = (size: FleetSize, urgent: boolean): number =>
-  Math.max(FAR_INTERVAL_LEAST_MS, receiversOfPass(size) * FAR_INTERVAL_PER_RECEIVER_MS) *
-  (urgent ? URGENT_PART : 1);
+  Math.min(
+    FAR_INTERVAL_MS.most,
+    Math.max(FAR_INTERVAL_MS.least, (receiversOfPass(size) - 1) * FAR_INTERVAL_PER_RECEIVER_MS),
+  ) * (urgent ? URGENT_PART : 1);
 
 /** Who takes part in a pass. */
 export interface Pass<Peer> {
--- a/packages/serving/src/online/CallerAnswer.ts
+++ b/packages/serving/src/online/CallerAnswer.ts
@@ -64,7 +64,8 @@
     }
     const events = this.events.push(chunk);
     if (events.length === 0) return true;
-    return this.pass(Buffer.concat(events.map(({ bytes }) => bytes)));
+    const [first, ...more] = events.map(({ bytes }) => bytes);
+    return this.pass(more.length === 0 ? first! : Buffer.concat([first!, ...more]));
   }
 
   /**
--- a/packages/serving/src/online/EventSplitter.ts
+++ b/packages/serving/src/online/EventSplitter.ts
@@ -5,31 +5,49 @@
   /** The bytes of the event with the empty line that ends it. */
   readonly bytes: Buffer;
   readonly id: string | undefined;
-  /** Content of the data lines, joined by line feeds; absent without data lines. */
-  readonly data: string | undefined;
 }
 
 const LINE_FEED = 10;
+const CARRIAGE_RETURN = 13;
+const SPACE = 32;
 
-const readField = (line: string, name: string): string | undefined => {
-  if (!line.startsWith(`${name}:`)) return undefined;
-  const value = line.slice(name.length + 1);
-  return value.startsWith(' ') ? value.slice(1) : value;
+const ID_FIELD = Buffer.from('id:');
+const DATA_FIELD = Buffer.from('data:');
+
+/** Lines of an event without their ends, as positions in its bytes. */
+const linesOf = (bytes: Buffer): [number, number][] => {
+  const lines: [number, number][] = [];
+  for (let start = 0; start < bytes.length;) {
+    const feed = bytes.indexOf(LINE_FEED, start);
+    const next = feed < 0 ? bytes.length : feed;
+    lines.push([start, bytes[next - 1] === CARRIAGE_RETURN ? next - 1 : next]);
+    start = next + 1;
+  }
+  return lines;
 };
 
-const parseEvent = (bytes: Buffer): StreamEvent => {
-  let id: string | undefined;
-  const data: string[] = [];
-  bytes
-    .toString('utf8')
-    .split('\n')
-    .forEach((line) => {
-      const text = line.endsWith('\r') ? line.slice(0, -1) : line;
-      const value = readField(text, 'data');
-      if (value !== undefined) data.push(value);
-      id = readField(text, 'id') ?? id;
+/** Values of a field, in the order of its lines. */
+const readField = (bytes: Buffer, name: Buffer): string[] =>
+  linesOf(bytes)
+    .filter(
+      ([start, end]) =>
+        end - start >= name.length &&
+        bytes.compare(name, 0, name.length, start, start + name.length) === 0,
+    )
+    .map(([start, end]) => {
+      const value = start + name.length;
+      return bytes.toString('utf8', bytes[value] === SPACE && value < end ? value + 1 : value, end);
     });
-  return { bytes, id, data: data.length > 0 ? data.join('\n') : undefined };
+
+/**
+ * Reads the content of an event. Streams to callers are passed on without it.
+ *
+ * @param event - the event
+ * @returns content of the data lines, joined by line feeds; nothing without data lines
+ */
+export const dataOf = ({ bytes }: StreamEvent): string | undefined => {
+  const lines = readField(bytes, DATA_FIELD);
+  return lines.length > 0 ? lines.join('\n') : undefined;
 };
 
 /** Index after the empty line that ends the first event, or -1. */
@@ -37,7 +55,8 @@
   for (let index = bytes.indexOf(LINE_FEED); index >= 0;) {
     const next = bytes.indexOf(LINE_FEED, index + 1);
     if (next < 0) return -1;
-    if (next === index + 1 || (next === index + 2 && bytes[index + 1] === 13)) return next + 1;
+    if (next === index + 1 || (next === index + 2 && bytes[index + 1] === CARRIAGE_RETURN))
+      return next + 1;
     index = next;
   }
   return -1;
@@ -57,7 +76,8 @@
     this.rest = this.rest.length > 0 ? Buffer.concat([this.rest, chunk]) : chunk;
     const events: StreamEvent[] = [];
     for (let end = findEnd(this.rest); end >= 0; end = findEnd(this.rest)) {
-      events.push(parseEvent(this.rest.subarray(0, end)));
+      const bytes = this.rest.subarray(0, end);
+      events.push({ bytes, id: readField(bytes, ID_FIELD).at(-1) });
       this.rest = this.rest.subarray(end);
     }
     return events;
--- a/packages/serving/test/features/events.feature
+++ b/packages/serving/test/features/events.feature
@@ -20,3 +20,7 @@
     When a target sends events 1 to 2 and half of event 3
     And another target sends the bytes of events 1 to 4 in pieces of 50 bytes
     Then events 1, 2 are passed on and the answer is torn
+
+  Scenario: Lines may end with carriage returns, and data may have several lines
+    When a target sends an event with two data lines that end with carriage returns
+    Then the event has the id "7" and the data "first|second"
--- a/packages/serving/test/steps/events.steps.ts
+++ b/packages/serving/test/steps/events.steps.ts
@@ -1,10 +1,12 @@
 import assert from 'node:assert/strict';
 import { Before, Then, When } from '@cucumber/cucumber';
 import { EventSequence } from '@jacinthlug/serving/online/EventSequence';
+import { dataOf, type StreamEvent } from '@jacinthlug/serving/online/EventSplitter';
 
 interface EventsWorld {
   sequence: EventSequence;
   passed: string[];
+  events: StreamEvent[];
 }
 
 const eventBytes = (id: number): string => `id: ${id}\ndata: piece ${id}\n\n`;
@@ -16,7 +18,7 @@
   world.sequence.beginAnswer();
   for (let start = 0; start < bytes.length; start += size) {
     const events = world.sequence.push(Buffer.from(bytes.slice(start, start + size)));
-    world.passed.push(...events.map(({ data }) => data!.replace('piece ', '')));
+    world.passed.push(...events.map((event) => dataOf(event)!.replace('piece ', '')));
   }
 };
 
@@ -46,3 +48,21 @@
     assert.equal(this.sequence.isTorn, state === 'torn');
   },
 );
+
+When(
+  'a target sends an event with two data lines that end with carriage returns',
+  function (this: EventsWorld) {
+    this.sequence.beginAnswer();
+    const bytes = 'event: x\r\nid: 7\r\ndata: first\r\ndata:second\r\n\r\n';
+    this.events = this.sequence.push(Buffer.from(bytes));
+  },
+);
+
+Then(
+  'the event has the id {string} and the data {string}',
+  function (this: EventsWorld, id: string, data: string) {
+    assert.equal(this.events.length, 1);
+    assert.equal(this.events[0]!.id, id);
+    assert.equal(dataOf(this.events[0]!), data.replace('|', '\n'));
+  },
+);
