Look for a slot once for waiting items of the same kind, and for excess only where slots are short

Cause: in a profile of a host with 4.5 chats a second and a batch job, 10.8% of its time went to looking whether items could start or must make room, for each item anew and with all holders sorted for each target. Reports are collected for 40 ms instead of 20.

--- a/packages/serving/src/batch/BatchWorker.ts
+++ b/packages/serving/src/batch/BatchWorker.ts
@@ -38,7 +38,7 @@
 const RUN_LIMIT_MS = 60_000;
 
 /** How long reports of other hosts are collected before items start or make room. Unit: ms. */
-const REPORTS_COLLECT_MS = 20;
+const REPORTS_COLLECT_MS = 40;
 
 /** What the worker needs. */
 export interface BatchWorkerNeeds extends Omit<HeldJobsNeeds, 'onOpened' | 'onOutdated'> {
@@ -182,7 +182,10 @@
         tokens: task.item.tokens,
         events: task.answer.size,
       }));
+    if (waiting.length === 0) return;
     const taken = new Map<string, number>();
+    /** Services and urgencies without a slot: the other items of the same kind need not look for one. */
+    const withoutSlot = new Set<string>();
     const allowances = {
       relaxed: this.createAllowances(now, RESERVED_SLOTS.relaxed, taken),
       urgent: this.createAllowances(now, RESERVED_SLOTS.urgent, taken),
@@ -194,8 +197,13 @@
       if (service === undefined) return;
       const spareMs = item.due - now - remainingMs(item, this.meter.pace);
       const urgency = spareMs < URGENT_WITHIN_MS ? 'urgent' : 'relaxed';
+      const kind = `${service}/${urgency}`;
+      if (withoutSlot.has(kind)) return;
       const target = router.chooseForBatch(service, allowances[urgency]);
-      if (!target) return;
+      if (!target) {
+        withoutSlot.add(kind);
+        return;
+      }
       taken.set(target.id, (taken.get(target.id) ?? 0) + 1);
       void this.runItem(job, task, target);
     });
@@ -203,7 +211,7 @@
       const isNear = targets.find(id)?.failureDomain === identity.failureDomain;
       this.turns.take(id, now, spreadMs(members.size, isNear));
     });
-    this.planTurn(waiting.length > 0, now);
+    this.planTurn(now);
   }
 
   /** Gives the slots of targets that this host may take in this round, less those already taken. */
@@ -248,9 +256,9 @@
   }
 
   /** Looks again when the next turn comes. */
-  private planTurn(hasWaiting: boolean, now: number): void {
+  private planTurn(now: number): void {
     const nextIn = this.turns.nextIn(now);
-    if (!hasWaiting || nextIn === undefined) return;
+    if (nextIn === undefined) return;
     clearTimeout(this.turnTimer);
     this.turnTimer = setTimeout(() => this.wake(), nextIn);
   }
--- a/packages/serving/src/routing/TargetRouter.ts
+++ b/packages/serving/src/routing/TargetRouter.ts
@@ -61,9 +61,12 @@
    */
   excessOn(target: Target): number {
     const { loads, identity } = this.needs;
+    const load = loads.totalLoad(target.id);
+    // Asked at each change of loads, and true of most targets.
+    if (load.online + load.batch <= target.slots) return 0;
     return shareOfExcess({
       slots: target.slots,
-      load: loads.totalLoad(target.id),
+      load,
       holders: loads.batchHolders(target.id, identity.name),
       ownName: identity.name,
     });
