Tell the holders of batch items at once when a chat is placed on a full target

A chat placed where batch items run waits until their holder has heard of it in the next report and has cancelled one, which takes up to 150 ms of an objective of 300. Ruled out: shorter intervals for all reports, whose cost grows with the domain. Now: the host that places the chat reports at once to the holders, which are eight at most, and these make room at once.

--- a/packages/serving/src/batch/BatchWorker.ts
+++ b/packages/serving/src/batch/BatchWorker.ts
@@ -1,5 +1,6 @@
 /** Runs the items of the jobs that this host holds where online requests leave room. */
 import type { Metrics } from '@jacinthlug/catalog/Metrics';
+import type { LoadReport } from '@jacinthlug/protocol/loadReport';
 import { STORE_WITHIN_MS } from '../fleet/Members.js';
 import { spreadMs } from '../fleet/reportPlan.js';
 import type { Target } from '../fleet/Target.js';
@@ -128,6 +129,20 @@
     }, REPORTS_COLLECT_MS);
   }
 
+  /**
+   * Tells whether a report says that online requests wait for a slot that an item of this host has.
+   *
+   * @param report - newest report of another host, which the loads contain
+   * @returns whether items must leave
+   */
+  mustMakeRoom({ loads: reported }: LoadReport): boolean {
+    const { loads, targets, router } = this.needs;
+    return reported.some(([id]) => {
+      const target = loads.ownLoad(id).batch > 0 ? targets.find(id) : undefined;
+      return target !== undefined && router.excessOn(target) > 0;
+    });
+  }
+
   private pump(): void {
     this.makeRoom();
     this.startItems();
--- a/packages/serving/src/fleet/LoadExchange.ts
+++ b/packages/serving/src/fleet/LoadExchange.ts
@@ -104,6 +104,20 @@
     this.report();
   }
 
+  /**
+   * Reports at once to some hosts, besides the reports that all get.
+   *
+   * @param names - names of hosts
+   */
+  reportTo(names: readonly string[]): void {
+    if (names.length === 0) return;
+    const { peers } = this.needs.members;
+    this.send(
+      [this.describeOwn()],
+      peers.filter(({ name }) => names.includes(name)),
+    );
+  }
+
   /** Stops reporting. */
   stop(): void {
     clearTimeout(this.nearTimer);
--- a/packages/serving/src/online/OnlinePath.ts
+++ b/packages/serving/src/online/OnlinePath.ts
@@ -68,6 +68,8 @@
   readonly metrics: Metrics;
   /** Called when other hosts must learn of the use of a rate at once. */
   readonly onLowRate: () => void;
+  /** Called when a request has been placed at a target. */
+  readonly onPlaced: (target: Target) => void;
 }
 
 /** A request with what was found out about it. */
@@ -265,6 +267,7 @@
       progress.mayHaveRun + 1 < route.attempts &&
       router.hasAlternative(request.service, new Set(progress.excluded).add(target.id));
     const endLoad = loads.begin(target.id, 'online');
+    this.needs.onPlaced(target);
     const end = await sendOnce({
       client,
       dialect,
--- a/packages/serving/src/routing/TargetRouter.ts
+++ b/packages/serving/src/routing/TargetRouter.ts
@@ -5,9 +5,11 @@
 import {
   chooseBatchTarget,
   chooseTarget,
+  findHoldersToTell,
   shareOfExcess,
   type Candidate,
   type Chosen,
+  type Excess,
 } from './chooseTarget.js';
 import type { LoadBook } from './LoadBook.js';
 import type { TargetHealth } from './TargetHealth.js';
@@ -53,6 +55,16 @@
     return chooseBatchTarget({ candidates, failureDomain, allowanceOf, random: Math.random });
   }
 
+  /**
+   * Lists the other hosts whose batch items keep online requests on a target waiting.
+   *
+   * @param target - the target
+   * @returns names of hosts
+   */
+  holdersToTell(target: Target): string[] {
+    return findHoldersToTell(this.describeExcess(target));
+  }
+
   /**
    * Tells how many of this host's batch items must leave a target.
    *
@@ -60,16 +72,20 @@
    * @returns number of items
    */
   excessOn(target: Target): number {
+    return shareOfExcess(this.describeExcess(target));
+  }
+
+  private describeExcess(target: Target): Excess {
     const { loads, identity } = this.needs;
     const load = loads.totalLoad(target.id);
-    // Asked at each change of loads, and true of most targets.
-    if (load.online + load.batch <= target.slots) return 0;
-    return shareOfExcess({
+    // Asked at each change of loads, while most targets have free slots or no batch items.
+    const isCrowded = load.batch > 0 && load.online + load.batch > target.slots;
+    return {
       slots: target.slots,
       load,
-      holders: loads.batchHolders(target.id, identity.name),
+      holders: isCrowded ? loads.batchHolders(target.id, identity.name) : [],
       ownName: identity.name,
-    });
+    };
   }
 
   /**
--- a/packages/serving/src/routing/chooseTarget.ts
+++ b/packages/serving/src/routing/chooseTarget.ts
@@ -124,6 +124,18 @@
   readonly ownName: string;
 }
 
+/**
+ * Lists the hosts that must make room on a target. They are told at once rather than with the next report, as an
+ * online request waits there meanwhile.
+ *
+ * @param excess - load and holders, with this host's newest request
+ * @returns names of other hosts
+ */
+export const findHoldersToTell = ({ slots, load, holders, ownName }: Excess): string[] =>
+  load.online + load.batch <= slots
+    ? []
+    : holders.map(({ host }) => host).filter((host) => host !== ownName);
+
 /**
  * Shares out batch items that must leave a target so that online requests find a slot.
  *
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -213,7 +213,8 @@
       loads.hear(report);
       rates.hear(report);
       breaks.hear(report);
-      worker.wakeSoon();
+      if (worker.mustMakeRoom(report)) worker.wake();
+      else worker.wakeSoon();
     },
   });
   const online = new OnlinePath({
@@ -228,6 +229,7 @@
     journal,
     metrics,
     onLowRate: () => exchange.reportUrgently(),
+    onPlaced: (target) => exchange.reportTo(router.holdersToTell(target)),
   });
   view.onChange(({ configuration }) => rates.configure(configuration));
   loads.onOwnChange(() => {
--- a/packages/serving/test/features/routing.feature
+++ b/packages/serving/test/features/routing.feature
@@ -52,6 +52,18 @@
       | host-3 | 1     |
     Then 3 items leave in all, 1 of them from each host
 
+  Scenario Outline: A host that places a chat on a full target tells those whose items must leave
+    Given a target of 8 slots with <online> online requests and batch items of
+      | host   | batch |
+      | host-1 | 3     |
+      | host-2 | 1     |
+    Then host "host-1" tells "<told>"
+
+    Examples:
+      | online | told   |
+      | 4      |        |
+      | 5      | host-2 |
+
   Scenario Outline: Hosts that see the same free slots do not take one twice
     Given <hosts> hosts with waiting items and a target with <free> free slots
     When all hosts take what they may at the same time
--- a/packages/serving/test/steps/routing.steps.ts
+++ b/packages/serving/test/steps/routing.steps.ts
@@ -4,6 +4,7 @@
 import {
   chooseBatchTarget,
   chooseTarget,
+  findHoldersToTell,
   shareOfExcess,
   type Candidate,
 } from '@jacinthlug/serving/routing/chooseTarget';
@@ -152,3 +153,10 @@
     assert.equal(allowanceOf(this, this.turns[0]!, now), slots);
   },
 );
+
+Then('host {string} tells {string}', function (this: RoutingWorld, ownName: string, told: string) {
+  const { slots, online, holders } = this.excess;
+  const batch = holders.reduce((sum, holder) => sum + holder.batch, 0);
+  const names = findHoldersToTell({ slots, load: { online, batch }, holders, ownName });
+  assert.equal(names.join(', '), told);
+});
