--- a/packages/serving/src/fleet/placement.ts
+++ b/packages/serving/src/fleet/placement.ts
@@ -42,15 +42,6 @@
   return leftWeight === rightWeight ? left < right : leftWeight > rightWeight;
 };
 
-/**
- * Gives the weight of a name for a key, which has nothing in common with that of other names and keys.
- *
- * @param key - what is placed
- * @param name - the name
- * @returns a whole number below 2^32
- */
-export const weightOf = (key: string, name: string): number => mix(mix(hashOf(key)) ^ hashOf(name));
-
 /**
  * Tells the position of a name in the order of a key. A name that comes or goes moves no other past one.
  *
--- a/packages/serving/src/routing/TargetRouter.ts
+++ b/packages/serving/src/routing/TargetRouter.ts
@@ -1,7 +1,6 @@
 /** What this host knows of the targets of a service, put together for choices. */
 import type { HostIdentity } from '../fleet/HostIdentity.js';
 import type { Target } from '../fleet/Target.js';
-import { weightOf } from '../fleet/placement.js';
 import type { TargetList } from '../fleet/TargetList.js';
 import {
   chooseBatchTarget,
@@ -37,8 +36,7 @@
   choose(service: string, excluded: ReadonlySet<string>): Chosen {
     const { failureDomain } = this.needs.identity;
     const candidates = this.candidatesOf(service);
-    const { preferenceOf } = this;
-    return chooseTarget({ candidates, failureDomain, excluded, preferenceOf });
+    return chooseTarget({ candidates, failureDomain, excluded, random: Math.random });
   }
 
   /**
@@ -54,8 +52,7 @@
   ): Target | undefined {
     const { failureDomain } = this.needs.identity;
     const candidates = this.candidatesOf(service);
-    const { preferenceOf } = this;
-    return chooseBatchTarget({ candidates, failureDomain, allowanceOf, preferenceOf });
+    return chooseBatchTarget({ candidates, failureDomain, allowanceOf, random: Math.random });
   }
 
   /**
@@ -104,9 +101,6 @@
     );
   }
 
-  private readonly preferenceOf = ({ id }: Target): number =>
-    weightOf(id, this.needs.identity.name);
-
   private candidatesOf(service: string): Candidate[] {
     const { targets, loads, health } = this.needs;
     const ready = targets.readyOf(service);
--- a/packages/serving/src/routing/chooseTarget.ts
+++ b/packages/serving/src/routing/chooseTarget.ts
@@ -25,11 +25,8 @@
   readonly failureDomain: string;
   /** Identities of targets that failed the request before. */
   readonly excluded: ReadonlySet<string>;
-  /**
-   * Breaks ties: this host's own preference of a target, the highest first. Hosts with the same knowledge choose
-   * different targets by it, and each one stays with few targets, to which its connections are open.
-   */
-  readonly preferenceOf: (target: Target) => number;
+  /** Breaks ties, so that hosts do not all choose the same target; between 0 and 1. */
+  readonly random: () => number;
 }
 
 /** Outcome of a choice. */
@@ -63,12 +60,7 @@
  * @param choice - candidates and what is known of the request
  * @returns a target, or why there is none
  */
-export const chooseTarget = ({
-  candidates,
-  failureDomain,
-  excluded,
-  preferenceOf,
-}: Choice): Chosen => {
+export const chooseTarget = ({ candidates, failureDomain, excluded, random }: Choice): Chosen => {
   const possible = candidates.filter(({ target }) => !excluded.has(target.id));
   if (possible.length === 0) return { kind: 'none' };
   const usable = possible.filter((candidate) => candidate.usable && !isSuspect(candidate));
@@ -79,11 +71,10 @@
     rank: rankOf(candidate),
     fill: candidate.load.online + 0.5 * candidate.load.batch,
     distance: candidate.target.failureDomain === failureDomain ? 0 : 1,
-    preference: preferenceOf(candidate.target),
+    draw: random(),
   }));
   scored.sort(
-    (a, b) =>
-      a.rank - b.rank || a.distance - b.distance || a.fill - b.fill || b.preference - a.preference,
+    (a, b) => a.rank - b.rank || a.distance - b.distance || a.fill - b.fill || a.draw - b.draw,
   );
   const best = scored[0]!;
   return best.rank === RANKS.full ? { kind: 'full' } : { kind: 'target', target: best.target };
@@ -95,7 +86,7 @@
   readonly failureDomain: string;
   /** Slots of a target that this host may take now. */
   readonly allowanceOf: (candidate: Candidate) => number;
-  readonly preferenceOf: (target: Target) => number;
+  readonly random: () => number;
 }
 
 /**
@@ -108,7 +99,7 @@
   candidates,
   failureDomain,
   allowanceOf,
-  preferenceOf,
+  random,
 }: BatchChoice): Target | undefined => {
   const fitting = candidates
     .filter((candidate) => candidate.usable && !isSuspect(candidate))
@@ -117,9 +108,9 @@
       target,
       free: target.slots - load.online - load.batch,
       distance: target.failureDomain === failureDomain ? 0 : 1,
-      preference: preferenceOf(target),
+      draw: random(),
     }));
-  fitting.sort((a, b) => b.free - a.free || a.distance - b.distance || b.preference - a.preference);
+  fitting.sort((a, b) => b.free - a.free || a.distance - b.distance || a.draw - b.draw);
   return fitting[0]?.target;
 };
 
