--- /dev/null
+++ b/packages/serving/test/fakes/createReport.ts
@@ -0,0 +1,21 @@
+/** A report of a host, with nothing in it unless a test says so. */
+import type { LoadReport } from '@jacinthlug/protocol/loadReport';
+
+export const createReport = (
+  host: string,
+  sequence: number,
+  content: Partial<LoadReport> = {},
+): LoadReport => ({
+  host,
+  incarnation: 1,
+  sequence,
+  ageMs: 0,
+  upMs: 1000,
+  storeAgeMs: 0,
+  loads: [],
+  rates: [],
+  silent: [],
+  waitingItems: 0,
+  breaks: [],
+  ...content,
+});
--- a/packages/serving/test/steps/members.steps.ts
+++ b/packages/serving/test/steps/members.steps.ts
@@ -4,6 +4,7 @@
 import type { LoadReport } from '@jacinthlug/protocol/loadReport';
 import { chooseHolder, type WorkerCandidate } from '@jacinthlug/serving/fleet/capableHosts';
 import { Members } from '@jacinthlug/serving/fleet/Members';
+import { createReport } from '../fakes/createReport.js';
 import { MemoryRecordStore } from '../fakes/MemoryRecordStore.js';
 
 interface MembersWorld {
@@ -43,19 +44,7 @@
     seconds: number,
   ) {
     this.now += 50;
-    this.last = {
-      host,
-      incarnation,
-      sequence,
-      ageMs: 0,
-      upMs: seconds * 1000,
-      storeAgeMs: 0,
-      loads: [],
-      rates: [],
-      silent: [],
-      waitingItems: 0,
-      breaks: [],
-    };
+    this.last = createReport(host, sequence, { incarnation, upMs: seconds * 1000 });
     this.taken = this.members.hear(this.last, this.now);
   },
 );
@@ -93,22 +82,7 @@
 When(
   'process {int} of {string} reports without contact to the store for {int} ms',
   function (this: MembersWorld, incarnation: number, host: string, storeAgeMs: number) {
-    this.members.hear(
-      {
-        host,
-        incarnation,
-        sequence: 1,
-        ageMs: 0,
-        upMs: 60_000,
-        storeAgeMs,
-        loads: [],
-        rates: [],
-        silent: [],
-        waitingItems: 0,
-        breaks: [],
-      },
-      this.now,
-    );
+    this.members.hear(createReport(host, 1, { incarnation, upMs: 60_000, storeAgeMs }), this.now);
   },
 );
 
--- a/packages/serving/test/steps/rates.steps.ts
+++ b/packages/serving/test/steps/rates.steps.ts
@@ -7,6 +7,7 @@
   ServingConfiguration,
 } from '@jacinthlug/serving/configuration/ServingConfiguration';
 import { AccountRates } from '@jacinthlug/serving/rates/AccountRates';
+import { createReport } from '../fakes/createReport.js';
 
 /** Step of the simulation. Unit: ms. */
 const STEP_MS = 5;
@@ -117,19 +118,11 @@
       const interval = host.rates.isLow(account) ? REPORT_MS.low : REPORT_MS.idle;
       if (now - host.lastReport < interval) return;
       Object.assign(host, { lastReport: now, sequence: host.sequence + 1 });
-      const report: LoadReport = {
-        host: `host-${from}`,
+      const report = createReport(`host-${from}`, host.sequence, {
         incarnation: host.incarnation,
-        sequence: host.sequence,
-        ageMs: 0,
         upMs: now - host.startedAt,
-        storeAgeMs: 0,
-        loads: [],
         rates: host.rates.ownUse(now),
-        silent: [],
-        waitingItems: 0,
-        breaks: [],
-      };
+      });
       world.hosts.forEach((other, to) => {
         if (to === from || other.group !== host.group || random() < world.loss) return;
         const at = now + Math.max(STEP_MS, Math.ceil(world.delay / STEP_MS) * STEP_MS);
--- a/packages/serving/test/steps/reports.steps.ts
+++ b/packages/serving/test/steps/reports.steps.ts
@@ -9,6 +9,7 @@
 import { farIntervalMs, farReceivers, nearIntervalMs } from '@jacinthlug/serving/fleet/reportPlan';
 import { LoadBook } from '@jacinthlug/serving/routing/LoadBook';
 import { pack } from 'msgpackr';
+import { createReport } from '../fakes/createReport.js';
 
 interface SimulatedHost {
   readonly name: string;
@@ -23,21 +24,6 @@
   datagram: Buffer;
 }
 
-const reportOf = (host: string, sequence: number, content: Partial<LoadReport>): LoadReport => ({
-  host,
-  incarnation: 1,
-  sequence,
-  ageMs: 0,
-  upMs: 1000,
-  storeAgeMs: 0,
-  loads: [],
-  rates: [],
-  silent: [],
-  waitingItems: 0,
-  breaks: [],
-  ...content,
-});
-
 /** Counts how often each host hears of a domain in one pass, without the senders left out. */
 const playPass = (
   hosts: readonly SimulatedHost[],
@@ -121,7 +107,7 @@
         this.newest.delete(host);
       } else {
         const names = Array.from({ length: targets }, (_, index) => `t-${index}`);
-        const report = reportOf(host, step, {
+        const report = createReport(host, step, {
           loads: names
             .filter(() => below(3) === 0)
             .map((name) => [name, below(4), below(3)] as [string, number, number]),
@@ -158,8 +144,8 @@
 
 When('two reports are encoded together', function (this: ReportsWorld) {
   this.reports = [
-    reportOf('h-1', 7, { loads: [['t-1', 2, 1]], rates: [['a', 40]], breaks: [['f', 1]] }),
-    reportOf('h-2', 9, { ageMs: 120, silent: ['t-2'], waitingItems: 3 }),
+    createReport('h-1', 7, { loads: [['t-1', 2, 1]], rates: [['a', 40]], breaks: [['f', 1]] }),
+    createReport('h-2', 9, { ageMs: 120, silent: ['t-2'], waitingItems: 3 }),
   ];
   this.datagram = encodeLoadReports(this.reports);
 });
