Leave work to a process that has just replaced the one that was heard

Cause, found by reading: a host that restarted could accept a job before others had heard of its new process; to them its incarnation was not the one that they heard, so the job of a living process was taken over at once and its items ran twice. Red first: "Work of a process that just replaced one that was heard" of members.feature, for 300 ms. Now the row of the member counts too: a process that it names is given 2.5 s to be heard, and one that it no longer names has ended.

--- a/packages/serving/src/fleet/Members.ts
+++ b/packages/serving/src/fleet/Members.ts
@@ -59,6 +59,14 @@
   readonly revision: number;
 }
 
+interface Listed {
+  readonly incarnation: number;
+  /** Monotonic time. Unit: ms. */
+  readonly at: number;
+  /** Whether the row named another process before. */
+  readonly isSuccessor: boolean;
+}
+
 interface Heard {
   readonly incarnation: number;
   /** Monotonic time at which the process started, as its reports tell. Unit: ms. */
@@ -90,8 +98,8 @@
 
   private readonly heard = new Map<string, Heard>();
 
-  /** Monotonic time at which a member was first listed. Unit: ms. */
-  private readonly listedAt = new Map<string, number>();
+  /** When this host learned of the process that a member's row names. */
+  private readonly listed = new Map<string, Listed>();
 
   /** Members of this host's failure domain and of the others, without itself, by name. */
   private nearMembers: Member[] = [];
@@ -102,16 +110,16 @@
 
   constructor(private readonly needs: MembersNeeds) {}
 
-  replace(records: readonly StoredRecord[]): void {
+  replace(records: readonly StoredRecord[], _revision: number, now = performance.now()): void {
     this.members.clear();
-    records.forEach((record) => this.put(record));
+    records.forEach((record) => this.put(record, now));
     this.sortMembers();
     this.keepOwnRow();
   }
 
-  apply(changes: readonly RecordChange[]): void {
+  apply(changes: readonly RecordChange[], now = performance.now()): void {
     changes.forEach((change) => {
-      if (change.kind === 'written') this.put(change.record);
+      if (change.kind === 'written') this.put(change.record, now);
       else this.members.delete(change.key.key);
     });
     this.sortMembers();
@@ -234,7 +242,15 @@
     const heard = this.heard.get(name);
     // A process that just started has heard nobody yet.
     if (!heard) return upMs > LOST_AFTER_MS;
-    if (heard.incarnation !== incarnation || now - heard.at > LOST_AFTER_MS) return true;
+    const listed = this.listed.get(name);
+    const isListed = listed?.incarnation === incarnation;
+    if (heard.incarnation !== incarnation) {
+      // The row names a process that may just have replaced the one that was heard.
+      return !isListed || now - listed.at > LOST_AFTER_MS;
+    }
+    const isReplaced = listed?.isSuccessor && !isListed && listed.at > heard.startedAt;
+    if (isReplaced) return true;
+    if (now - heard.at > LOST_AFTER_MS) return true;
     return heard.storeAgeMs > STORE_WITHIN_MS && storeRegainedMsAgo > STORE_REGAINED_BY_ALL_MS;
   }
 
@@ -276,7 +292,7 @@
   async dropSilent(now = performance.now()): Promise<string[]> {
     const silent = this.peers.filter(({ name }) => !this.isHeard(name, now));
     for (const member of silent) {
-      const since = this.heard.get(member.name)?.at ?? this.listedAt.get(member.name) ?? now;
+      const since = this.heard.get(member.name)?.at ?? this.listed.get(member.name)?.at ?? now;
       if (now - since > FORGET_AFTER_MS) await this.remove(member);
     }
     // Also hosts that have left, whose rows are gone.
@@ -327,13 +343,17 @@
     return now - (this.heard.get(name)?.at ?? Number.NEGATIVE_INFINITY) < HEARD_WITHIN_MS;
   }
 
-  private put(record: StoredRecord): void {
+  private put(record: StoredRecord, now: number): void {
     const row = memberRow.safeParse(parseJson(record.value));
     if (!row.success) {
       this.needs.journal.record('record-unreadable', { table: MEMBERS_TABLE, key: record.key });
       return;
     }
-    if (!this.members.has(record.key)) this.listedAt.set(record.key, performance.now());
+    const { incarnation } = row.data;
+    const before = this.listed.get(record.key);
+    if (before?.incarnation !== incarnation) {
+      this.listed.set(record.key, { incarnation, at: now, isSuccessor: before !== undefined });
+    }
     this.members.set(record.key, { ...row.data, name: record.key, revision: record.revision });
   }
 
--- a/packages/serving/test/features/members.feature
+++ b/packages/serving/test/features/members.feature
@@ -83,3 +83,17 @@
       | 1.35, 1.35, 1.35       | 1, 2, 3 | 60   |
       | 1.35, 0.24, 1.35, 0.24 | 1, 3    | 140  |
       | 0.24, 0.24             | 1, 2    | 60   |
+
+  Scenario Outline: Work of a process that just replaced one that was heard stays where it is until it can have been heard
+    Given a host that hears others
+    And process 900 of "h-2" registered long ago
+    When process 900 of "h-2" reports for the 40th time, 60 s after its start
+    And process 100 of "h-2" registers
+    And <ms> ms pass
+    Then the work of process 100 of "h-2" <may> be given to others
+    And the work of process 900 of "h-2" may be given to others
+
+    Examples:
+      | ms   | may     |
+      | 300  | may not |
+      | 2600 | may     |
--- a/packages/serving/test/steps/members.steps.ts
+++ b/packages/serving/test/steps/members.steps.ts
@@ -3,7 +3,7 @@
 import { silentJournal } from '@jacinthlug/catalog/Journal';
 import type { LoadReport } from '@jacinthlug/protocol/loadReport';
 import { chooseHolder, type WorkerCandidate } from '@jacinthlug/serving/fleet/capableHosts';
-import { Members } from '@jacinthlug/serving/fleet/Members';
+import { Members, MEMBERS_TABLE } from '@jacinthlug/serving/fleet/Members';
 import { createReport } from '../fakes/createReport.js';
 import { MemoryRecordStore } from '../fakes/MemoryRecordStore.js';
 
@@ -60,6 +60,32 @@
   },
 );
 
+const register = (world: MembersWorld, incarnation: number, name: string, now: number): void => {
+  const row = { address: '127.0.0.1', port: 2, incarnation, failureDomain: 'a', cores: 1 };
+  const record = {
+    table: MEMBERS_TABLE,
+    partition: '',
+    key: name,
+    value: Buffer.from(JSON.stringify(row)),
+    revision: 7,
+  };
+  world.members.apply([{ kind: 'written', record }], now);
+};
+
+When(
+  'process {int} of {string} registers',
+  function (this: MembersWorld, incarnation: number, name: string) {
+    register(this, incarnation, name, this.now);
+  },
+);
+
+Given(
+  'process {int} of {string} registered long ago',
+  function (this: MembersWorld, incarnation: number, name: string) {
+    register(this, incarnation, name, this.now - 90_000);
+  },
+);
+
 Given('the store came back {int} ms ago', function (this: MembersWorld, ms: number) {
   this.storeRegainedMsAgo = ms;
 });
