Send nothing new to targets that say in an answer that they leave

Cause: engines that leave say so in all their answers, and a host must not send them a request later than the drain time after it has passed one on, in touch with the store or not.

Departures are kept by incarnation (identity and birth) from the first answer on, whatever its status; every choice of a target leaves them out, so that a fleet whose targets all leave refuses at once.

Ruled out: marking the registration (rows vanish in an outage, come back and are read anew), and matching by address (it is used again by other targets).

--- a/packages/catalog/src/logEvents.ts
+++ b/packages/catalog/src/logEvents.ts
@@ -382,6 +382,12 @@
     message: 'Batch job opened',
     hint: 'Nothing to do; the field resumed counts items that go on from output of an earlier holder.',
   },
+  'target-leaving': {
+    number: 827,
+    severity: 'info',
+    message: 'Target says that it leaves; it gets nothing new',
+    hint: 'Nothing to do; the field source names its answer, or the host that reported it.',
+  },
 });
 
 /** Name of a log event. */
--- a/packages/protocol/src/loadReport.ts
+++ b/packages/protocol/src/loadReport.ts
@@ -11,6 +11,9 @@
 /** Broken sends of one request through one host: fingerprint of the request, and their number. */
 const brokenSends = tuple(text, count);
 
+/** A target that has said to the host that it leaves: identity, and birth of the incarnation. */
+const departure = tuple(text, count);
+
 /**
  * Shape of a report. Every report carries the whole state, so that a lost one does no harm. It
  * travels as a list without field names, because bytes between failure domains are paid for. Fields in
@@ -28,6 +31,7 @@
   listOf(text),
   count,
   listOf(brokenSends),
+  listOf(departure),
 );
 
 /** Content of a datagram: reports of one or more hosts. */
@@ -54,6 +58,7 @@
   /** Batch items of the host that wait for a slot. */
   readonly waitingItems: number;
   readonly breaks: readonly ContentOf<typeof brokenSends>[];
+  readonly leaving: readonly ContentOf<typeof departure>[];
 }
 
 const toWire = (report: LoadReport) => [
@@ -68,6 +73,7 @@
   report.silent,
   report.waitingItems,
   report.breaks,
+  report.leaving,
 ];
 
 const fromWire = ([
@@ -82,6 +88,7 @@
   silent,
   waitingItems,
   breaks,
+  leaving,
 ]: ContentOf<typeof wireReport>): LoadReport => ({
   host,
   incarnation,
@@ -94,6 +101,7 @@
   silent,
   waitingItems,
   breaks,
+  leaving,
 });
 
 /**
--- a/packages/serving/src/batch/BatchWorker.ts
+++ b/packages/serving/src/batch/BatchWorker.ts
@@ -1,6 +1,7 @@
 /** Runs the items of the jobs that this host holds where online requests leave room. */
 import type { Metrics } from '@jacinthlug/catalog/Metrics';
 import type { LoadReport } from '@jacinthlug/protocol/loadReport';
+import type { Departures } from '../fleet/Departures.js';
 import { STORE_WITHIN_MS } from '../fleet/Members.js';
 import { spreadMs } from '../fleet/reportPlan.js';
 import type { Target } from '../fleet/Target.js';
@@ -50,6 +51,7 @@
   readonly client: TargetClient;
   readonly dialect: Dialect;
   readonly metrics: Metrics;
+  readonly departures: Departures;
 }
 
 interface WaitingItem {
@@ -346,6 +348,7 @@
         return true;
       },
       onSign: () => health.succeed(target.id),
+      onLeaving: () => this.needs.departures.add(target),
       // An item may be impossible at every target, so its failures say nothing about the target.
       isFailure: () => false,
     });
--- a/packages/serving/src/fleet/LoadExchange.ts
+++ b/packages/serving/src/fleet/LoadExchange.ts
@@ -25,7 +25,7 @@
 /** The part of a report that its parts of the host fill. */
 export type ReportContent = Pick<
   LoadReport,
-  'storeAgeMs' | 'loads' | 'rates' | 'silent' | 'waitingItems' | 'breaks'
+  'storeAgeMs' | 'loads' | 'rates' | 'silent' | 'waitingItems' | 'breaks' | 'leaving'
 >;
 
 /** What the exchange needs. */
--- a/packages/serving/src/http/Dialect.ts
+++ b/packages/serving/src/http/Dialect.ts
@@ -79,6 +79,14 @@
    */
   judgeHead(status: number, headers: AnswerHeaders, requestId: string): HeadVerdict;
 
+  /**
+   * Tells whether a target says in an answer that it leaves.
+   *
+   * @param headers - headers of the answer
+   * @returns whether it must get nothing new
+   */
+  saysLeaving(headers: AnswerHeaders): boolean;
+
   /**
    * Selects the headers of an answer that the caller gets.
    *
--- a/packages/serving/src/online/OnlinePath.ts
+++ b/packages/serving/src/online/OnlinePath.ts
@@ -5,6 +5,7 @@
 import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
 import type { ConfigurationView } from '../configuration/ConfigurationView.js';
 import type { Account, Route } from '../configuration/ServingConfiguration.js';
+import type { Departures } from '../fleet/Departures.js';
 import type { Target } from '../fleet/Target.js';
 import type { CallerHead, Dialect } from '../http/Dialect.js';
 import { readBody } from '../http/readBody.js';
@@ -70,6 +71,7 @@
   readonly onLowRate: () => void;
   /** Called when a request has been placed at a target. */
   readonly onPlaced: (target: Target) => void;
+  readonly departures: Departures;
 }
 
 /** A request with what was found out about it. */
@@ -296,6 +298,7 @@
         if (status === FAILED_STATUS) health.fail(target.id, `status ${status}`);
         else health.succeed(target.id);
       },
+      onLeaving: () => this.needs.departures.add(target),
       isFailure: (status) => status === FAILED_STATUS && mayRunElsewhere(),
     });
     endLoad();
--- a/packages/serving/src/online/sendOnce.ts
+++ b/packages/serving/src/online/sendOnce.ts
@@ -23,7 +23,7 @@
 /** What an attempt needs. */
 export interface AttemptTerms {
   readonly client: Pick<TargetClient, 'send'>;
-  readonly dialect: Pick<Dialect, 'judgeHead' | 'callerHeaders'>;
+  readonly dialect: Pick<Dialect, 'judgeHead' | 'saysLeaving' | 'callerHeaders'>;
   readonly target: Target;
   readonly request: TargetRequest;
   readonly requestId: string;
@@ -42,6 +42,8 @@
   readonly onSilence: () => boolean;
   /** Called when the target itself answers, with the status of its answer. */
   readonly onSign: (status: number) => void;
+  /** Called when the target says that it leaves, whatever else its answer says. */
+  readonly onLeaving: () => void;
   /**
    * Called with the status of an answer before anything of it is passed on.
    *
@@ -106,7 +108,8 @@
   }
 
   private takeHead(status: number, headers: Parameters<Dialect['callerHeaders']>[0]): void {
-    const { dialect, requestId, answer, onSign, isFailure, nextSilenceMs } = this.terms;
+    const { dialect, requestId, answer, onSign, onLeaving, isFailure, nextSilenceMs } = this.terms;
+    if (dialect.saysLeaving(headers)) onLeaving();
     const verdict = dialect.judgeHead(status, headers, requestId);
     const notRun = notRunVerdicts[verdict];
     if (!notRun?.unreachable) onSign(status);
--- a/packages/serving/src/routing/TargetRouter.ts
+++ b/packages/serving/src/routing/TargetRouter.ts
@@ -1,4 +1,5 @@
 /** What this host knows of the targets of a service, put together for choices. */
+import type { Departures } from '../fleet/Departures.js';
 import type { HostIdentity } from '../fleet/HostIdentity.js';
 import type { Target } from '../fleet/Target.js';
 import type { TargetList } from '../fleet/TargetList.js';
@@ -18,6 +19,7 @@
 export interface TargetRouterNeeds {
   readonly identity: HostIdentity;
   readonly targets: TargetList;
+  readonly departures: Departures;
   readonly loads: LoadBook;
   readonly health: TargetHealth;
 }
@@ -102,8 +104,8 @@
   }
 
   private candidatesOf(service: string): Candidate[] {
-    const { targets, loads, health } = this.needs;
-    const ready = targets.readyOf(service);
+    const { targets, departures, loads, health } = this.needs;
+    const ready = targets.readyOf(service).filter((target) => !departures.includes(target));
     const unreliable = health.unreliable(ready.map(({ id }) => id));
     return ready.map((target) => ({
       target,
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -10,6 +10,7 @@
 import { ProgressStore } from '../batch/ProgressStore.js';
 import { ConfigurationView } from '../configuration/ConfigurationView.js';
 import type { ServingConfiguration } from '../configuration/ServingConfiguration.js';
+import { Departures } from '../fleet/Departures.js';
 import type { HostIdentity } from '../fleet/HostIdentity.js';
 import { LoadExchange } from '../fleet/LoadExchange.js';
 import { Members, MEMBERS_TABLE } from '../fleet/Members.js';
@@ -138,12 +139,13 @@
   const { identity, store, objects, dialect, tables, journal, metrics } = needs;
   const view = new ConfigurationView(journal);
   const targets = new TargetList(journal);
+  const departures = new Departures(journal);
   const loads = new LoadBook();
   const breaks = new BreakBook();
   const health = new TargetHealth(journal);
   const members = new Members({ identity, store, journal });
   const client = new TargetClient();
-  const router = new TargetRouter({ identity, targets, loads, health });
+  const router = new TargetRouter({ identity, targets, departures, loads, health });
   const rates = new AccountRates({
     share: () => members.share(),
     // Monotonic time counts from the start of the process.
@@ -193,6 +195,7 @@
     progress,
     journal,
     metrics,
+    departures,
     keepMs: needs.keepJobsMs,
     storeAge: () => configurationFollower.age,
     sinceStoreReturn: () => configurationFollower.sinceReturn,
@@ -208,11 +211,13 @@
       silent: health.paused(targets.size),
       waitingItems: worker.waitingItems,
       breaks: breaks.recent(performance.now()),
+      leaving: departures.nextReported(),
     }),
     onReport: (report) => {
       loads.hear(report);
       rates.hear(report);
       breaks.hear(report);
+      departures.hear(report);
       if (worker.mustMakeRoom(report)) worker.wake();
       else worker.wakeSoon();
     },
@@ -230,7 +235,9 @@
     metrics,
     onLowRate: () => exchange.reportUrgently(),
     onPlaced: (target) => exchange.reportTo(router.holdersToTell(target)),
+    departures,
   });
+  departures.onHeard(() => exchange.report());
   view.onChange(({ configuration }) => rates.configure(configuration));
   loads.onOwnChange(() => {
     exchange.report();
--- a/packages/serving/test/fakes/createReport.ts
+++ b/packages/serving/test/fakes/createReport.ts
@@ -17,5 +17,6 @@
   silent: [],
   waitingItems: 0,
   breaks: [],
+  leaving: [],
   ...content,
 });
--- a/packages/serving/test/features/reports.feature
+++ b/packages/serving/test/features/reports.feature
@@ -40,3 +40,4 @@
       | a report with a field missing |
       | a report with a negative load |
       | a report with a name for a load |
+      | a report with a departure without a birth |
--- a/packages/serving/test/steps/attempts.steps.ts
+++ b/packages/serving/test/steps/attempts.steps.ts
@@ -72,7 +72,7 @@
           return { abort: () => undefined, pause: () => undefined, resume: () => undefined };
         },
       },
-      dialect: { judgeHead: () => 'answer', callerHeaders: () => ({}) },
+      dialect: { judgeHead: () => 'answer', saysLeaving: () => false, callerHeaders: () => ({}) },
       target: {
         id: 't-1',
         bornAt: 1,
@@ -93,6 +93,7 @@
         return this.mayGoElsewhere;
       },
       onSign: () => undefined,
+      onLeaving: () => undefined,
       isFailure: (status) => status === 500 && this.mayGoElsewhere,
       timers: this.timers,
     }).then((end) => {
