Bound what targets send without end, and close connections whole

Cause: bytes that are no answer may come without end, in a head or a body. A refusal of a target was digested from its head and its body read on for ever (5,400 to 8,600 MB in 6 s); an unfinished event was copied and scanned again with each part (blocks of 545 ms); events without ids and comments ran until the deadline; the body of a 500 to a batch item hid the answer. An aborted request stays first in its client's queue (undici 7.30.2 advances only for other errors), so each abort opened a connection that nobody waited for.

Answers to items other than 200 end with their head. Output after the last id is dropped when a run breaks off.

Ruled out: the client's own limits (a head of many lines takes 160 to 220 ms to be given up, an error for each line; maxResponseSize does not see framing), and a limit in time alone (6 GB come in a second).

--- a/packages/serving/src/batch/BatchWorker.ts
+++ b/packages/serving/src/batch/BatchWorker.ts
@@ -8,7 +8,7 @@
 import type { TargetList } from '../fleet/TargetList.js';
 import type { Dialect } from '../http/Dialect.js';
 import type { TargetClient } from '../http/TargetClient.js';
-import { sendOnce, type AttemptEnd } from '../online/sendOnce.js';
+import { isTargetFault, sendOnce, type AttemptEnd } from '../online/sendOnce.js';
 import { BatchTurns, type FreeSlots } from '../routing/BatchTurns.js';
 import type { Candidate } from '../routing/chooseTarget.js';
 import type { LoadBook } from '../routing/LoadBook.js';
@@ -16,6 +16,7 @@
 import type { TargetRouter } from '../routing/TargetRouter.js';
 import type { HeldJob } from './HeldJob.js';
 import { HeldJobs, type HeldJobsNeeds } from './HeldJobs.js';
+import { LARGEST_OUTPUT } from './ItemAnswer.js';
 import type { ItemState } from './JobRecord.js';
 import type { ItemTask } from './ItemTask.js';
 import { orderItems, remainingMs } from './orderItems.js';
@@ -39,6 +40,12 @@
 /** Time that a run may take; targets drop requests whose time is up. Unit: ms. */
 const RUN_LIMIT_MS = 60_000;
 
+/** Largest answer to a run: the largest output with as many bytes around it. Unit: bytes. */
+const ANSWER_BYTES = 2 * LARGEST_OUTPUT;
+
+/** Status of an answer that carries output. */
+const COMPLETED_STATUS = 200;
+
 /** How long reports of other hosts are collected before items start or make room. Unit: ms. */
 const REPORTS_COLLECT_MS = 40;
 
@@ -284,7 +291,7 @@
     const { loads, health } = this.needs;
     const controller = new AbortController();
     const startedAt = performance.now();
-    const sizeBefore = task.answer.size;
+    const sizeBefore = task.answer.resumableSize;
     Object.assign(task, { run: { target, controller, startedAt } });
     const endLoad = loads.begin(target.id, 'batch');
     const end = await this.send(job, task, target, controller.signal);
@@ -293,9 +300,7 @@
     if (state === 'completed' && sizeBefore === 0) {
       this.meter.finish(task.item.tokens, task.answer.size, performance.now() - startedAt);
     }
-    if (end.kind === 'broken' || (end.kind === 'not-run' && end.unreachable)) {
-      health.fail(target.id, end.cause);
-    }
+    if (isTargetFault(end)) health.fail(target.id, end.cause);
     this.needs.metrics.observe('items.run', performance.now() - startedAt);
     this.needs.journal.record('item-run-ended', {
       request: task.item.id,
@@ -347,10 +352,12 @@
         health.fail(target.id, 'silent');
         return true;
       },
+      answerBytes: ANSWER_BYTES,
+      // An item may be impossible at every target, so its failures say nothing about the target.
       onSign: () => health.succeed(target.id),
       onLeaving: () => this.needs.departures.add(target),
-      // An item may be impossible at every target, so its failures say nothing about the target.
-      isFailure: () => false,
+      // Only the status of other answers counts.
+      isFailure: (status) => status !== COMPLETED_STATUS,
     });
   }
 
--- a/packages/serving/src/batch/HeldJob.ts
+++ b/packages/serving/src/batch/HeldJob.ts
@@ -168,8 +168,8 @@
     const outputs: [number, ItemOutput][] = [];
     this.tasks.forEach(({ answer, savedEvents }, index) => {
       const { output } = answer;
-      if (!output || answer.size - savedEvents < leastNew) return;
-      sizes.set(index, answer.size);
+      if (!output || answer.resumableSize - savedEvents < leastNew) return;
+      sizes.set(index, answer.resumableSize);
       outputs.push([index, output]);
     });
     const saved = await progress.save(this.record, outputs);
--- a/packages/serving/src/batch/ItemAnswer.ts
+++ b/packages/serving/src/batch/ItemAnswer.ts
@@ -4,6 +4,9 @@
 import { dataOf } from '../online/EventSplitter.js';
 import type { ItemOutput } from './JobRecord.js';
 
+/** Largest output of an item: what one page of results can hold. Unit: characters. */
+export const LARGEST_OUTPUT = 1_048_576;
+
 const callNow = (resume: () => void): void => resume();
 
 /** Collects the output of an item. */
@@ -18,6 +21,12 @@
 
   private readonly data: string[] = [];
 
+  /** Number of events up to the last one after which a further run can go on. */
+  resumableSize = 0;
+
+  /** Unit: characters. */
+  private length = 0;
+
   private collects = false;
 
   get lastEventId(): string | undefined {
@@ -32,6 +41,19 @@
     return this.collects && this.events.isTorn;
   }
 
+  get isUnusable(): boolean {
+    return this.collects && (this.events.isUnusable || this.isTooLarge);
+  }
+
+  /**
+   * Tells whether the output is larger than any result may be.
+   *
+   * @returns whether a target has sent what cannot be the item's output
+   */
+  get isTooLarge(): boolean {
+    return this.length > LARGEST_OUTPUT;
+  }
+
   /**
    * Gives the output so far.
    *
@@ -56,8 +78,9 @@
    * @returns the output; nothing while no event has an id after which a run could go on
    */
   get output(): ItemOutput | undefined {
-    const { lastEventId } = this;
-    return lastEventId === undefined ? undefined : { lastEventId, data: [...this.data] };
+    const { lastEventId, resumableSize } = this;
+    if (lastEventId === undefined) return undefined;
+    return { lastEventId, data: this.data.slice(0, resumableSize) };
   }
 
   /**
@@ -67,11 +90,15 @@
    */
   resume({ lastEventId, data }: ItemOutput): void {
     this.events.lastEventId = lastEventId;
-    this.data.splice(0, this.data.length, ...data);
+    this.keep(0);
+    data.forEach((each) => this.add(each));
+    this.resumableSize = this.size;
   }
 
+  /** Starts the next run, which repeats what came after the last event with an id. */
   begin(status: number): void {
     this.collects = status === 200;
+    if (this.collects) this.keep(this.resumableSize);
     this.events.beginAnswer();
   }
 
@@ -79,8 +106,20 @@
     if (!this.collects) return true;
     this.events.push(chunk).forEach((event) => {
       const data = dataOf(event);
-      if (data !== undefined) this.data.push(data);
+      if (data !== undefined) this.add(data);
+      if (event.id !== undefined) this.resumableSize = this.size;
     });
     return true;
   }
+
+  private add(data: string): void {
+    this.data.push(data);
+    this.length += data.length;
+  }
+
+  private keep(size: number): void {
+    this.data.splice(size).forEach((data) => {
+      this.length -= data.length;
+    });
+  }
 }
--- a/packages/serving/src/batch/ItemTask.ts
+++ b/packages/serving/src/batch/ItemTask.ts
@@ -59,7 +59,7 @@
    */
   resume(output: ItemOutput): void {
     this.answer.resume(output);
-    this.savedEvents = this.answer.size;
+    this.savedEvents = this.answer.resumableSize;
   }
 
   /**
@@ -76,14 +76,13 @@
    * Digests the end of a run.
    *
    * @param end - how it ended
-   * @param sizeBefore - events that the item had when the run began
+   * @param sizeBefore - events after which the run went on
    * @param now - monotonic time. Unit: ms
    * @returns the final state, or nothing when the item must run again
    */
   finishRun(end: AttemptEnd, sizeBefore: number, now: number): ItemState | undefined {
     this.run = undefined;
-    const verdict =
-      end.kind === 'complete' ? (verdictsByStatus.get(end.status) ?? 'again') : 'again';
+    const verdict = ('status' in end && verdictsByStatus.get(end.status)) || 'again';
     if (verdict === 'completed') return 'completed';
     if (verdict === 'impossible') return 'dead-lettered';
     if (verdict === 'failed') {
@@ -91,9 +90,16 @@
       if (this.failures >= this.attempts) return 'dead-lettered';
     }
     if (end.kind === 'given-up') return undefined;
-    this.breaks = this.answer.size > sizeBefore ? 0 : this.breaks + 1;
+    if (end.kind === 'overlong' || this.answer.isTooLarge) this.forgetOutput();
+    this.breaks = this.answer.resumableSize > sizeBefore ? 0 : this.breaks + 1;
     const pauseMs = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** this.breaks);
     this.notBefore = now + pauseMs;
     return undefined;
   }
+
+  /** Starts the item anew: what a target has sent cannot be its output. */
+  private forgetOutput(): void {
+    this.answer = new ItemAnswer();
+    this.savedEvents = 0;
+  }
 }
--- a/packages/serving/src/online/AnswerSink.ts
+++ b/packages/serving/src/online/AnswerSink.ts
@@ -14,6 +14,9 @@
   /** Whether the bytes so far stop inside an event, or events are missing between them. */
   readonly isTorn: boolean;
 
+  /** Whether nothing more is taken from the present answer: an event was missing, repeated or larger than allowed. */
+  readonly isUnusable: boolean;
+
   /**
    * Takes the head of an answer.
    *
--- a/packages/serving/src/online/CallerAnswer.ts
+++ b/packages/serving/src/online/CallerAnswer.ts
@@ -41,6 +41,10 @@
     return this.splits && this.events.isTorn;
   }
 
+  get isUnusable(): boolean {
+    return this.splits && this.events.isUnusable;
+  }
+
   /**
    * Tells whether another target may go on with the answer.
    *
--- a/packages/serving/src/online/EventSequence.ts
+++ b/packages/serving/src/online/EventSequence.ts
@@ -18,7 +18,7 @@
 export class EventSequence {
   lastEventId: string | undefined;
 
-  /** Number of events so far. */
+  /** Number of events so far that carry anything. */
   count = 0;
 
   private splitter = new EventSplitter();
@@ -42,17 +42,26 @@
       this.hasGap ||= !isNextEvent(this.lastEventId, event.id);
       if (this.hasGap) return false;
       this.lastEventId = event.id ?? this.lastEventId;
-      this.count += 1;
+      if (event.hasContent) this.count += 1;
       return true;
     });
   }
 
+  /**
+   * Tells whether nothing more is taken from the present answer.
+   *
+   * @returns whether an event was missing, repeated or larger than allowed
+   */
+  get isUnusable(): boolean {
+    return this.hasGap || this.splitter.isOverlong;
+  }
+
   /**
    * Tells whether the present answer is no whole part of the stream.
    *
-   * @returns whether it stops inside an event, or an event was missing or repeated
+   * @returns whether it stops inside an event, or an event was missing, repeated or too large
    */
   get isTorn(): boolean {
-    return this.hasGap || this.splitter.hasRest;
+    return this.isUnusable || this.splitter.hasRest;
   }
 }
--- a/packages/serving/src/online/EventSplitter.ts
+++ b/packages/serving/src/online/EventSplitter.ts
@@ -5,6 +5,8 @@
   /** The bytes of the event with the empty line that ends it. */
   readonly bytes: Buffer;
   readonly id: string | undefined;
+  /** Whether it carries anything; comments alone only keep a connection open. */
+  readonly hasContent: boolean;
 }
 
 const LINE_FEED = 10;
@@ -14,30 +16,37 @@
 const ID_FIELD = Buffer.from('id:');
 const DATA_FIELD = Buffer.from('data:');
 
-/** Lines of an event without their ends, as positions in its bytes. */
-const linesOf = (bytes: Buffer): [number, number][] => {
-  const lines: [number, number][] = [];
+/**
+ * Largest event, with the comments before it: a token takes some tens of bytes, and an event holds a few of them.
+ * Unit: bytes.
+ */
+export const LARGEST_EVENT_BYTES = 262_144;
+
+/** Room for the first bytes of an unfinished event. Unit: bytes. */
+const FIRST_ROOM_BYTES = 512;
+
+const NOTHING = Buffer.alloc(0);
+
+/** Calls back with the start and the end of each line, without the end of the line. */
+const forEachLine = (bytes: Buffer, visit: (start: number, end: number) => void): void => {
   for (let start = 0; start < bytes.length;) {
     const feed = bytes.indexOf(LINE_FEED, start);
-    const next = feed < 0 ? bytes.length : feed;
-    lines.push([start, bytes[next - 1] === CARRIAGE_RETURN ? next - 1 : next]);
-    start = next + 1;
+    const end = feed < 0 ? bytes.length : feed;
+    visit(start, end > start && bytes[end - 1] === CARRIAGE_RETURN ? end - 1 : end);
+    start = end + 1;
   }
-  return lines;
 };
 
-/** Values of a field, in the order of its lines. */
-const readField = (bytes: Buffer, name: Buffer): string[] =>
-  linesOf(bytes)
-    .filter(
-      ([start, end]) =>
-        end - start >= name.length &&
-        bytes.compare(name, 0, name.length, start, start + name.length) === 0,
-    )
-    .map(([start, end]) => {
-      const value = start + name.length;
-      return bytes.toString('utf8', bytes[value] === SPACE && value < end ? value + 1 : value, end);
-    });
+const isField = (bytes: Buffer, start: number, end: number, name: Buffer): boolean => {
+  if (end - start < name.length) return false;
+  for (let index = 0; index < name.length; index += 1) {
+    if (bytes[start + index] !== name[index]) return false;
+  }
+  return true;
+};
+
+const readValue = (bytes: Buffer, start: number, end: number): string =>
+  bytes.toString('utf8', bytes[start] === SPACE && start < end ? start + 1 : start, end);
 
 /**
  * Reads the content of an event. Streams to callers are passed on without it.
@@ -46,25 +55,49 @@
  * @returns content of the data lines, joined by line feeds; nothing without data lines
  */
 export const dataOf = ({ bytes }: StreamEvent): string | undefined => {
-  const lines = readField(bytes, DATA_FIELD);
+  const lines: string[] = [];
+  forEachLine(bytes, (start, end) => {
+    if (isField(bytes, start, end, DATA_FIELD))
+      lines.push(readValue(bytes, start + DATA_FIELD.length, end));
+  });
   return lines.length > 0 ? lines.join('\n') : undefined;
 };
 
-/** Index after the empty line that ends the first event, or -1. */
-const findEnd = (bytes: Buffer): number => {
-  for (let index = bytes.indexOf(LINE_FEED); index >= 0;) {
-    const next = bytes.indexOf(LINE_FEED, index + 1);
-    if (next < 0) return -1;
-    if (next === index + 1 || (next === index + 2 && bytes[index + 1] === CARRIAGE_RETURN))
-      return next + 1;
-    index = next;
-  }
-  return -1;
+const toEvent = (bytes: Buffer): StreamEvent => {
+  let id: string | undefined;
+  let hasContent = false;
+  forEachLine(bytes, (start, end) => {
+    if (isField(bytes, start, end, ID_FIELD)) {
+      id = readValue(bytes, start + ID_FIELD.length, end);
+      hasContent = true;
+    } else if (isField(bytes, start, end, DATA_FIELD)) {
+      hasContent = true;
+    }
+  });
+  return { bytes, id, hasContent };
 };
 
-/** Collects bytes until events are whole. */
+/** Collects bytes until events are whole. Each byte is looked at once, however small the parts are that it comes in. */
 export class EventSplitter {
-  private rest: Buffer = Buffer.alloc(0);
+  /** Bytes of the unfinished event, with room for more. */
+  private rest: Buffer = NOTHING;
+
+  private restBytes = 0;
+
+  /** Bytes of the unfinished line. */
+  private lineBytes = 0;
+
+  /** Last byte of the unfinished line. */
+  private lastByte = 0;
+
+  /** Whether the unfinished event has a whole line. */
+  private hasLine = false;
+
+  /** Bytes of comments since the last event that carried anything. */
+  private idleBytes = 0;
+
+  /** Whether an event was larger than allowed; nothing is collected from then on. */
+  isOverlong = false;
 
   /**
    * Takes bytes.
@@ -73,13 +106,36 @@
    * @returns the events that they complete
    */
   push(chunk: Buffer): StreamEvent[] {
-    this.rest = this.rest.length > 0 ? Buffer.concat([this.rest, chunk]) : chunk;
     const events: StreamEvent[] = [];
-    for (let end = findEnd(this.rest); end >= 0; end = findEnd(this.rest)) {
-      const bytes = this.rest.subarray(0, end);
-      events.push({ bytes, id: readField(bytes, ID_FIELD).at(-1) });
-      this.rest = this.rest.subarray(end);
+    if (this.isOverlong) return events;
+    let eventStart = 0;
+    let lineStart = 0;
+    for (
+      let feed = chunk.indexOf(LINE_FEED);
+      feed >= 0;
+      feed = chunk.indexOf(LINE_FEED, lineStart)
+    ) {
+      const isEmpty = this.isEmptyLine(chunk, lineStart, feed);
+      lineStart = feed + 1;
+      this.lineBytes = 0;
+      if (isEmpty && this.hasLine) {
+        const bytes = this.takeEvent(chunk.subarray(eventStart, lineStart));
+        if (this.isOverlong) return events;
+        const event = toEvent(bytes);
+        this.idleBytes = event.hasContent ? 0 : this.idleBytes + bytes.length;
+        this.isOverlong = this.idleBytes > LARGEST_EVENT_BYTES;
+        if (this.isOverlong) return events;
+        events.push(event);
+        eventStart = lineStart;
+      } else {
+        this.hasLine = true;
+      }
     }
+    if (lineStart < chunk.length) {
+      this.lineBytes += chunk.length - lineStart;
+      this.lastByte = chunk[chunk.length - 1]!;
+    }
+    this.keep(chunk.subarray(eventStart));
     return events;
   }
 
@@ -89,6 +145,41 @@
    * @returns whether the stream stopped in the middle of an event
    */
   get hasRest(): boolean {
-    return this.rest.length > 0;
+    return this.restBytes > 0;
+  }
+
+  private isEmptyLine(chunk: Buffer, start: number, feed: number): boolean {
+    const bytes = this.lineBytes + feed - start;
+    if (bytes === 0) return true;
+    const last = feed > start ? chunk[feed - 1] : this.lastByte;
+    return bytes === 1 && last === CARRIAGE_RETURN;
+  }
+
+  /** Gives the event that ends with these bytes. */
+  private takeEvent(end: Buffer): Buffer {
+    this.hasLine = false;
+    if (this.restBytes === 0) return end;
+    this.keep(end);
+    const event = this.rest.subarray(0, this.restBytes);
+    this.rest = NOTHING;
+    this.restBytes = 0;
+    return event;
+  }
+
+  private keep(bytes: Buffer): void {
+    if (bytes.length === 0) return;
+    const needed = this.restBytes + bytes.length;
+    if (needed > LARGEST_EVENT_BYTES) {
+      this.isOverlong = true;
+      this.rest = NOTHING;
+      return;
+    }
+    if (needed > this.rest.length) {
+      const grown = Buffer.allocUnsafe(Math.max(needed, this.rest.length * 2, FIRST_ROOM_BYTES));
+      this.rest.copy(grown, 0, 0, this.restBytes);
+      this.rest = grown;
+    }
+    bytes.copy(this.rest, this.restBytes);
+    this.restBytes = needed;
   }
 }
--- a/packages/serving/src/online/OnlinePath.ts
+++ b/packages/serving/src/online/OnlinePath.ts
@@ -20,7 +20,7 @@
 import { CallerAnswer } from './CallerAnswer.js';
 import { Progress } from './Progress.js';
 import { RequestLife } from './RequestLife.js';
-import { sendOnce, type AttemptEnd } from './sendOnce.js';
+import { isTargetFault, sendOnce, type AttemptEnd } from './sendOnce.js';
 
 /** Sends that may end with proof that the request has not run. */
 const FRUITLESS_SENDS = 4;
@@ -49,6 +49,9 @@
 /** Status with which a target says that it failed; 504 only says that the deadline came. */
 const FAILED_STATUS = 500;
 
+/** Largest answer to a caller, which also ends a stream of sound events without end. Unit: bytes. */
+const ANSWER_BYTES = 16_777_216;
+
 /** Bounds of the time after which a caller may come back to a full fleet. Unit: seconds. */
 const OVERLOAD_RETURN = { least: 0.3, most: 1.1 } as const;
 
@@ -122,6 +125,10 @@
 const isRepeatable = ({ kind, resumable }: Route): boolean =>
   kind === 'idempotent' || (kind === 'streaming' && resumable);
 
+/** Another target can go on after whole events, unless what was passed on cannot be the answer. */
+const canContinue = (answer: CallerAnswer, { kind }: AttemptEnd): boolean =>
+  answer.canContinue && !(answer.started && kind === 'overlong');
+
 const spreadReturn = (): number =>
   OVERLOAD_RETURN.least + Math.random() * (OVERLOAD_RETURN.most - OVERLOAD_RETURN.least);
 
@@ -248,7 +255,7 @@
       const mayGoOn =
         end.kind === 'not-run'
           ? progress.sends < FRUITLESS_SENDS
-          : repeatable && answer.canContinue && progress.mayHaveRun < route.attempts;
+          : repeatable && canContinue(answer, end) && progress.mayHaveRun < route.attempts;
       if (!mayGoOn) {
         if (answer.started) return { kind: 'cut', cause: end.kind };
         return { kind: 'refused', refusal: refuseFailed(progress) };
@@ -300,6 +307,7 @@
       },
       onLeaving: () => this.needs.departures.add(target),
       isFailure: (status) => status === FAILED_STATUS && mayRunElsewhere(),
+      answerBytes: ANSWER_BYTES,
     });
     endLoad();
     return end;
@@ -315,9 +323,7 @@
     progress.excluded.add(target.id);
     if (end.kind === 'broken') breaks.add(fingerprintOf(contentOf(request)), performance.now());
     if (end.kind !== 'not-run') progress.countRun();
-    if (end.kind === 'broken' || (end.kind === 'not-run' && end.unreachable)) {
-      health.fail(target.id, end.cause);
-    }
+    if (isTargetFault(end)) health.fail(target.id, end.cause);
     journal.record('attempt-failed', {
       request: request.head.id,
       target: target.id,
--- a/packages/serving/src/online/sendOnce.ts
+++ b/packages/serving/src/online/sendOnce.ts
@@ -1,7 +1,8 @@
 /** Sends a request to one target and passes its answer on. */
 import type { Target } from '../fleet/Target.js';
 import type { Dialect, HeadVerdict } from '../http/Dialect.js';
-import type { TargetCall, TargetClient, TargetRequest } from '../http/TargetClient.js';
+import type { TargetCall, TargetRequest } from '../http/TargetCall.js';
+import type { TargetClient } from '../http/TargetClient.js';
 import type { AnswerSink } from './AnswerSink.js';
 import { SilenceWatch, type Timers } from './SilenceWatch.js';
 
@@ -13,13 +14,27 @@
   | { readonly kind: 'not-run'; readonly cause: string; readonly unreachable: boolean }
   /** The target broke off, or its answer belongs to another request; the request may have run. */
   | { readonly kind: 'broken'; readonly cause: string }
+  /** The target sent more than any answer may have; the request may have run. */
+  | { readonly kind: 'overlong'; readonly cause: string }
   /** The target answered that it failed; the request has run. */
-  | { readonly kind: 'failed'; readonly cause: string }
+  | { readonly kind: 'failed'; readonly cause: string; readonly status: number }
   /** The target gave no sign for too long; the request may have run. */
   | { readonly kind: 'silent' }
   /** The deadline came, or the caller went away. */
   | { readonly kind: 'given-up' };
 
+/** Ends that say something about the target. */
+type TargetFault = Extract<AttemptEnd, { kind: 'broken' | 'overlong' | 'not-run' }>;
+
+/**
+ * Tells whether an attempt ended by a fault of its target, which did not say so itself.
+ *
+ * @param end - how the attempt ended
+ * @returns whether the target counts as failing
+ */
+export const isTargetFault = (end: AttemptEnd): end is TargetFault =>
+  end.kind === 'broken' || end.kind === 'overlong' || (end.kind === 'not-run' && end.unreachable);
+
 /** What an attempt needs. */
 export interface AttemptTerms {
   readonly client: Pick<TargetClient, 'send'>;
@@ -40,6 +55,8 @@
    * @returns whether the attempt ends with it
    */
   readonly onSilence: () => boolean;
+  /** Largest body of the answer. Unit: bytes. */
+  readonly answerBytes: number;
   /** Called when the target itself answers, with the status of its answer. */
   readonly onSign: (status: number) => void;
   /** Called when the target says that it leaves, whatever else its answer says. */
@@ -73,18 +90,21 @@
 
   private status = 0;
 
+  /** Bytes of the body so far. */
+  private bodyBytes = 0;
+
   private readonly silence: SilenceWatch;
 
   private ended = false;
 
-  private readonly giveUp = (): void => this.finish({ kind: 'given-up' }, true);
+  private readonly giveUp = (): void => this.abandon({ kind: 'given-up' });
 
   constructor(
     private readonly terms: AttemptTerms,
     private readonly settle: (end: AttemptEnd) => void,
   ) {
     this.silence = new SilenceWatch(() => {
-      if (terms.onSilence()) this.finish({ kind: 'silent' }, true);
+      if (terms.onSilence()) this.abandon({ kind: 'silent' });
     }, terms.timers);
   }
 
@@ -114,19 +134,21 @@
     const notRun = notRunVerdicts[verdict];
     if (!notRun?.unreachable) onSign(status);
     if (notRun) {
-      this.finish(notRun, false);
+      this.finish(notRun);
+      this.call?.discard();
       return;
     }
     if (verdict === 'mismatched') {
-      this.finish({ kind: 'broken', cause: 'answer to another request' }, true);
+      this.abandon({ kind: 'broken', cause: 'answer to another request' });
       return;
     }
     if (answer.started && status !== 200) {
-      this.finish({ kind: 'broken', cause: `status ${status} to a resumed stream` }, true);
+      this.abandon({ kind: 'broken', cause: `status ${status} to a resumed stream` });
       return;
     }
     if (!answer.started && isFailure(status)) {
-      this.finish({ kind: 'failed', cause: `status ${status}` }, true);
+      this.finish({ kind: 'failed', cause: `status ${status}`, status });
+      this.call?.discard();
       return;
     }
     this.status = status;
@@ -136,9 +158,18 @@
 
   private takeData(chunk: Buffer): void {
     if (this.status === 0 || this.ended) return;
-    const { answer } = this.terms;
+    const { answer, answerBytes } = this.terms;
     const { progress } = answer;
+    this.bodyBytes += chunk.length;
+    if (this.bodyBytes > answerBytes) {
+      this.abandon({ kind: 'overlong', cause: `answer of more than ${answerBytes} bytes` });
+      return;
+    }
     const mayGoOn = answer.write(chunk);
+    if (answer.isUnusable) {
+      this.abandon({ kind: 'broken', cause: 'events missing, repeated or without end' });
+      return;
+    }
     // Bytes of an event that never ends are no sign of life.
     if (answer.progress > progress) this.silence.sign();
     if (mayGoOn) return;
@@ -155,10 +186,10 @@
   private takeEnd(): void {
     if (this.status === 0) return;
     if (this.terms.answer.isTorn) {
-      this.finish({ kind: 'broken', cause: 'stopped inside an event' }, false);
+      this.finish({ kind: 'broken', cause: 'stopped inside an event' });
       return;
     }
-    this.finish({ kind: 'complete', status: this.status }, false);
+    this.finish({ kind: 'complete', status: this.status });
   }
 
   private takeFailure(error: Error): void {
@@ -167,15 +198,21 @@
     const end: AttemptEnd = this.sent
       ? { kind: 'broken', cause }
       : { kind: 'not-run', cause, unreachable: true };
-    this.finish(end, false);
+    this.finish(end);
   }
 
-  private finish(end: AttemptEnd, abort: boolean): void {
+  private finish(end: AttemptEnd): void {
+    if (this.ended) return;
     this.ended = true;
     this.silence.stop();
     this.terms.signal.removeEventListener('abort', this.giveUp);
     this.settle(end);
-    if (abort) this.call?.abort();
+  }
+
+  /** Ends the attempt, and the work of the target with it. */
+  private abandon(end: AttemptEnd): void {
+    this.finish(end);
+    this.call?.abort();
   }
 }
 
--- a/packages/serving/test/features/attempts.feature
+++ b/packages/serving/test/features/attempts.feature
@@ -17,6 +17,12 @@
     And a byte of the next event comes each 100 ms
     Then the attempt ends as silent, 800 ms after the last event
 
+  Scenario: An answer is given up at once when an event is missing in it
+    When the head comes after 100 ms
+    And 2 events come, one each 100 ms
+    And the next event but one comes
+    Then the attempt ends as broken
+
   Scenario: A stall after a slow caller has read on is seen
     When the head comes after 100 ms
     And the caller does not read for 5000 ms after the next event
--- a/packages/serving/test/steps/attempts.steps.ts
+++ b/packages/serving/test/steps/attempts.steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
-import type { AnswerListener } from '@jacinthlug/serving/http/TargetClient';
+import type { AnswerListener } from '@jacinthlug/serving/http/TargetCall';
 import type { AnswerSink } from '@jacinthlug/serving/online/AnswerSink';
 import { EventSequence } from '@jacinthlug/serving/online/EventSequence';
 import { sendOnce, type AttemptEnd } from '@jacinthlug/serving/online/sendOnce';
@@ -41,6 +41,9 @@
     get isTorn() {
       return sequence.isTorn;
     },
+    get isUnusable() {
+      return sequence.isUnusable;
+    },
     begin() {
       Object.assign(world, { begun: true });
     },
@@ -69,7 +72,12 @@
         send: (_, __, listener) => {
           this.target = listener;
           listener.sent();
-          return { abort: () => undefined, pause: () => undefined, resume: () => undefined };
+          return {
+            abort: () => undefined,
+            discard: () => undefined,
+            pause: () => undefined,
+            resume: () => undefined,
+          };
         },
       },
       dialect: { judgeHead: () => 'answer', saysLeaving: () => false, callerHeaders: () => ({}) },
@@ -92,6 +100,7 @@
         this.silences += 1;
         return this.mayGoElsewhere;
       },
+      answerBytes: 1_000_000,
       onSign: () => undefined,
       onLeaving: () => undefined,
       isFailure: (status) => status === 500 && this.mayGoElsewhere,
@@ -133,6 +142,12 @@
   world.target.data(Buffer.from(`id: ${world.events}\ndata: x\n\n`));
 };
 
+When('the next event but one comes', async function (this: AttemptWorld) {
+  this.events += 1;
+  sendEvent(this);
+  await settle();
+});
+
 When(
   '{int} events come, one each {int} ms',
   async function (this: AttemptWorld, count: number, ms: number) {
@@ -178,9 +193,12 @@
   await settle();
 });
 
-Then(/^the attempt ends as (complete|silent|failed)$/, function (this: AttemptWorld, kind: string) {
-  assert.equal(this.end?.kind, kind);
-});
+Then(
+  /^the attempt ends as (complete|silent|failed|broken)$/,
+  function (this: AttemptWorld, kind: string) {
+    assert.equal(this.end?.kind, kind);
+  },
+);
 
 Then(
   'the attempt ends as silent, {int} ms after the last event',
--- a/packages/serving/test/steps/events.steps.ts
+++ b/packages/serving/test/steps/events.steps.ts
@@ -18,7 +18,7 @@
   world.sequence.beginAnswer();
   for (let start = 0; start < bytes.length; start += size) {
     const events = world.sequence.push(Buffer.from(bytes.slice(start, start + size)));
-    world.passed.push(...events.map((event) => dataOf(event)!.replace('piece ', '')));
+    world.passed.push(...events.flatMap((event) => dataOf(event)?.replace('piece ', '') ?? []));
   }
 };
 
@@ -34,6 +34,36 @@
   },
 );
 
+When(
+  'a target sends {int} events with carriage returns and comments in pieces of {int} bytes',
+  function (this: EventsWorld, count: number, size: number) {
+    const events = Array.from(
+      { length: count },
+      (_, index) => `: comment\r\nid: ${index + 1}\r\ndata: piece ${index + 1}\r\n\r\n`,
+    );
+    send(this, events.join(''), size);
+  },
+);
+
+const endless: Readonly<Record<string, string>> = {
+  'one line': 'x',
+  'short lines': 'x: y\r\n',
+  comments: ':\n\n',
+};
+
+When(
+  /^a target sends an event and then (\d+) bytes of (.+) in pieces of (\d+) bytes$/,
+  function (this: EventsWorld, bytes: string, content: string, size: string) {
+    const part = endless[content]!;
+    const rest = part.repeat(Math.ceil(Number(bytes) / part.length));
+    send(this, eventsFrom(1, 1) + rest, Number(size));
+  },
+);
+
+Then(/^the rest of the answer is (kept|dropped)$/, function (this: EventsWorld, verdict: string) {
+  assert.equal(this.sequence.isUnusable, verdict === 'dropped');
+});
+
 When(
   'a target sends events {int} to {int} and half of event {int}',
   function (this: EventsWorld, first: number, last: number, torn: number) {
--- a/tools/bundle.js
+++ b/tools/bundle.js
@@ -22,11 +22,15 @@
  * fleet starts at the same moment, and the smallest hosts have an eighth of a core.
  */
 const REPLACEMENTS = {
-  // The index also loads fetch, caches, mocks and WebSocket; hosts use the connection pool alone.
+  // The index also loads fetch, caches, mocks and WebSocket; hosts use connections and their pool alone.
   undici: `
     const Dispatcher = require('undici/lib/dispatcher/dispatcher.js');
     Object.assign(Dispatcher.prototype, { request: require('undici/lib/api/api-request.js') });
-    module.exports = { Pool: require('undici/lib/dispatcher/pool.js') };
+    module.exports = {
+      Client: require('undici/lib/dispatcher/client.js'),
+      Pool: require('undici/lib/dispatcher/pool.js'),
+      buildConnector: require('undici/lib/core/connect.js'),
+    };
   `,
   // Only for HTTP/2 to targets, which no pool here allows.
   './client-h2.js': 'module.exports = undefined;',
