--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import prettier from 'eslint-config-prettier';
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**'] },
+  { ignores: ['**/dist/**', '**/target/**', '**/node_modules/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
