Learn the pace of batch items from every run

Items counted as able to be on time until they were 2 to 3 s too late, and as urgent too late.

Each run counts now by its events; completed items tell how many events a token makes. The scenario of a meter that sees cut runs only would fail on the code before, which had no way to take them.

--- a/packages/serving/src/batch/BatchWorker.ts
+++ b/packages/serving/src/batch/BatchWorker.ts
@@ -297,9 +297,8 @@
     const end = await this.send(job, task, target, controller.signal);
     endLoad();
     const state = task.finishRun(end, sizeBefore, performance.now());
-    if (state === 'completed' && sizeBefore === 0) {
-      this.meter.finish(task.item.tokens, task.answer.size, performance.now() - startedAt);
-    }
+    this.meter.addRun(task.answer.size - sizeBefore, performance.now() - startedAt);
+    if (state === 'completed') this.meter.addItem(task.item.tokens, task.answer.size);
     if (isTargetFault(end)) health.fail(target.id, end.cause);
     this.needs.metrics.observe('items.run', performance.now() - startedAt);
     this.needs.journal.record('item-run-ended', {
--- a/packages/serving/src/batch/PaceMeter.ts
+++ b/packages/serving/src/batch/PaceMeter.ts
@@ -1,15 +1,18 @@
-/** Learns from finished items how long items take. */
+/** Learns from the runs of items how long items take. */
+import { FadingMean } from './FadingMean.js';
 import type { Pace } from './orderItems.js';
 
-/** Weight of the newest finished item: the last ten or so count. */
-const NEWEST_WEIGHT = 0.1;
+/** Pace before the first run: an event each 20 ms, and a third of an item's tokens as events. */
+const FIRST_PACE: Pace = { msPerEvent: 20, eventsPerToken: 0.33 };
 
-/** Pace before the first item has finished: a token every 4 ms, five to an event. */
-const FIRST_PACE: Pace = { msPerToken: 3, eventsPerToken: 0.15 };
-
-/** Keeps the pace of this host's items. */
+/**
+ * Keeps the pace of this host's items. Under load nearly every item is cut and goes on in another run, so each run
+ * counts, not only those of items that ran whole.
+ */
 export class PaceMeter {
-  private held: Pace = FIRST_PACE;
+  private readonly msPerEvent = new FadingMean(FIRST_PACE.msPerEvent);
+
+  private readonly eventsPerToken = new FadingMean(FIRST_PACE.eventsPerToken);
 
   /**
    * Gives the pace.
@@ -17,23 +20,26 @@
    * @returns the present estimate
    */
   get pace(): Pace {
-    return this.held;
+    return { msPerEvent: this.msPerEvent.value, eventsPerToken: this.eventsPerToken.value };
   }
 
   /**
-   * Takes an item that ran whole in one run.
+   * Takes a run, whether or not it ended its item.
    *
-   * @param tokens - tokens of the item
    * @param events - events that it put out
    * @param tookMs - time of the run. Unit: ms
    */
-  finish(tokens: number, events: number, tookMs: number): void {
-    if (tokens <= 0) return;
-    const blend = (before: number, newest: number): number =>
-      before + NEWEST_WEIGHT * (newest - before);
-    this.held = {
-      msPerToken: blend(this.held.msPerToken, tookMs / tokens),
-      eventsPerToken: blend(this.held.eventsPerToken, events / tokens),
-    };
+  addRun(events: number, tookMs: number): void {
+    if (events > 0) this.msPerEvent.add(tookMs / events, events);
+  }
+
+  /**
+   * Takes a completed item.
+   *
+   * @param tokens - tokens of the item
+   * @param events - events of all its runs
+   */
+  addItem(tokens: number, events: number): void {
+    if (tokens > 0) this.eventsPerToken.add(events / tokens, tokens);
   }
 }
--- a/packages/serving/src/batch/orderItems.ts
+++ b/packages/serving/src/batch/orderItems.ts
@@ -12,11 +12,11 @@
   readonly events: number;
 }
 
-/** How long items take, learned from finished ones. */
+/** How long items take, learned from their runs. */
 export interface Pace {
-  /** Time of a run from its first event to its last for one token of the item. Unit: ms. */
-  readonly msPerToken: number;
-  /** Events of a finished item for one of its tokens. */
+  /** Time of a run for each of its events. Unit: ms. */
+  readonly msPerEvent: number;
+  /** Events of a completed item for one of its tokens. */
   readonly eventsPerToken: number;
 }
 
@@ -27,11 +27,10 @@
  * @param pace - how long items take
  * @returns time. Unit: ms
  */
-export const remainingMs = (item: OrderedItem, pace: Pace): number => {
-  const expectedEvents = Math.max(1, item.tokens * pace.eventsPerToken);
-  const left = Math.max(0, 1 - item.events / expectedEvents);
-  return item.tokens * pace.msPerToken * left;
-};
+export const remainingMs = (
+  { tokens, events }: Pick<OrderedItem, 'tokens' | 'events'>,
+  { msPerEvent, eventsPerToken }: Pace,
+): number => Math.max(0, tokens * eventsPerToken - events) * msPerEvent;
 
 /**
  * Orders waiting items: those that can still be on time by their due time, then the others. An item that
--- a/packages/serving/test/features/order.feature
+++ b/packages/serving/test/features/order.feature
@@ -3,7 +3,7 @@
   is late in any case must not make the next one late.
 
   Scenario: Items that can still be on time go before late ones, by their due time
-    Given items of 1000 tokens that take 3 ms a token
+    Given items of 1000 tokens and 200 events that take 15 ms an event
       | item | due   | events |
       | a    | 2000  | 0      |
       | b    | 9000  | 0      |
@@ -12,8 +12,13 @@
     Then at 0 ms the order is "c, b, d, a"
 
   Scenario: What an item has put out already counts
-    Given items of 1000 tokens that take 3 ms a token
+    Given items of 1000 tokens and 200 events that take 15 ms an event
       | item | due  | events |
       | a    | 2000 | 100    |
       | b    | 4000 | 0      |
     Then at 0 ms the order is "a, b"
+
+  Scenario: The pace of items that are always cut is learned from their runs
+    Given a meter that has seen 30 runs of 40 events, each cut after 1600 ms
+    And 3 items of 500 tokens that were completed with 180 events
+    Then an item of 500 tokens with 60 events takes 4.8 s more, within a tenth
--- a/packages/serving/test/steps/order.steps.ts
+++ b/packages/serving/test/steps/order.steps.ts
@@ -1,30 +1,60 @@
 import assert from 'node:assert/strict';
 import { Given, Then, type DataTable } from '@cucumber/cucumber';
-import { orderItems, type OrderedItem } from '@jacinthlug/serving/batch/orderItems';
+import {
+  orderItems,
+  remainingMs,
+  type OrderedItem,
+  type Pace,
+} from '@jacinthlug/serving/batch/orderItems';
+
+import { PaceMeter } from '@jacinthlug/serving/batch/PaceMeter';
 
 type NamedItem = OrderedItem & { readonly name: string };
 
 interface OrderWorld {
   items: NamedItem[];
-  msPerToken: number;
+  pace: Pace;
+  meter: PaceMeter;
 }
 
 Given(
-  'items of {int} tokens that take {int} ms a token',
-  function (this: OrderWorld, tokens: number, msPerToken: number, table: DataTable) {
-    this.msPerToken = msPerToken;
-    this.items = table.hashes().map(({ item, due, events }, index) => ({
-      name: item!,
+  'items of {int} tokens and {int} events that take {int} ms an event',
+  function (this: OrderWorld, tokens: number, events: number, ms: number, table: DataTable) {
+    this.pace = { msPerEvent: ms, eventsPerToken: events / tokens };
+    this.items = table.hashes().map((row, index) => ({
+      name: row.item!,
       index,
       tokens,
-      due: Number(due),
-      events: Number(events),
+      due: Number(row.due),
+      events: Number(row.events),
     }));
   },
 );
 
 Then('at {int} ms the order is {string}', function (this: OrderWorld, now: number, order: string) {
-  const pace = { msPerToken: this.msPerToken, eventsPerToken: 0.2 };
-  const names = orderItems(this.items, pace, now).map(({ name }) => name);
+  const names = orderItems(this.items, this.pace, now).map(({ name }) => name);
   assert.equal(names.join(', '), order);
 });
+
+Given(
+  'a meter that has seen {int} runs of {int} events, each cut after {int} ms',
+  function (this: OrderWorld, runs: number, events: number, tookMs: number) {
+    this.meter = new PaceMeter();
+    for (let run = 0; run < runs; run += 1) this.meter.addRun(events, tookMs);
+  },
+);
+
+Given(
+  '{int} items of {int} tokens that were completed with {int} events',
+  function (this: OrderWorld, items: number, tokens: number, events: number) {
+    for (let item = 0; item < items; item += 1) this.meter.addItem(tokens, events);
+  },
+);
+
+Then(
+  'an item of {int} tokens with {int} events takes {float} s more, within a tenth',
+  function (this: OrderWorld, tokens: number, events: number, seconds: number) {
+    const leftMs = remainingMs({ tokens, events }, this.meter.pace);
+    assert.ok(Math.abs(leftMs - seconds * 1000) <= seconds * 100, `${leftMs} ms`);
+  },
+);
