Let items with the most time to spare leave when a burst needs their slots

Cause: the youngest runs were cut, whatever their items had left.

A run that is cut goes on after its last event elsewhere, so age says nothing about what is lost. Items that are late in any case leave first, then those with the most time to spare. How many leave, and when, is unchanged: online requests wait no longer.

--- a/packages/serving/src/batch/BatchWorker.ts
+++ b/packages/serving/src/batch/BatchWorker.ts
@@ -19,7 +19,8 @@
 import { LARGEST_OUTPUT } from './ItemAnswer.js';
 import type { ItemState } from './JobRecord.js';
 import type { ItemTask } from './ItemTask.js';
-import { orderItems, remainingMs } from './orderItems.js';
+import { orderItems, remainingMs, type OrderedItem } from './orderItems.js';
+import { orderForPreemption } from './orderForPreemption.js';
 import { PaceMeter } from './PaceMeter.js';
 
 /**
@@ -66,6 +67,17 @@
   readonly task: ItemTask;
 }
 
+/** Adds what the order of items depends on. */
+const describeItems = (items: readonly WaitingItem[]): (WaitingItem & OrderedItem)[] =>
+  items.map(({ job, task }) => ({
+    job,
+    task,
+    due: job.due,
+    index: task.index,
+    tokens: task.item.tokens,
+    events: task.answer.size,
+  }));
+
 /** Runs batch items. */
 export class BatchWorker {
   private readonly held: HeldJobs;
@@ -165,7 +177,7 @@
     });
   }
 
-  /** Cancels items where online requests find no slot, the youngest first. */
+  /** Cancels items where online requests find no slot. */
   private makeRoom(): void {
     const { router, targets, loads, metrics } = this.needs;
     loads.ownLoads().forEach(([id, , batch]) => {
@@ -174,13 +186,13 @@
       const excess = router.excessOn(target);
       if (excess === 0) return;
       this.turns.yield(id, performance.now());
-      const runs = this.runsOn(id).sort(
-        (a, b) => (b.task.run?.startedAt ?? 0) - (a.task.run?.startedAt ?? 0),
-      );
-      runs.slice(0, excess).forEach(({ task }) => {
-        metrics.count('batch.preempted');
-        task.run?.controller.abort('preempted');
-      });
+      const runs = describeItems(this.runsOn(id));
+      orderForPreemption(runs, this.meter.pace, performance.now())
+        .slice(0, excess)
+        .forEach(({ task }) => {
+          metrics.count('batch.preempted');
+          task.run?.controller.abort('preempted');
+        });
     });
   }
 
@@ -196,16 +208,9 @@
     const { router, view, members, targets, identity } = this.needs;
     if (this.stopping || this.needs.storeAge() > STORE_WITHIN_MS) return;
     const now = performance.now();
-    const waiting = this.allItems()
-      .filter(({ job, task }) => job.isHeld && task.isWaiting(now))
-      .map(({ job, task }) => ({
-        job,
-        task,
-        due: job.due,
-        index: task.index,
-        tokens: task.item.tokens,
-        events: task.answer.size,
-      }));
+    const waiting = describeItems(
+      this.allItems().filter(({ job, task }) => job.isHeld && task.isWaiting(now)),
+    );
     if (waiting.length === 0) return;
     const taken = new Map<string, number>();
     /** Services and urgencies without a slot: the other items of the same kind need not look for one. */
--- a/packages/serving/test/steps/order.steps.ts
+++ b/packages/serving/test/steps/order.steps.ts
@@ -7,6 +7,7 @@
   type Pace,
 } from '@jacinthlug/serving/batch/orderItems';
 
+import { orderForPreemption } from '@jacinthlug/serving/batch/orderForPreemption';
 import { PaceMeter } from '@jacinthlug/serving/batch/PaceMeter';
 
 type NamedItem = OrderedItem & { readonly name: string };
@@ -36,6 +37,14 @@
   assert.equal(names.join(', '), order);
 });
 
+Then(
+  'at {int} ms they leave in the order {string}',
+  function (this: OrderWorld, now: number, order: string) {
+    const names = orderForPreemption(this.items, this.pace, now).map(({ name }) => name);
+    assert.equal(names.join(', '), order);
+  },
+);
+
 Given(
   'a meter that has seen {int} runs of {int} events, each cut after {int} ms',
   function (this: OrderWorld, runs: number, events: number, tookMs: number) {
