Give jobs that come while their host stops to other hosts from the start

Cause: a host that stops takes callers for 3 s more, as balancers need that long, and named itself as the holder of the jobs that it accepted then; it ran nothing of them, and they waited until its process was gone. Jobs that a stopping host gave back waited up to 4 s where the host that they fell to was stopping too: others could not know.

Hosts say in their reports that they stop. Such a host is no candidate for jobs, at itself or at others; a job that is named to it before the word has spread, or that it was about to open, is given back. Where nobody near can take a job it is accepted without a holder. Work that a stopping host still holds stays with it until given back, as before.

Ruled out: refusing jobs at a stop (callers would have to come again, for nothing).

Before: the scenarios of jobs that come while their host stops fail, as the host names itself.

--- a/packages/protocol/src/loadReport.ts
+++ b/packages/protocol/src/loadReport.ts
@@ -1,6 +1,6 @@
 /** What serving hosts tell each other by datagram: loads of targets, use of rates, silent targets. */
 import { pack, unpack } from 'msgpackr';
-import { amount, count, listOf, text, tuple, type ContentOf } from './shapes.js';
+import { amount, count, flag, listOf, text, tuple, type ContentOf } from './shapes.js';
 
 /** Running requests of one host on one target: identity of the target, online requests, batch items. */
 const targetLoad = tuple(text, count, count);
@@ -32,6 +32,7 @@
   count,
   listOf(brokenSends),
   listOf(departure),
+  flag,
 );
 
 /** Content of a datagram: reports of one or more hosts. */
@@ -59,6 +60,8 @@
   readonly waitingItems: number;
   readonly breaks: readonly ContentOf<typeof brokenSends>[];
   readonly leaving: readonly ContentOf<typeof departure>[];
+  /** Whether the host stops: it still answers its callers, and takes no more jobs. */
+  readonly isStopping: boolean;
 }
 
 const toWire = (report: LoadReport) => [
@@ -74,6 +77,7 @@
   report.waitingItems,
   report.breaks,
   report.leaving,
+  report.isStopping,
 ];
 
 const fromWire = ([
@@ -89,6 +93,7 @@
   waitingItems,
   breaks,
   leaving,
+  isStopping,
 ]: ContentOf<typeof wireReport>): LoadReport => ({
   host,
   incarnation,
@@ -102,6 +107,7 @@
   waitingItems,
   breaks,
   leaving,
+  isStopping,
 });
 
 /**
--- a/packages/protocol/src/shapes.ts
+++ b/packages/protocol/src/shapes.ts
@@ -39,6 +39,14 @@
 export const count: Shape<number> = (value): value is number =>
   Number.isSafeInteger(value) && (value as number) >= 0;
 
+/**
+ * Yes or no.
+ *
+ * @param value - any value
+ * @returns whether it is one of both
+ */
+export const flag: Shape<boolean> = (value): value is boolean => typeof value === 'boolean';
+
 /**
  * A list of values of one shape.
  *
--- a/packages/serving/src/batch/HeldJobs.ts
+++ b/packages/serving/src/batch/HeldJobs.ts
@@ -7,7 +7,7 @@
 import { isFirst } from '../fleet/placement.js';
 import { HeldJob, type JobTerms } from './HeldJob.js';
 import type { JobBook, KnownJob } from './JobBook.js';
-import { isOpen, type ItemOutput } from './JobRecord.js';
+import { isOpen, type ItemOutput, type JobRecord } from './JobRecord.js';
 import type { JobStore } from './JobStore.js';
 import type { ProgressStore } from './ProgressStore.js';
 
@@ -75,10 +75,7 @@
         .filter(({ isHeld }) => isHeld)
         .map(async (job) => {
           await job.handOver(deadline);
-          const { account, id } = job.record;
-          await this.needs.jobs.change(account, id, (present) =>
-            this.isOwn(present.holder) ? { ...present, holder: null } : undefined,
-          );
+          await this.giveBack(job.record);
         }),
     );
   }
@@ -126,12 +123,25 @@
     if (isOpen(record) && this.isOwn(record.holder)) void this.open(job);
   }
 
+  /** Lets any host take a job that this one does not run. */
+  private async giveBack({ account, id }: JobRecord): Promise<void> {
+    await this.needs.jobs.change(account, id, (present) =>
+      this.isOwn(present.holder) ? { ...present, holder: null } : undefined,
+    );
+  }
+
   private async open(job: KnownJob): Promise<void> {
     const { jobs, progress, identity, journal } = this.needs;
     const { id, input, route: routeName, account } = job.record;
     const route = this.termsOf(routeName);
-    if (this.loading.has(id) || this.stopping || !route) return;
+    if (this.loading.has(id) || !route) return;
     this.loading.add(id);
+    if (this.stopping) {
+      // Another host has named this one before it knew of the stop.
+      await this.giveBack(job.record);
+      this.loading.delete(id);
+      return;
+    }
     const items = await jobs.loadInput(input);
     // A job that this process accepted has run nowhere else.
     const outputs = this.inherited.has(id)
@@ -139,6 +149,10 @@
       : ok(new Map<number, ItemOutput>());
     this.loading.delete(id);
     const newest = this.needs.book.find(account, id);
+    if (this.stopping) {
+      await this.giveBack(job.record);
+      return;
+    }
     if (items.isErr() || outputs.isErr() || !newest || this.held.has(id)) return;
     const holder = [identity.name, identity.incarnation] as const;
     const held = new HeldJob(newest, route, items.value, { jobs, progress, journal, holder });
--- a/packages/serving/src/batch/JobStore.ts
+++ b/packages/serving/src/batch/JobStore.ts
@@ -98,12 +98,12 @@
    * Accepts a batch job, once however often it is submitted.
    *
    * @param submission - the job
-   * @param holder - name and incarnation of the host that will run its items
+   * @param holder - name and incarnation of the host that will run its items; absent when any host may take it
    * @returns nothing when the store holds the whole job, or a refusal
    */
   async accept(
     submission: Submission,
-    holder: readonly [string, number],
+    holder: readonly [string, number] | null,
   ): Promise<Result<void, Refusal>> {
     const { book, objects, store } = this.needs;
     const { id, account, route, host, items } = submission;
@@ -121,7 +121,7 @@
       submittedAt,
       items: items.map((item) => [item.id, item.tokens]),
       input,
-      holder: [...holder],
+      holder: holder && [...holder],
       listed: [],
       endedAt: null,
     };
--- a/packages/serving/src/fleet/LoadExchange.ts
+++ b/packages/serving/src/fleet/LoadExchange.ts
@@ -23,9 +23,9 @@
 const REPORTS_AT_ONCE = 12;
 
 /** The part of a report that its parts of the host fill. */
-export type ReportContent = Pick<
+export type ReportContent = Omit<
   LoadReport,
-  'storeAgeMs' | 'loads' | 'rates' | 'silent' | 'waitingItems' | 'breaks' | 'leaving'
+  'host' | 'incarnation' | 'sequence' | 'ageMs' | 'upMs'
 >;
 
 /** What the exchange needs. */
--- a/packages/serving/src/fleet/Members.ts
+++ b/packages/serving/src/fleet/Members.ts
@@ -75,6 +75,7 @@
   /** Monotonic time of the last report. Unit: ms. */
   readonly at: number;
   readonly storeAgeMs: number;
+  readonly isStopping: boolean;
 }
 
 /** What a host knows of itself when it judges another one. */
@@ -108,6 +109,9 @@
 
   private registering = false;
 
+  /** Whether this host stops, and takes no more jobs. */
+  isStopping = false;
+
   constructor(private readonly needs: MembersNeeds) {}
 
   replace(records: readonly StoredRecord[], _revision: number, now = performance.now()): void {
@@ -134,7 +138,7 @@
    * @returns whether it is newer than the reports before it
    */
   hear(report: LoadReport, now = performance.now()): boolean {
-    const { host, incarnation, sequence, ageMs, upMs, storeAgeMs } = report;
+    const { host, incarnation, sequence, ageMs, upMs, storeAgeMs, isStopping } = report;
     const before = this.heard.get(host);
     const at = now - ageMs;
     const startedAt = at - upMs;
@@ -143,7 +147,7 @@
     } else if (before && startedAt < before.startedAt) {
       return false;
     }
-    this.heard.set(host, { incarnation, startedAt, sequence, at, storeAgeMs });
+    this.heard.set(host, { incarnation, startedAt, sequence, at, storeAgeMs, isStopping });
     return true;
   }
 
@@ -206,18 +210,18 @@
   }
 
   /**
-   * Tells whether another host's process can do work.
+   * Tells whether a host's process can take jobs.
    *
    * @param name - name of the host
    * @param incarnation - the process that is meant
    * @param now - monotonic time. Unit: ms
-   * @returns whether it is heard and reaches the store
+   * @returns whether it is heard, reaches the store and does not stop
    */
   isAtWork(name: string, incarnation: number, now = performance.now()): boolean {
     const { identity } = this.needs;
-    if (name === identity.name) return incarnation === identity.incarnation;
+    if (name === identity.name) return incarnation === identity.incarnation && !this.isStopping;
     const heard = this.heard.get(name);
-    if (!heard || !this.isHeard(name, now)) return false;
+    if (!heard || heard.isStopping || !this.isHeard(name, now)) return false;
     return heard.incarnation === incarnation && heard.storeAgeMs < STORE_WITHIN_MS;
   }
 
@@ -258,29 +262,24 @@
    * Lists the names of the hosts that can take over work.
    *
    * @param now - monotonic time. Unit: ms
-   * @returns of this host and every other one that is heard and reaches the store, those that are strong enough
+   * @returns of this host and every other one that can take jobs, those that are strong enough
    */
   atWork(now = performance.now()): string[] {
-    const { identity } = this.needs;
-    const others = this.peers.filter(({ name, incarnation }) =>
-      this.isAtWork(name, incarnation, now),
-    );
-    return selectCapable<WorkerCandidate>([identity, ...others]).map(({ name }) => name);
+    const candidates = this.candidatesOf(this.peers, now);
+    return selectCapable<WorkerCandidate>(candidates).map(({ name }) => name);
   }
 
   /**
-   * Chooses the host that runs a job which this one accepts.
+   * Chooses the host that runs a job which this one accepts. A host that stops still accepts jobs, as callers come until
+   * balancers have noticed, but another one runs them.
    *
    * @param job - id of the job
    * @param now - monotonic time. Unit: ms
-   * @returns name and incarnation
+   * @returns name and incarnation; nothing when no host near can take it, and whoever sees it first should
    */
-  holderOf(job: string, now = performance.now()): [string, number] {
-    const others = this.nearMembers.filter(({ name, incarnation }) =>
-      this.isAtWork(name, incarnation, now),
-    );
-    const { name, incarnation } = chooseHolder(job, this.needs.identity, others);
-    return [name, incarnation];
+  holderOf(job: string, now = performance.now()): [string, number] | null {
+    const holder = chooseHolder(job, this.needs.identity, this.candidatesOf(this.near, now));
+    return holder ? [holder.name, holder.incarnation] : null;
   }
 
   /**
@@ -339,6 +338,13 @@
     this.farMembers = others.filter((member) => !isNear(member));
   }
 
+  /** Lists this host and some others, as far as they can take jobs. */
+  private candidatesOf(others: readonly Member[], now: number): WorkerCandidate[] {
+    return [this.needs.identity, ...others].filter(({ name, incarnation }) =>
+      this.isAtWork(name, incarnation, now),
+    );
+  }
+
   private isHeard(name: string, now: number): boolean {
     return now - (this.heard.get(name)?.at ?? Number.NEGATIVE_INFINITY) < HEARD_WITHIN_MS;
   }
--- a/packages/serving/src/fleet/capableHosts.ts
+++ b/packages/serving/src/fleet/capableHosts.ts
@@ -33,16 +33,16 @@
  *
  * @param job - id of the job
  * @param own - the host that accepts it
- * @param others - other hosts of its failure domain that are at work
- * @returns the accepting host when it is strong enough, else one of the strong ones
+ * @param candidates - hosts of its failure domain that can take jobs, with or without itself
+ * @returns the accepting host when it is among the strong ones, else one of these; nothing without candidates
  */
 export const chooseHolder = (
   job: string,
   own: WorkerCandidate,
-  others: readonly WorkerCandidate[],
-): WorkerCandidate => {
-  const capable = selectCapable([own, ...others]);
+  candidates: readonly WorkerCandidate[],
+): WorkerCandidate | undefined => {
+  const capable = selectCapable(candidates);
   if (capable.includes(own)) return own;
   const names = capable.map(({ name }) => name);
-  return capable.find(({ name }) => isFirst(job, name, names)) ?? own;
+  return capable.find(({ name }) => isFirst(job, name, names));
 };
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -77,8 +77,8 @@
   readonly online: OnlinePath;
   readonly jobs: JobStore;
   readonly book: JobBook;
-  /** Chooses name and incarnation of the host that runs a job which this one accepts. */
-  readonly holderOf: (job: string) => [string, number];
+  /** Chooses name and incarnation of the host that runs a job which this one accepts; nothing when any may take it. */
+  readonly holderOf: (job: string) => [string, number] | null;
   /** Tells how old the knowledge of jobs is. Unit: ms. */
   readonly jobsAge: () => number;
   /** Whether balancers should send callers here. */
@@ -212,6 +212,7 @@
       waitingItems: worker.waitingItems,
       breaks: breaks.recent(performance.now()),
       leaving: departures.nextReported(),
+      isStopping: members.isStopping,
     }),
     onReport: (report) => {
       loads.hear(report);
@@ -245,7 +246,6 @@
   });
 
   let upkeepTimer: NodeJS.Timeout | undefined;
-  let stopping = false;
   const upkeep = async (): Promise<void> => {
     members.keepOwnRow();
     (await members.dropSilent()).forEach((name) => loads.forget(name));
@@ -260,7 +260,8 @@
     book,
     holderOf: (job) => members.holderOf(job),
     jobsAge: () => jobsFollower.age,
-    isReady: () => !stopping && view.directory !== undefined && view.age < READY_WITHIN_MS,
+    isReady: () =>
+      !members.isStopping && view.directory !== undefined && view.age < READY_WITHIN_MS,
     async whenKnown(limitMs) {
       const known = [configurationFollower, targetsFollower].map(({ whenRead }) => whenRead);
       await Promise.race([Promise.all(known), systemClock.sleep(limitMs)]);
@@ -276,7 +277,8 @@
       worker.start();
     },
     async handOver(deadline) {
-      stopping = true;
+      members.isStopping = true;
+      exchange.report();
       await worker.stop(deadline);
     },
     async stop() {
--- a/packages/serving/test/fakes/createReport.ts
+++ b/packages/serving/test/fakes/createReport.ts
@@ -18,5 +18,6 @@
   waitingItems: 0,
   breaks: [],
   leaving: [],
+  isStopping: false,
   ...content,
 });
--- a/packages/serving/test/features/members.feature
+++ b/packages/serving/test/features/members.feature
@@ -97,3 +97,29 @@
       | ms   | may     |
       | 300  | may not |
       | 2600 | may     |
+
+  Scenario: Jobs that come while their host stops are run by others from the start
+    Given a host that hears others
+    And process 900 of "h-2" registered long ago
+    And process 700 of "h-3" registered long ago
+    When process 900 of "h-2" reports for the 40th time, 60 s after its start
+    And process 700 of "h-3" reports for the 40th time, 60 s after its start
+    Then jobs that the host accepts are run by h-1
+    When the host itself stops
+    Then jobs that the host accepts are run by h-2 and h-3
+    And work falls to "h-2, h-3"
+
+  Scenario: Jobs of a stopping host that has nobody near are free at once
+    Given a host that hears others
+    When the host itself stops
+    Then jobs that the host accepts are run by whoever sees them first
+
+  Scenario: Work of a host that is gone does not fall to one that stops
+    Given a host that hears others
+    And process 900 of "h-2" registered long ago
+    When process 900 of "h-2" reports for the 40th time, 60 s after its start
+    Then work falls to "h-1, h-2"
+    When process 900 of "h-2" says that it stops
+    Then work falls to "h-1"
+    And process 900 of "h-2" is not at work
+    And the work of process 900 of "h-2" may not be given to others
--- a/packages/serving/test/steps/members.steps.ts
+++ b/packages/serving/test/steps/members.steps.ts
@@ -130,9 +130,8 @@
 When('each of them accepts {int} jobs', function (this: MembersWorld, count: number) {
   this.jobs = new Map();
   this.hosts.forEach((own) => {
-    const others = this.hosts.filter((host) => host !== own);
     for (let job = 0; job < count; job += 1) {
-      const { name } = chooseHolder(`${own.name}-${job}`, own, others);
+      const { name } = chooseHolder(`${own.name}-${job}`, own, this.hosts)!;
       this.jobs.set(name, (this.jobs.get(name) ?? 0) + 1);
     }
   });
@@ -146,3 +145,30 @@
     assert.ok(Math.max(...this.jobs.values()) <= most, JSON.stringify([...this.jobs]));
   },
 );
+
+When(
+  'process {int} of {string} says that it stops',
+  function (this: MembersWorld, incarnation: number, host: string) {
+    const report = createReport(host, 90, { incarnation, upMs: 60_000, isStopping: true });
+    this.members.hear(report, this.now);
+  },
+);
+
+When('the host itself stops', function (this: MembersWorld) {
+  this.members.isStopping = true;
+});
+
+Then(
+  /^jobs that the host accepts are run by (.+)$/,
+  function (this: MembersWorld, expected: string) {
+    const holders = Array.from({ length: 30 }, (_, job) =>
+      this.members.holderOf(`job-${job}`, this.now),
+    );
+    const names = new Set(holders.map((holder) => holder?.[0] ?? 'whoever sees them first'));
+    assert.deepEqual([...names].sort(), expected.split(' and '));
+  },
+);
+
+Then('work falls to {string}', function (this: MembersWorld, names: string) {
+  assert.deepEqual(this.members.atWork(this.now), names.split(', '));
+});
--- a/packages/serving/test/steps/reports.steps.ts
+++ b/packages/serving/test/steps/reports.steps.ts
@@ -145,7 +145,13 @@
 When('two reports are encoded together', function (this: ReportsWorld) {
   this.reports = [
     createReport('h-1', 7, { loads: [['t-1', 2, 1]], rates: [['a', 40]], breaks: [['f', 1]] }),
-    createReport('h-2', 9, { ageMs: 120, silent: ['t-2'], waitingItems: 3, leaving: [['t-3', 1]] }),
+    createReport('h-2', 9, {
+      ageMs: 120,
+      silent: ['t-2'],
+      waitingItems: 3,
+      leaving: [['t-3', 1]],
+      isStopping: true,
+    }),
   ];
   this.datagram = encodeLoadReports(this.reports);
 });
@@ -154,7 +160,7 @@
   assert.deepEqual(decodeLoadReports(this.datagram), this.reports);
 });
 
-const FIELDS = ['h-1', 1, 1, 0, 0, 0, [['t-1', 1, 0]], [], [], 0, [], []];
+const FIELDS = ['h-1', 1, 1, 0, 0, 0, [['t-1', 1, 0]], [], [], 0, [], [], false];
 
 const withLoads = (loads: unknown): Buffer => pack([FIELDS.with(6, loads as never)]);
 
@@ -163,7 +169,7 @@
   text: () => Buffer.from('GET / HTTP/1.1'),
   'a report with a field missing': () => pack([FIELDS.slice(0, -1)]),
   'a report with a negative load': () => withLoads([['t-1', -1, 0]]),
-  'a report with a departure without a birth': () => pack([FIELDS.with(-1, [['t-1']])]),
+  'a report with a departure without a birth': () => pack([FIELDS.with(-2, [['t-1']])]),
   'a report with a name for a load': () => withLoads([['t-1', 'one', 0]]),
 };
 
