Bound heads, framing and turns more tightly

Cause: a target that sends short header lines or comments without end still blocked the host for 24 to 55 ms. A connection is read in parts of 64 KiB, so a sound head never needs more before it is taken, and a paused one never holds more than 128 KiB.

Ruled out: the client's own limit on heads, which creates an error for each further line (160 ms).

--- a/packages/serving/src/http/AnswerBudget.ts
+++ b/packages/serving/src/http/AnswerBudget.ts
@@ -3,11 +3,17 @@
  * framing or bytes that are no answer without end.
  */
 
-/** Bytes up to the end of the head of an answer, informational heads included. Unit: bytes. */
-const HEAD_BYTES = 131_072;
+/**
+ * Bytes up to the end of the head of an answer, informational heads included. A connection is read in parts of this
+ * size, so no more has arrived when the head of a sound answer is taken. Unit: bytes.
+ */
+const HEAD_BYTES = 65_536;
+
+/** Informational heads before an answer: a target sends one or two. */
+const MOST_INFORMATIONAL_HEADS = 8;
 
 /** Framing that an answer may have whatever its body; a host may also have read so much ahead. Unit: bytes. */
-const FRAMING_BYTES = 262_144;
+const FRAMING_BYTES = 131_072;
 
 /** Framing for each byte of the body: a chunk of one byte has five, and fields of its own are rare. */
 const FRAMING_PER_BODY_BYTE = 8;
@@ -19,6 +25,8 @@
 export class AnswerBudget {
   private hasHead = false;
 
+  private informationalHeads = 0;
+
   private body = 0;
 
   /** Largest body from now on. Unit: bytes. */
@@ -31,6 +39,11 @@
    */
   constructor(private readonly readBefore: number) {}
 
+  /** Takes a head before that of the answer. */
+  takeInformationalHead(): void {
+    this.informationalHeads += 1;
+  }
+
   /** Takes the head of the answer. */
   takeHead(): void {
     this.hasHead = true;
@@ -58,6 +71,7 @@
    */
   isExceededAt(read: number): boolean {
     if (this.body > this.bodyLimit) return true;
+    if (this.informationalHeads > MOST_INFORMATIONAL_HEADS) return true;
     const carried = read - this.readBefore;
     if (!this.hasHead) return carried > HEAD_BYTES;
     return carried > HEAD_BYTES + FRAMING_BYTES + this.body * (1 + FRAMING_PER_BODY_BYTE);
--- a/packages/serving/src/http/TargetExchange.ts
+++ b/packages/serving/src/http/TargetExchange.ts
@@ -11,7 +11,7 @@
  * Bytes of an answer that are handled before the other work of the host has its turn: a target may send faster than
  * events can be told apart. Unit: bytes.
  */
-const TURN_BYTES = 16_384;
+const TURN_BYTES = 4096;
 
 /** What each part of a body counts besides its bytes, as parts of one byte take time too. Unit: bytes. */
 const PART_COST_BYTES = 32;
@@ -73,7 +73,11 @@
   }
 
   onResponseStart(_: Dispatcher.DispatchController, status: number, headers: AnswerHeaders): void {
-    if (status < FIRST_FINAL_STATUS) return;
+    if (status < FIRST_FINAL_STATUS) {
+      this.budget.takeInformationalHead();
+      this.check();
+      return;
+    }
     this.budget.takeHead();
     this.listener?.head(status, headers);
   }
