Log the shared prompt parts and the progress of failed attempts

One part stands in 29 failed attempts and in no served request; all of them ended before any part of a response.

--- a/packages/serving/src/http/Dialect.ts
+++ b/packages/serving/src/http/Dialect.ts
@@ -14,6 +14,8 @@
   readonly key: string | undefined;
   /** How long the caller waits, from the request's arrival; undefined when not stated. Unit: ms. */
   readonly waitMs: number | undefined;
+  /** Ids of the parts of the prompt that other requests may contain too, in order; empty when not stated. */
+  readonly sharedPromptParts: readonly string[];
 }
 
 /** What a request to a target carries in addition to the caller's headers. */
--- a/packages/serving/src/online/OnlineRequestHandler.ts
+++ b/packages/serving/src/online/OnlineRequestHandler.ts
@@ -339,6 +339,7 @@
     progress: RequestProgress,
   ): void {
     const { health, journal, connectionFailures } = this.dependencies;
+    const { head, account, callerResponse } = request;
     progress.excludedTargets.add(target.id);
     if (outcome.kind === 'broken')
       connectionFailures.recordFailure(
@@ -348,11 +349,15 @@
     if (outcome.kind !== 'not-run') progress.countPossibleRun();
     if (isTargetFault(outcome)) health.recordFailure(target.id, outcome.cause);
     journal.record('attempt-failed', {
-      request: request.head.id,
+      request: head.id,
+      account: account?.name,
+      promptParts: head.sharedPromptParts,
       target: target.id,
       kind: outcome.kind,
       ...('cause' in outcome && { cause: outcome.cause }),
-      lastEventId: request.callerResponse.lastEventId,
+      ...('connectionLost' in outcome && { connectionLost: outcome.connectionLost }),
+      lastEventId: callerResponse.lastEventId,
+      received: callerResponse.progress,
       sends: progress.attempts,
     });
   }
@@ -401,6 +406,7 @@
         ...facts,
         target: outcome.target.id,
         status: outcome.status,
+        promptParts: head.sharedPromptParts,
       });
       return;
     }
--- a/packages/serving/src/online/runAttempt.ts
+++ b/packages/serving/src/online/runAttempt.ts
@@ -12,8 +12,10 @@
   | { readonly kind: 'complete'; readonly status: number }
   /** The request has provably not run; `unreachable` when the target itself has not responded. */
   | { readonly kind: 'not-run'; readonly cause: string; readonly unreachable: boolean }
-  /** The connection failed, or the response was invalid; the request may have run. */
-  | { readonly kind: 'broken'; readonly cause: string }
+  /**
+   * The connection was lost before the response was complete, or the response was invalid; the request may have run.
+   */
+  | { readonly kind: 'broken'; readonly cause: string; readonly connectionLost: boolean }
   /** The response exceeded the size limit; the request may have run. */
   | { readonly kind: 'overlong'; readonly cause: string }
   /** {@link AttemptOptions.shouldRetryStatus} ended the attempt; the request has run, and nothing was passed on. */
@@ -85,6 +87,22 @@
   },
 };
 
+/**
+ * Causes with which a connection is lost: the socket error codes, and that of the HTTP client when the target closes
+ * the connection. Other failures of a call are invalid responses.
+ */
+const CONNECTION_LOST_CAUSES: ReadonlySet<string> = new Set([
+  'ECONNRESET',
+  'EPIPE',
+  'UND_ERR_SOCKET',
+]);
+
+const invalidResponse = (cause: string): AttemptOutcome => ({
+  kind: 'broken',
+  cause,
+  connectionLost: false,
+});
+
 /** State of one attempt, from sending the request to its outcome. */
 class Attempt {
   private call: TargetCall | undefined;
@@ -150,11 +168,11 @@
       return;
     }
     if (classification === 'mismatched') {
-      this.abortCall({ kind: 'broken', cause: 'response to another request' });
+      this.abortCall(invalidResponse('response to another request'));
       return;
     }
     if (sink.started && status !== 200) {
-      this.abortCall({ kind: 'broken', cause: `status ${status} to a resumed stream` });
+      this.abortCall(invalidResponse(`status ${status} to a resumed stream`));
       return;
     }
     if (!sink.started && shouldRetryStatus(status)) {
@@ -181,7 +199,7 @@
     }
     const acceptsMore = sink.write(chunk);
     if (sink.isUnusable) {
-      this.abortCall({ kind: 'broken', cause: 'events missing, repeated or too large' });
+      this.abortCall(invalidResponse('events missing, repeated or too large'));
       return;
     }
     // Bytes that complete no event don't count as activity: the event may never end.
@@ -200,7 +218,7 @@
   private handleEnd(): void {
     if (this.status === 0) return;
     if (this.options.sink.isTruncated) {
-      this.finish({ kind: 'broken', cause: 'response ended inside an event' });
+      this.finish(invalidResponse('response ended inside an event'));
       return;
     }
     this.finish({ kind: 'complete', status: this.status });
@@ -210,7 +228,7 @@
     const { code } = error as NodeJS.ErrnoException;
     const cause = code ?? error.message;
     const outcome: AttemptOutcome = this.isSent
-      ? { kind: 'broken', cause }
+      ? { kind: 'broken', cause, connectionLost: CONNECTION_LOST_CAUSES.has(cause) }
       : { kind: 'not-run', cause, unreachable: true };
     this.finish(outcome);
   }
