Block the content that crashes targets instead of single requests

Callers saw broken responses and 503 while targets crashed one after the other.

Cause: the guard counted lost connections by the whole request, so requests with one bad part in their prompts, no two of them alike, counted once each. It also had no evidence for the defence: a request body that many callers send could be refused after three unrelated connection failures, although it was served in between. The class of the fault: failures are counted against the wrong unit, and successes are not counted at all.

Now each shared prompt part and the whole request are suspects. Hosts exchange the crashes that they observe, with the requests whose responses had not begun; content that a target begins to answer is cleared. Content with three or more crashes since it was last served is blocked if sound content would have failed as often with a probability of at most 0.001, by the outcomes of the requests closest in time. Of several suspects in the same crashes the most specific one is blocked. Blocks last two minutes, double when the content crashes again, and are kept in the store, so that a restart of all hosts doesn't lose them.

The test of the invalid datagrams lists the fields of a report by position; it follows the new fields, and rejects one more datagram.

--- a/packages/catalog/src/logEvents.ts
+++ b/packages/catalog/src/logEvents.ts
@@ -386,6 +386,24 @@
     message: 'Target announced that it is leaving; it gets no new work',
     hint: 'Nothing to do; the field source is "its answer" or the name of the host that reported it.',
   },
+  'content-blocked': {
+    number: 828,
+    severity: 'error',
+    message: 'Content crashes targets; requests with it are refused for a while',
+    hint: 'Find the requests by the field content of request-refused, and their common part by promptParts.',
+  },
+  'content-unblocked': {
+    number: 829,
+    severity: 'warn',
+    message: 'Blocked content was served without a crash; requests with it are accepted again',
+    hint: 'Nothing to do.',
+  },
+  'block-unsaved': {
+    number: 830,
+    severity: 'warn',
+    message: 'Blocked content could not be saved; the write is retried',
+    hint: 'Check the row store. If all hosts restart now, the content crashes targets again.',
+  },
 });
 
 /** Name of a log event. */
--- a/packages/catalog/src/resultCodes.ts
+++ b/packages/catalog/src/resultCodes.ts
@@ -184,8 +184,8 @@
     number: 1208,
     title: 'Request breaks targets',
     message:
-      'Three attempts to run this request ended with a connection failure; it is not run again for now.',
-    hint: 'Change the request, or retry after a minute.',
+      'Targets crashed each time they ran this request, or requests with the same part of the prompt; it is not run for now.',
+    hint: 'Change the request, or retry after the time given.',
     status: 503,
     run: 'not run',
     retryAfterSeconds: 60,
--- a/packages/protocol/src/loadReport.ts
+++ b/packages/protocol/src/loadReport.ts
@@ -16,8 +16,23 @@
 /** Rate usage of one account on one host: name of the account, and requests since the start of the process. */
 const rateUsage = tupleOf(isString, isNonNegativeInteger);
 
-/** Connection failures of one request on one host: fingerprint of the request, and number of failures. */
-const connectionFailureCount = tupleOf(isString, isNonNegativeInteger);
+/**
+ * Crash of a target that a host has observed: number of the observation, id of the target, service, time since the
+ * crash in ms, and the content keys of each request that failed with it.
+ */
+const targetCrash = tupleOf(
+  isNonNegativeInteger,
+  isString,
+  isString,
+  isNonNegativeNumber,
+  arrayOf(arrayOf(isString)),
+);
+
+/** Content that was served after requests with it had failed: its key, and the time since then. Unit: ms. */
+const servedContent = tupleOf(isString, isNonNegativeNumber);
+
+/** Requests that a host has served since the start of its process: name of the service, and number of requests. */
+const servedCount = tupleOf(isString, isNonNegativeInteger);
 
 /** A draining target: its id, and the start time of its incarnation. Unit: ms since 1970. */
 const drainingTarget = tupleOf(isString, isNonNegativeInteger);
@@ -38,9 +53,11 @@
   arrayOf(rateUsage),
   arrayOf(isString),
   isNonNegativeInteger,
-  arrayOf(connectionFailureCount),
   arrayOf(drainingTarget),
   isBoolean,
+  arrayOf(targetCrash),
+  arrayOf(servedContent),
+  arrayOf(servedCount),
 );
 
 /** Schema of a datagram: reports of one or more hosts. */
@@ -66,10 +83,14 @@
   readonly silent: readonly string[];
   /** Number of batch items of the host that wait for a slot. */
   readonly waitingItems: number;
-  readonly connectionFailures: readonly GuardedType<typeof connectionFailureCount>[];
   readonly leaving: readonly GuardedType<typeof drainingTarget>[];
   /** Whether the host is stopping: it still responds to its callers, but takes no more jobs. */
   readonly isStopping: boolean;
+  /** Recent crashes of targets, as far as other hosts may not know of them. */
+  readonly crashes: readonly GuardedType<typeof targetCrash>[];
+  readonly servedContent: readonly GuardedType<typeof servedContent>[];
+  /** Empty while no target has crashed. */
+  readonly servedCounts: readonly GuardedType<typeof servedCount>[];
 }
 
 const toWire = (report: LoadReport) => [
@@ -83,9 +104,11 @@
   report.rates,
   report.silent,
   report.waitingItems,
-  report.connectionFailures,
   report.leaving,
   report.isStopping,
+  report.crashes,
+  report.servedContent,
+  report.servedCounts,
 ];
 
 const fromWire = ([
@@ -99,9 +122,11 @@
   rates,
   silent,
   waitingItems,
-  connectionFailures,
   leaving,
   isStopping,
+  crashes,
+  servedContentKeys,
+  servedCounts,
 ]: GuardedType<typeof wireReport>): LoadReport => ({
   host,
   incarnation,
@@ -113,9 +138,11 @@
   rates,
   silent,
   waitingItems,
-  connectionFailures,
   leaving,
   isStopping,
+  crashes,
+  servedContent: servedContentKeys,
+  servedCounts,
 });
 
 /**
--- a/packages/serving/src/online/OnlineRequestHandler.ts
+++ b/packages/serving/src/online/OnlineRequestHandler.ts
@@ -5,6 +5,8 @@
 import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
 import type { ConfigurationView } from '../configuration/ConfigurationView.js';
 import type { Account, Route } from '../configuration/ServingConfiguration.js';
+import { computeContentKeys } from '../crashes/contentKeys.js';
+import type { CrashGuard } from '../crashes/CrashGuard.js';
 import type { DrainingTargets } from '../fleet/DrainingTargets.js';
 import type { Target } from '../fleet/Target.js';
 import type { CallerHead, Dialect } from '../http/Dialect.js';
@@ -16,7 +18,6 @@
 import type { TargetHealth } from '../routing/TargetHealth.js';
 import type { TargetRouter } from '../routing/TargetRouter.js';
 import { admitCaller } from './admitCaller.js';
-import { computeFingerprint, type ConnectionFailureTracker } from './ConnectionFailureTracker.js';
 import { CallerResponse } from './CallerResponse.js';
 import { RequestProgress } from './RequestProgress.js';
 import { RequestLifetime } from './RequestLifetime.js';
@@ -65,7 +66,7 @@
   readonly view: ConfigurationView;
   readonly router: TargetRouter;
   readonly loadTable: LoadTable;
-  readonly connectionFailures: ConnectionFailureTracker;
+  readonly crashGuard: CrashGuard;
   readonly health: TargetHealth;
   readonly rates: AccountRateLimiter;
   readonly client: TargetClient;
@@ -87,6 +88,8 @@
   readonly account: Account | undefined;
   readonly service: string;
   readonly body: Buffer;
+  /** Identify the content that may crash targets, see {@link computeContentKeys}. */
+  readonly contentKeys: readonly string[];
   readonly lifetime: RequestLifetime;
   readonly callerResponse: CallerResponse;
   /** Whether it may run more than once. */
@@ -112,12 +115,6 @@
   return (found ?? route.services[0]!).service;
 };
 
-const toRequestContent = ({ account, head, body }: OnlineRequest) => ({
-  account: account?.name,
-  path: head.path,
-  body,
-});
-
 const getBodyIdleTimeoutMs = ({ pauseObjectiveMs }: Route): number =>
   Math.min(
     MAX_BODY_IDLE_TIMEOUT_MS,
@@ -216,13 +213,21 @@
       }
       if (!body.value) return;
       const repeatable = isRepeatable(route);
+      const service = pickService(route);
       const request: OnlineRequest = {
         message,
         head,
         route,
         account,
-        service: pickService(route),
+        service,
         body: body.value,
+        contentKeys: computeContentKeys({
+          service,
+          account: account?.name,
+          path: head.path,
+          sharedPromptParts: head.sharedPromptParts,
+          body: body.value,
+        }),
         lifetime,
         callerResponse: new CallerResponse(response, repeatable && route.kind === 'streaming'),
         repeatable,
@@ -236,9 +241,8 @@
 
   /** Tries targets until one has sent a complete response or no further attempt is allowed. */
   private async run(request: OnlineRequest): Promise<RequestOutcome> {
-    if (this.isBlocked(request)) {
-      return { kind: 'refused', refusal: refuse('request-breaks-targets') };
-    }
+    const blocked = this.refuseBlockedContent(request);
+    if (blocked) return { kind: 'refused', refusal: blocked };
     const overRate = this.consumeRate(request);
     if (overRate) return { kind: 'refused', refusal: overRate };
     const progress = new RequestProgress();
@@ -274,7 +278,8 @@
           ? progress.attempts < MAX_ATTEMPTS_NOT_RUN
           : repeatable &&
             canContinue(callerResponse, outcome) &&
-            progress.possibleRuns < route.attempts;
+            progress.possibleRuns < route.attempts &&
+            !this.dependencies.crashGuard.findBlock(request.contentKeys);
       if (!mayRetry) {
         if (callerResponse.started) return { kind: 'cut', cause: outcome.kind };
         return { kind: 'refused', refusal: refuseAfterFailures(progress) };
@@ -288,7 +293,7 @@
     target: Target,
     progress: RequestProgress,
   ): Promise<AttemptOutcome> {
-    const { client, dialect, loadTable, health, router } = this.dependencies;
+    const { client, dialect, loadTable, health, router, crashGuard } = this.dependencies;
     const { head, route, account, lifetime, callerResponse, message, body, repeatable } = request;
     const mayRunOnOtherTarget = (): boolean =>
       repeatable &&
@@ -296,6 +301,7 @@
       router.hasAlternative(request.service, new Set(progress.excludedTargets).add(target.id));
     const endLoad = loadTable.beginRequest(target.id, 'online');
     this.dependencies.onAttemptStart(target);
+    const sentAt = performance.now();
     const outcome = await runAttempt({
       client,
       dialect,
@@ -324,11 +330,19 @@
         if (status === FAILED_STATUS) health.recordFailure(target.id, `status ${status}`);
         else health.recordSuccess(target.id);
       },
+      onUnderWay: () => crashGuard.recordServed(request.service, request.contentKeys),
       onDraining: () => this.dependencies.drainingTargets.add(target),
       shouldRetryStatus: (status) => status === FAILED_STATUS && mayRunOnOtherTarget(),
       maxResponseBytes: MAX_RESPONSE_BYTES,
     });
     endLoad();
+    if (outcome.kind === 'broken' && outcome.connectionLost && !outcome.wasUnderWay)
+      crashGuard.recordFailure({
+        target: target.id,
+        service: request.service,
+        contentKeys: request.contentKeys,
+        sentAt,
+      });
     return outcome;
   }
 
@@ -338,14 +352,9 @@
     outcome: AttemptOutcome,
     progress: RequestProgress,
   ): void {
-    const { health, journal, connectionFailures } = this.dependencies;
+    const { health, journal } = this.dependencies;
     const { head, account, callerResponse } = request;
     progress.excludedTargets.add(target.id);
-    if (outcome.kind === 'broken')
-      connectionFailures.recordFailure(
-        computeFingerprint(toRequestContent(request)),
-        performance.now(),
-      );
     if (outcome.kind !== 'not-run') progress.countPossibleRun();
     if (isTargetFault(outcome)) health.recordFailure(target.id, outcome.cause);
     journal.record('attempt-failed', {
@@ -362,12 +371,15 @@
     });
   }
 
-  private isBlocked(request: OnlineRequest): boolean {
-    const { connectionFailures } = this.dependencies;
-    if (connectionFailures.isEmpty) return false;
-    return connectionFailures.isBlocked(
-      computeFingerprint(toRequestContent(request)),
-      performance.now(),
+  /** Refuses a request whose content crashes targets. */
+  private refuseBlockedContent({ contentKeys }: OnlineRequest): Refusal | undefined {
+    const now = performance.now();
+    const block = this.dependencies.crashGuard.findBlock(contentKeys, now);
+    return (
+      block &&
+      refuse('request-breaks-targets', {
+        retryAfterSeconds: Math.ceil((block.until - now) / 1000),
+      })
     );
   }
 
@@ -382,11 +394,12 @@
 
   private finish(request: OnlineRequest, response: ServerResponse, outcome: RequestOutcome): void {
     const { head, route, callerResponse, arrivedAt } = request;
-    const { journal, metrics, view } = this.dependencies;
+    const { crashGuard, journal, metrics, view } = this.dependencies;
     const facts = {
       request: head.id,
       route: route.name,
       account: request.account?.name,
+      promptParts: head.sharedPromptParts,
       configuration: view.index?.configuration.version,
       configurationAgeMs: Math.round(view.age),
       firstMs: Math.round(callerResponse.timeToFirstWriteMs(arrivedAt) ?? -1),
@@ -394,7 +407,8 @@
       tookMs: Math.round(performance.now() - arrivedAt),
     };
     if (outcome.kind === 'refused') {
-      this.refuse(response, head, outcome.refusal, facts);
+      const content = crashGuard.findBlock(request.contentKeys)?.key;
+      this.refuse(response, head, outcome.refusal, { ...facts, content });
       return;
     }
     if (outcome.kind === 'complete') {
@@ -406,7 +420,6 @@
         ...facts,
         target: outcome.target.id,
         status: outcome.status,
-        promptParts: head.sharedPromptParts,
       });
       return;
     }
--- a/packages/serving/src/online/runAttempt.ts
+++ b/packages/serving/src/online/runAttempt.ts
@@ -15,7 +15,13 @@
   /**
    * The connection was lost before the response was complete, or the response was invalid; the request may have run.
    */
-  | { readonly kind: 'broken'; readonly cause: string; readonly connectionLost: boolean }
+  | {
+      readonly kind: 'broken';
+      readonly cause: string;
+      readonly connectionLost: boolean;
+      /** Whether the response was under way, see {@link AttemptOptions.onUnderWay}. */
+      readonly wasUnderWay: boolean;
+    }
   /** The response exceeded the size limit; the request may have run. */
   | { readonly kind: 'overlong'; readonly cause: string }
   /** {@link AttemptOptions.shouldRetryStatus} ended the attempt; the request has run, and nothing was passed on. */
@@ -64,6 +70,11 @@
   readonly maxResponseBytes: number;
   /** Called with the status when the target itself responds. */
   readonly onResponse: (status: number) => void;
+  /**
+   * Called once a target has begun to produce a successful response: several parts of it have arrived, or all. Content
+   * that crashes targets does so before.
+   */
+  readonly onUnderWay?: () => void;
   /** Called when the response reports that the target is draining, whatever its status. */
   readonly onDraining: () => void;
   /**
@@ -97,11 +108,11 @@
   'UND_ERR_SOCKET',
 ]);
 
-const invalidResponse = (cause: string): AttemptOutcome => ({
-  kind: 'broken',
-  cause,
-  connectionLost: false,
-});
+/** Number of parts of a response, or of events, after which it is under way. */
+const PARTS_UNDER_WAY = 3;
+
+/** Lowest status that does not report success. */
+const FIRST_UNSUCCESSFUL_STATUS = 300;
 
 /** State of one attempt, from sending the request to its outcome. */
 class Attempt {
@@ -118,12 +129,18 @@
 
   private hasEnded = false;
 
+  private isUnderWay = false;
+
+  /** Progress of the sink before this attempt. */
+  private readonly initialProgress: number;
+
   private readonly onAbort = (): void => this.abortCall({ kind: 'given-up' });
 
   constructor(
     private readonly options: AttemptOptions,
     private readonly settle: (outcome: AttemptOutcome) => void,
   ) {
+    this.initialProgress = options.sink.progress;
     this.idleTimeout = new IdleTimeout(() => {
       if (options.onIdleTimeout()) this.abortCall({ kind: 'silent' });
     }, options.timers);
@@ -168,11 +185,11 @@
       return;
     }
     if (classification === 'mismatched') {
-      this.abortCall(invalidResponse('response to another request'));
+      this.abortCall(this.createBrokenOutcome('response to another request'));
       return;
     }
     if (sink.started && status !== 200) {
-      this.abortCall(invalidResponse(`status ${status} to a resumed stream`));
+      this.abortCall(this.createBrokenOutcome(`status ${status} to a resumed stream`));
       return;
     }
     if (!sink.started && shouldRetryStatus(status)) {
@@ -199,11 +216,12 @@
     }
     const acceptsMore = sink.write(chunk);
     if (sink.isUnusable) {
-      this.abortCall(invalidResponse('events missing, repeated or too large'));
+      this.abortCall(this.createBrokenOutcome('events missing, repeated or too large'));
       return;
     }
     // Bytes that complete no event don't count as activity: the event may never end.
     if (sink.progress > progress) this.idleTimeout.recordActivity();
+    if (sink.progress - this.initialProgress >= PARTS_UNDER_WAY) this.recordUnderWay();
     if (acceptsMore) return;
     this.call?.pause();
     // While the caller doesn't read, the target can't send and isn't idle.
@@ -218,17 +236,28 @@
   private handleEnd(): void {
     if (this.status === 0) return;
     if (this.options.sink.isTruncated) {
-      this.finish(invalidResponse('response ended inside an event'));
+      this.finish(this.createBrokenOutcome('response ended inside an event'));
       return;
     }
+    this.recordUnderWay();
     this.finish({ kind: 'complete', status: this.status });
   }
 
+  private recordUnderWay(): void {
+    if (this.isUnderWay || this.status >= FIRST_UNSUCCESSFUL_STATUS) return;
+    this.isUnderWay = true;
+    this.options.onUnderWay?.();
+  }
+
+  private createBrokenOutcome(cause: string, connectionLost = false): AttemptOutcome {
+    return { kind: 'broken', cause, connectionLost, wasUnderWay: this.isUnderWay };
+  }
+
   private handleFailure(error: Error): void {
     const { code } = error as NodeJS.ErrnoException;
     const cause = code ?? error.message;
     const outcome: AttemptOutcome = this.isSent
-      ? { kind: 'broken', cause, connectionLost: CONNECTION_LOST_CAUSES.has(cause) }
+      ? this.createBrokenOutcome(cause, CONNECTION_LOST_CAUSES.has(cause))
       : { kind: 'not-run', cause, unreachable: true };
     this.finish(outcome);
   }
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -10,6 +10,8 @@
 import { ProgressStore } from '../batch/ProgressStore.js';
 import { ConfigurationView } from '../configuration/ConfigurationView.js';
 import type { ServingConfiguration } from '../configuration/ServingConfiguration.js';
+import { BLOCKED_CONTENT_TABLE, BlockedContent } from '../crashes/BlockedContent.js';
+import { CrashGuard } from '../crashes/CrashGuard.js';
 import { DrainingTargets } from '../fleet/DrainingTargets.js';
 import type { HostIdentity } from '../fleet/HostIdentity.js';
 import { LoadExchange } from '../fleet/LoadExchange.js';
@@ -18,7 +20,6 @@
 import { TargetList } from '../fleet/TargetList.js';
 import type { Dialect } from '../http/Dialect.js';
 import { TargetClient } from '../http/TargetClient.js';
-import { ConnectionFailureTracker } from '../online/ConnectionFailureTracker.js';
 import { OnlineRequestHandler } from '../online/OnlineRequestHandler.js';
 import { AccountRateLimiter } from '../rates/AccountRateLimiter.js';
 import { LoadTable } from '../routing/LoadTable.js';
@@ -33,6 +34,12 @@
 /** Timeout of long polls for members and jobs. Unit: ms. */
 const RELAXED_POLL_TIMEOUT_MS = 2000;
 
+/**
+ * Timeout of long polls for blocked content. Its rows matter to hosts that start, since running hosts learn of crashes
+ * from one another. Unit: ms.
+ */
+const BLOCKED_CONTENT_POLL_TIMEOUT_MS = 10_000;
+
 /**
  * Minimum time between two reads of the jobs. Each result changes a job's row, and without a minimum every host would
  * read each change separately. A delay of up to a second is acceptable for results from other hosts. Unit: ms.
@@ -147,7 +154,8 @@
   const targets = new TargetList(journal);
   const drainingTargets = new DrainingTargets(journal);
   const loadTable = new LoadTable();
-  const connectionFailures = new ConnectionFailureTracker();
+  const blockedContent = new BlockedContent({ store, journal });
+  const crashGuard = new CrashGuard({ blockedContent, journal });
   const health = new TargetHealth(journal);
   const members = new Members({ identity, store, journal });
   const client = new TargetClient();
@@ -190,7 +198,18 @@
     jobCache,
     followerDependencies,
   );
-  const followers = [configurationFollower, targetsFollower, membersFollower, jobsFollower];
+  const blockedContentFollower = new TableFollower(
+    { table: BLOCKED_CONTENT_TABLE, holdMs: BLOCKED_CONTENT_POLL_TIMEOUT_MS, intervalMs: 0 },
+    blockedContent,
+    followerDependencies,
+  );
+  const followers = [
+    configurationFollower,
+    targetsFollower,
+    membersFollower,
+    jobsFollower,
+    blockedContentFollower,
+  ];
 
   const worker = new BatchWorker({
     identity,
@@ -222,14 +241,14 @@
       rates: rates.listOwnUsage(),
       silent: health.findPaused(targets.size),
       waitingItems: worker.waitingItemCount,
-      connectionFailures: connectionFailures.listRecent(performance.now()),
       leaving: drainingTargets.selectForReport(),
       isStopping: members.isStopping,
+      ...crashGuard.createReport(),
     }),
     onReport: (report) => {
       loadTable.applyReport(report);
       rates.applyReport(report);
-      connectionFailures.applyReport(report);
+      crashGuard.applyReport(report);
       drainingTargets.applyReport(report);
       if (worker.mustPreempt(report)) worker.queueScheduling();
       else worker.queueDelayedScheduling();
@@ -239,7 +258,7 @@
     view,
     router,
     loadTable,
-    connectionFailures,
+    crashGuard,
     health,
     rates,
     client,
@@ -251,6 +270,7 @@
     drainingTargets,
   });
   drainingTargets.onAdded(() => exchange.scheduleReport());
+  crashGuard.onEvidence(() => exchange.scheduleReport());
   view.onChange(({ configuration }) => rates.configure(configuration));
   loadTable.onOwnLoadChange(() => {
     exchange.scheduleReport();
@@ -260,6 +280,7 @@
   let maintenanceTimer: NodeJS.Timeout | undefined;
   const runMaintenance = async (): Promise<void> => {
     members.ensureOwnRow();
+    void crashGuard.save();
     (await members.removeUnresponsive()).forEach((name) => loadTable.removeHost(name));
     client.closeUnusedPools((id) => targets.find(id) !== undefined);
   };
@@ -274,7 +295,9 @@
     jobsAge: () => jobsFollower.age,
     isReady: () => !members.isStopping && view.index !== undefined && view.age < MAX_READY_AGE_MS,
     async waitUntilLoaded(limitMs) {
-      const loaded = [configurationFollower, targetsFollower].map(({ whenLoaded }) => whenLoaded);
+      const loaded = [configurationFollower, targetsFollower, blockedContentFollower].map(
+        ({ whenLoaded }) => whenLoaded,
+      );
       await Promise.race([Promise.all(loaded), systemClock.sleep(limitMs)]);
     },
     async start() {
--- a/packages/serving/test/fakes/createReport.ts
+++ b/packages/serving/test/fakes/createReport.ts
@@ -16,8 +16,10 @@
   rates: [],
   silent: [],
   waitingItems: 0,
-  connectionFailures: [],
   leaving: [],
   isStopping: false,
+  crashes: [],
+  servedContent: [],
+  servedCounts: [],
   ...content,
 });
--- a/packages/serving/test/features/reports.feature
+++ b/packages/serving/test/features/reports.feature
@@ -41,3 +41,4 @@
       | a report with a negative load |
       | a report with a name for a load |
       | a report with a draining target without a start time |
+      | a report with a crash without a service              |
--- a/packages/serving/test/steps/reports.steps.ts
+++ b/packages/serving/test/steps/reports.steps.ts
@@ -154,7 +154,9 @@
     createReport('h-1', 7, {
       loads: [['t-1', 2, 1]],
       rates: [['a', 40]],
-      connectionFailures: [['f', 1]],
+      crashes: [[1, 't', 's', 2, [['c']]]],
+      servedContent: [['c', 3]],
+      servedCounts: [['s', 4]],
     }),
     createReport('h-2', 9, {
       ageMs: 120,
@@ -171,7 +173,7 @@
   assert.deepEqual(decodeLoadReports(this.datagram), this.reports);
 });
 
-const FIELDS = ['h-1', 1, 1, 0, 0, 0, [['t-1', 1, 0]], [], [], 0, [], [], false];
+const FIELDS = ['h-1', 1, 1, 0, 0, 0, [['t-1', 1, 0]], [], [], 0, [], false, [], [], []];
 
 const withLoads = (loads: unknown): Buffer => pack([FIELDS.with(6, loads as never)]);
 
@@ -180,7 +182,9 @@
   text: () => Buffer.from('GET / HTTP/1.1'),
   'a report with a field missing': () => pack([FIELDS.slice(0, -1)]),
   'a report with a negative load': () => withLoads([['t-1', -1, 0]]),
-  'a report with a draining target without a start time': () => pack([FIELDS.with(-2, [['t-1']])]),
+  'a report with a draining target without a start time': () => pack([FIELDS.with(10, [['t-1']])]),
+  'a report with a crash without a service': () =>
+    pack([FIELDS.with(12, [[1, 't-1', 5, []]] as never)]),
   'a report with a name for a load': () => withLoads([['t-1', 'one', 0]]),
 };
 
