Detect streams without length or chunks that their target breaks off

Callers saw a stream that looked complete although it had ended inside an event, or had no event at all; a batch item could complete with an empty text.

Cause: a response without length or chunks ends with its connection, so the HTTP client reports its end when the target crashes. Only resumable streams were split into events, and an empty one counted as complete. The fault belongs to the class of ends that are taken for completion.

Now such streams pass on complete events only, and count as broken without an event. They count as a lost connection too, as the end of the connection is all that a crash shows here.

--- a/packages/serving/src/batch/ItemResponse.ts
+++ b/packages/serving/src/batch/ItemResponse.ts
@@ -29,6 +29,8 @@
 
   private isCollecting = false;
 
+  private isCloseDelimited = false;
+
   get lastEventId(): string | undefined {
     return this.events.lastEventId;
   }
@@ -38,7 +40,8 @@
   }
 
   get isTruncated(): boolean {
-    return this.isCollecting && this.events.isTruncated;
+    if (!this.isCollecting) return false;
+    return this.events.isTruncated || (this.isCloseDelimited && this.eventCount === 0);
   }
 
   get isUnusable(): boolean {
@@ -96,8 +99,13 @@
   }
 
   /** Starts the response to the next run, which repeats all events after the last one with an id. */
-  begin(status: number): void {
+  begin(
+    status: number,
+    _headers: Record<string, string | string[]>,
+    isCloseDelimited: boolean,
+  ): void {
     this.isCollecting = status === 200;
+    this.isCloseDelimited = isCloseDelimited;
     if (this.isCollecting) this.truncate(this.resumableEventCount);
     this.events.beginResponse();
   }
--- a/packages/serving/src/online/CallerResponse.ts
+++ b/packages/serving/src/online/CallerResponse.ts
@@ -9,6 +9,8 @@
 
   private splitsEvents = false;
 
+  private isCloseDelimited = false;
+
   private writeCount = 0;
 
   /** Monotonic time of the first and the latest write. Unit: ms. */
@@ -21,8 +23,10 @@
 
   constructor(
     private readonly response: ServerResponse,
-    /** Whether only complete events are passed on, so that another target can continue the stream. */
-    private readonly completeEventsOnly: boolean,
+    /** Whether the response is a stream of events. */
+    private readonly isStream: boolean,
+    /** Whether another target can continue the stream. */
+    private readonly isResumable: boolean,
   ) {}
 
   get started(): boolean {
@@ -38,7 +42,8 @@
   }
 
   get isTruncated(): boolean {
-    return this.splitsEvents && this.events.isTruncated;
+    if (!this.splitsEvents) return false;
+    return this.events.isTruncated || (this.isCloseDelimited && this.events.count === 0);
   }
 
   get isUnusable(): boolean {
@@ -51,12 +56,19 @@
    * @returns whether nothing was passed on so far, or only complete events
    */
   get canContinue(): boolean {
-    return !this.started || this.splitsEvents;
+    return !this.started || (this.splitsEvents && this.isResumable);
   }
 
   /** Starts the next response. Only the first one sets status and headers. */
-  begin(status: number, headers: Record<string, string | string[]>): void {
-    this.splitsEvents = this.completeEventsOnly && status === 200;
+  begin(
+    status: number,
+    headers: Record<string, string | string[]>,
+    isCloseDelimited: boolean,
+  ): void {
+    this.isCloseDelimited = isCloseDelimited;
+    // Only complete events are passed on if another target can continue the stream, or if only its last event shows
+    // whether the stream is complete.
+    this.splitsEvents = this.isStream && status === 200 && (this.isResumable || isCloseDelimited);
     this.events.beginResponse();
     if (!this.started) this.response.writeHead(status, headers);
   }
--- a/packages/serving/src/online/OnlineRequestHandler.ts
+++ b/packages/serving/src/online/OnlineRequestHandler.ts
@@ -229,7 +229,7 @@
           body: body.value,
         }),
         lifetime,
-        callerResponse: new CallerResponse(response, repeatable && route.kind === 'streaming'),
+        callerResponse: new CallerResponse(response, route.kind === 'streaming', repeatable),
         repeatable,
         arrivedAt,
       };
--- a/packages/serving/src/online/ResponseSink.ts
+++ b/packages/serving/src/online/ResponseSink.ts
@@ -11,7 +11,10 @@
   /** Number of complete events so far, or of writes where the body is not split into events. */
   readonly progress: number;
 
-  /** Whether the bytes received so far end inside an event, or events are missing between them. */
+  /**
+   * Whether the bytes received so far end inside an event, or events are missing between them, or a stream whose
+   * response ends with its connection has no event yet.
+   */
   readonly isTruncated: boolean;
 
   /** Whether the rest of the current response is ignored: an event was missing, repeated or too large. */
@@ -22,8 +25,13 @@
    *
    * @param status - HTTP status
    * @param headers - headers for the caller
+   * @param isCloseDelimited - whether the response has neither a length nor chunks, and ends with its connection
    */
-  begin(status: number, headers: Record<string, string | string[]>): void;
+  begin(
+    status: number,
+    headers: Record<string, string | string[]>,
+    isCloseDelimited: boolean,
+  ): void;
 
   /**
    * Writes a part of the response body.
--- a/packages/serving/src/online/runAttempt.ts
+++ b/packages/serving/src/online/runAttempt.ts
@@ -108,6 +108,9 @@
   'UND_ERR_SOCKET',
 ]);
 
+/** Headers that tell where a response ends. Without them it ends with its connection. */
+const FRAMING_HEADERS: readonly string[] = ['content-length', 'transfer-encoding'];
+
 /** Number of parts of a response, or of events, after which it is under way. */
 const PARTS_UNDER_WAY = 3;
 
@@ -131,6 +134,8 @@
 
   private isUnderWay = false;
 
+  private isCloseDelimited = false;
+
   /** Progress of the sink before this attempt. */
   private readonly initialProgress: number;
 
@@ -199,7 +204,8 @@
     }
     this.status = status;
     this.idleTimeout.start(bodyIdleTimeoutMs);
-    sink.begin(status, dialect.selectCallerHeaders(headers));
+    this.isCloseDelimited = FRAMING_HEADERS.every((name) => headers[name] === undefined);
+    sink.begin(status, dialect.selectCallerHeaders(headers), this.isCloseDelimited);
   }
 
   private handleData(chunk: Buffer): void {
@@ -236,7 +242,10 @@
   private handleEnd(): void {
     if (this.status === 0) return;
     if (this.options.sink.isTruncated) {
-      this.finish(this.createBrokenOutcome('response ended inside an event'));
+      // The end of the connection is the only sign of a target that crashes during such a response.
+      this.finish(
+        this.createBrokenOutcome('response ended inside an event', this.isCloseDelimited),
+      );
       return;
     }
     this.recordUnderWay();
--- a/packages/serving/test/steps/jobs.steps.ts
+++ b/packages/serving/test/steps/jobs.steps.ts
@@ -95,7 +95,7 @@
 
 /** Lets a run of an item output one event for each text. */
 const writeEvents = (task: ItemTask, texts: readonly string[], first = 1): void => {
-  task.response.begin(200);
+  task.response.begin(200, {}, false);
   texts.forEach((text, index) =>
     task.response.write(Buffer.from(`id: ${first + index}\ndata: ${text}\n\n`)),
   );
