Run a batch item again soon after targets have crashed under it

Cause: each run without progress doubled the delay before the next one, up to 8 s, on the assumption that the item may have caused the crash. Items don't crash targets.

Now a lost connection doesn't lengthen the delay, and no delay exceeds 2 s. An item was never given up for crashes, only for its own failures, before and now.

--- a/packages/serving/src/batch/ItemTask.ts
+++ b/packages/serving/src/batch/ItemTask.ts
@@ -7,8 +7,8 @@
 /** Delay after an unfinished run, doubled for each consecutive run without progress. Unit: ms. */
 const INITIAL_RETRY_DELAY_MS = 100;
 
-/** Maximum delay between runs. It limits how often an item that crashes its targets can do so. Unit: ms. */
-const MAX_RETRY_DELAY_MS = 8000;
+/** Maximum delay between runs. Short, as an item that waits is still owed once its targets are sound again. Unit: ms. */
+const MAX_RETRY_DELAY_MS = 2000;
 
 /** A run in progress. */
 export interface ItemRun {
@@ -38,7 +38,7 @@
   /** Number of events in the store. */
   savedEventCount = 0;
 
-  /** Number of consecutive runs without a new resumable event. */
+  /** Number of consecutive runs without a new resumable event, except those that ended with a crash of the target. */
   private runsWithoutProgress = 0;
 
   /** Monotonic time before which the item is not run. Unit: ms. */
@@ -90,8 +90,9 @@
     }
     if (attempt.kind === 'given-up') return undefined;
     if (attempt.kind === 'overlong' || this.response.isTooLarge) this.discardOutput();
-    this.runsWithoutProgress =
-      this.response.resumableEventCount > eventsBefore ? 0 : this.runsWithoutProgress + 1;
+    if (this.response.resumableEventCount > eventsBefore) this.runsWithoutProgress = 0;
+    // Items don't crash targets, so a lost connection says nothing about the item.
+    else if (attempt.kind !== 'broken' || !attempt.connectionLost) this.runsWithoutProgress += 1;
     const delayMs = Math.min(
       MAX_RETRY_DELAY_MS,
       INITIAL_RETRY_DELAY_MS * 2 ** this.runsWithoutProgress,
--- a/packages/serving/test/features/jobs.feature
+++ b/packages/serving/test/features/jobs.feature
@@ -86,6 +86,19 @@
     And "h-1" removes the job
     Then the store holds no saved output of unfinished items
 
+  Scenario Outline: An item whose runs were ended by failures of targets runs again soon after the failures
+    When <runs> runs of an item in a row end as <outcome>
+    Then the item has no final state, and can run again within 3000 ms
+
+    Examples:
+      | runs | outcome         |
+      | 3    | lost connection |
+      | 12   | lost connection |
+      | 40   | lost connection |
+      | 12   | broken response |
+      | 12   | refused         |
+      | 12   | silent          |
+
   Scenario: An ended job gets no further results
     Given hosts "h-1" and "h-2" with a store
     When job "j-1" with 3 items is submitted to "h-1"
--- a/packages/serving/test/steps/jobs.steps.ts
+++ b/packages/serving/test/steps/jobs.steps.ts
@@ -5,6 +5,8 @@
 import { silentJournal } from '@jacinthlug/catalog/Journal';
 import type { Refusal } from '@jacinthlug/catalog/resultCodes';
 import { HeldJob } from '@jacinthlug/serving/batch/HeldJob';
+import type { AttemptOutcome } from '@jacinthlug/serving/online/runAttempt';
+import type { ItemState } from '@jacinthlug/serving/batch/JobRecord';
 import { ItemTask } from '@jacinthlug/serving/batch/ItemTask';
 import { JobCache } from '@jacinthlug/serving/batch/JobCache';
 import { JOBS_TABLE, PROGRESS_TABLE } from '@jacinthlug/serving/batch/jobKeys';
@@ -22,6 +24,9 @@
 }
 
 interface JobsWorld {
+  task: ItemTask;
+  /** Final state of the task, if it has one. */
+  state: ItemState | undefined;
   store: MemoryRecordStore;
   hosts: Map<string, JobHost>;
   limit: number;
@@ -119,6 +124,41 @@
   await held.waitForWrites();
 };
 
+const RUN_OUTCOMES: Readonly<Record<string, AttemptOutcome>> = {
+  'lost connection': {
+    kind: 'broken',
+    cause: 'ECONNRESET',
+    connectionLost: true,
+    wasUnderWay: false,
+  },
+  'broken response': {
+    kind: 'broken',
+    cause: 'response to another request',
+    connectionLost: false,
+    wasUnderWay: false,
+  },
+  refused: { kind: 'not-run', cause: 'ECONNREFUSED', unreachable: true },
+  silent: { kind: 'silent' },
+};
+
+When(
+  /^(\d+) runs of an item in a row end as (.+)$/,
+  function (this: JobsWorld, runs: string, outcome: string) {
+    this.task = new ItemTask(0, createItem(0), 3);
+    this.state = undefined;
+    for (let run = 0; run < Number(runs) && !this.state; run += 1)
+      this.state = this.task.finishRun(RUN_OUTCOMES[outcome]!, 0, 0);
+  },
+);
+
+Then(
+  'the item has no final state, and can run again within {int} ms',
+  function (this: JobsWorld, limitMs: number) {
+    assert.equal(this.state, undefined);
+    assert.ok(this.task.isWaiting(limitMs), `runs again after ${this.task.notBefore} ms`);
+  },
+);
+
 Given(
   'hosts {string} and {string} with a store',
   function (this: JobsWorld, first: string, second: string) {
