Don't block sound parts of prompts in bursts of crashes

Callers of a common prompt part were refused for up to two minutes after a burst of crashes that no request had caused.

Cause: the test for chance allowed one in a thousand for each part, with dozens of parts suspected at a time; a crash ends several requests at once, so a popular part is in many crashes by chance; and a host that proved a blocked part sound told only the store, before another host had written the block there.

Now a part is blocked at a chance of one in 100,000, from the 30 other requests closest in time; for content that was served before, the other requests in its crashes count as failures too; and hosts report served content to one another, which ends the block everywhere.

--- a/packages/serving/src/crashes/BlockedContent.ts
+++ b/packages/serving/src/crashes/BlockedContent.ts
@@ -35,6 +35,10 @@
   readonly until: number;
   /** Number of blocks so far, including this one. */
   readonly count: number;
+  /** Monotonic time at which this host blocked the content or learned of the block. Unit: ms. */
+  readonly since: number;
+  /** Whether this host writes the block to the store. */
+  readonly isOwn: boolean;
 }
 
 /** Dependencies of {@link BlockedContent}. */
@@ -118,21 +122,25 @@
   block(key: string, now: number, mustSave: boolean): Block {
     const count = (this.wasBlocked(key, now) ? this.blocks.get(key)!.count : 0) + 1;
     const durationMs = Math.min(MAX_BLOCK_MS, FIRST_BLOCK_MS * 2 ** (count - 1));
-    const block = { until: now + durationMs, count };
+    const block = { until: now + durationMs, count, since: now, isOwn: mustSave };
     this.blocks.set(key, block);
     if (mustSave) this.unsaved.add(key);
     return block;
   }
 
   /**
-   * Ends the block and the probation of content that was served.
+   * Ends the block and the probation of content that was served after it.
    *
    * @param key - content key
-   * @returns whether it was known
+   * @param servedAt - monotonic time. Unit: ms
+   * @param isOwn - whether this host served it, and removes the row of the block
+   * @returns whether it was blocked or on probation
    */
-  clear(key: string): boolean {
-    if (!this.blocks.delete(key)) return false;
-    this.unsaved.add(key);
+  clear(key: string, servedAt: number, isOwn: boolean): boolean {
+    const block = this.blocks.get(key);
+    if (!block || servedAt <= block.since) return false;
+    this.blocks.delete(key);
+    if (isOwn || block.isOwn) this.unsaved.add(key);
     return true;
   }
 
@@ -181,6 +189,8 @@
       this.dependencies.journal.record('record-unreadable', { table: BLOCKED_CONTENT_TABLE, key });
       return;
     }
-    this.blocks.set(key, { until: now + row.blockedUntil - storeNow, count: row.count });
+    const { since = now, isOwn = false } = this.blocks.get(key) ?? {};
+    const until = now + row.blockedUntil - storeNow;
+    this.blocks.set(key, { until, count: row.count, since, isOwn });
   }
 }
--- a/packages/serving/src/crashes/CrashGuard.ts
+++ b/packages/serving/src/crashes/CrashGuard.ts
@@ -65,10 +65,7 @@
    */
   recordServed(service: string, contentKeys: readonly string[], now = performance.now()): void {
     this.log.recordServed(service, contentKeys, now);
-    contentKeys.forEach((key) => {
-      if (!this.dependencies.blockedContent.clear(key)) return;
-      this.dependencies.journal.record('content-unblocked', { content: key });
-    });
+    contentKeys.forEach((key) => this.clear(key, now, true));
   }
 
   /**
@@ -78,6 +75,9 @@
    * @param now - monotonic time. Unit: ms
    */
   applyReport(report: LoadReport, now = performance.now()): void {
+    report.servedContent.forEach(([key, servedMsAgo]) =>
+      this.clear(key, now - report.ageMs - servedMsAgo, false),
+    );
     if (this.log.applyReport(report, now)) this.blockCulprit(now);
   }
 
@@ -96,6 +96,13 @@
     await this.dependencies.blockedContent.save();
   }
 
+  private clear(key: string, servedAt: number, isOwn: boolean): void {
+    const { blockedContent, journal } = this.dependencies;
+    if (!blockedContent.clear(key, servedAt, isOwn)) return;
+    journal.record('content-unblocked', { content: key, isOwn });
+    if (isOwn) this.notifyListeners();
+  }
+
   /** Blocks the content that explains the crashes, if any. Hosts that observed its failures save the block. */
   private blockCulprit(now: number): void {
     const { blockedContent, journal } = this.dependencies;
--- a/packages/serving/src/crashes/CrashLog.ts
+++ b/packages/serving/src/crashes/CrashLog.ts
@@ -61,6 +61,8 @@
   readonly at: number;
   /** By host, its incarnation, and the number that it gave the observation. */
   readonly observations: Map<string, Observation>;
+  /** Content keys of the failed requests of all observations. */
+  requests: readonly (readonly string[])[];
 }
 
 type CrashFields = Pick<LoadReport, 'crashes' | 'servedContent' | 'servedCounts'>;
@@ -104,7 +106,7 @@
     if (known && sentAt <= known.at) {
       known.requests.push([...contentKeys]);
       known.reportCount = 0;
-      this.noteFailure(known);
+      this.merge(`own/${known.number}`, known);
       return;
     }
     this.observationCount += 1;
@@ -214,13 +216,9 @@
    */
   listUnexplained(isExplainedBy: (key: string) => boolean, now: number): Crash[] {
     this.removeOld(now);
-    return this.crashes
-      .map(({ service, at, observations }) => ({
-        service,
-        at,
-        requests: [...observations.values()].flatMap(({ requests }) => requests),
-      }))
-      .filter(({ requests }) => !requests.some((keys) => keys.some(isExplainedBy)));
+    return this.crashes.filter(
+      ({ requests }) => !requests.some((keys) => keys.some(isExplainedBy)),
+    );
   }
 
   /**
@@ -288,6 +286,7 @@
       this.addCrash(observation);
     const known = crash.observations.get(id);
     crash.observations.set(id, observation);
+    crash.requests = [...crash.observations.values()].flatMap(({ requests }) => requests);
     this.noteFailure(observation);
     return known?.requests.length !== observation.requests.length;
   }
@@ -304,7 +303,7 @@
   }
 
   private addCrash({ target, service, at }: Observation): ObservedCrash {
-    const crash: ObservedCrash = { target, service, at, observations: new Map() };
+    const crash: ObservedCrash = { target, service, at, observations: new Map(), requests: [] };
     this.crashes.push(crash);
     this.crashes.sort((a, b) => a.at - b.at);
     if (this.crashes.length > MAX_CRASHES) this.crashes.shift();
--- a/packages/serving/src/crashes/RecentCounter.ts
+++ b/packages/serving/src/crashes/RecentCounter.ts
@@ -35,9 +35,7 @@
     const first = Math.ceil(from / BUCKET_MS);
     const end = Math.floor(to / BUCKET_MS);
     let total = 0;
-    this.buckets.forEach((count, bucket) => {
-      if (bucket >= first && bucket < end) total += count;
-    });
+    for (let bucket = first; bucket < end; bucket += 1) total += this.buckets.get(bucket) ?? 0;
     return total;
   }
 }
--- a/packages/serving/src/crashes/findCulprit.ts
+++ b/packages/serving/src/crashes/findCulprit.ts
@@ -11,14 +11,17 @@
 /** Minimum number of crashes before content counts as their cause. */
 const MIN_CRASHES = 3;
 
-/** Maximum probability that sound content would have failed as often by chance. */
-const MAX_CHANCE = 1e-3;
+/**
+ * Maximum probability that sound content would have failed as often by chance. Many parts of prompts are suspects at the
+ * same time, and one of them stands for many requests.
+ */
+const MAX_CHANCE = { part: 1e-5, request: 1e-3 } as const;
 
 /**
  * Other requests that show how likely a sound one fails with a crash: those closest in time to it, because crashes may
  * come in bursts that no content has caused.
  */
-const MIN_OTHER_REQUESTS = 10;
+const MIN_OTHER_REQUESTS = 30;
 
 /** Times before and after a crash in which other requests are looked for. Unit: ms. */
 const WINDOWS_MS: readonly number[] = [100, 200, 400, 800, 1600, 3200, 6400, 12_800];
@@ -97,16 +100,19 @@
   allCrashes: readonly Crash[],
   history: ServingHistory,
 ): Outcomes => {
-  const [firstCrash] = crashes;
-  // Content that was served before may be part of all requests. If all targets crash, it is not served any more, and
-  // the requests that were served before don't speak against it.
   const isKnown = history.lastServedAt(key) !== undefined;
+  const failed = allCrashes
+    .filter((each) => each.service === service && Math.abs(each.at - at) <= windowMs)
+    // The other requests in the crashes of new content failed because of it if it is the culprit. Content that was served
+    // before may be part of many requests, so that it is in many crashes by chance.
+    .filter((each) => isKnown || !crashes.has(each))
+    .flatMap(({ requests }) => requests)
+    .filter((keys) => !keys.includes(key)).length;
+  // If all targets crash, content that is part of all requests is not served any more, and the requests that were served
+  // before don't speak against it.
+  const [firstCrash] = crashes;
   const from = Math.max(at - windowMs, isKnown ? firstCrash!.at : Number.NEGATIVE_INFINITY);
   const to = at + windowMs;
-  const failed = allCrashes
-    .filter((each) => each.service === service && each.at >= from && each.at <= to)
-    .filter((each) => !crashes.has(each))
-    .reduce((sum, { requests }) => sum + requests.length, 0);
   const assumed = isRequestKey(key) && !isKnown ? ASSUMED_SERVED : 0;
   return { served: assumed + history.countServed(service, from, to), failed };
 };
@@ -139,7 +145,7 @@
 };
 
 const isCulprit = ({ key, chance }: Culprit, history: ServingHistory): boolean =>
-  history.hasCrashedTargets(key) || chance <= MAX_CHANCE;
+  history.hasCrashedTargets(key) || chance <= MAX_CHANCE[isRequestKey(key) ? 'request' : 'part'];
 
 /**
  * Finds the content that most likely caused crashes. Of content that fits, the one with the most crashes is chosen, and
