--- a/packages/agent/test/fakes/FakeTarget.ts
+++ b/packages/agent/test/fakes/FakeTarget.ts
@@ -100,7 +100,10 @@
     if (behaviour === 'impossible')
       leave(createResponse(400, { error: { message: 'impossible' } }));
     else if (behaviour === 'crash') this.crash();
-    else if (behaviour === 'failing' || (behaviour === 'flaky' && failures < 2)) {
+    else if (behaviour === 'unlucky' && failures < 2) {
+      this.failures.set(name, failures + 1);
+      this.crash();
+    } else if (behaviour === 'failing' || (behaviour === 'flaky' && failures < 2)) {
       this.failures.set(name, failures + 1);
       leave(createResponse(503, { error: { message: 'failed' } }));
     } else if (behaviour !== 'endless') leave(createResponse(200, { content }));
