--- a/packages/serving/src/crashes/BlockedContent.ts
+++ b/packages/serving/src/crashes/BlockedContent.ts
@@ -17,8 +17,8 @@
 /** How long content counts as known to crash targets after its block has ended. Unit: ms. */
 const PROBATION_MS = 3_600_000;
 
-/** Maximum number of rows that are removed with one write. */
-const MAX_REMOVALS = 50;
+/** Maximum number of rows that are written or removed at once; a transaction holds at most 100. */
+const MAX_ROWS_PER_WRITE = 50;
 
 const blockRow = z.object({
   /** Store time. Unit: ms. */
@@ -153,10 +153,10 @@
     const { store, journal } = this.dependencies;
     const storeNow = store.now();
     if (this.unsaved.size === 0 || storeNow === undefined) return;
-    const keys = [...this.unsaved].slice(0, MAX_REMOVALS);
+    const keys = [...this.unsaved].slice(0, MAX_ROWS_PER_WRITE);
     const expired = [...this.blocks.entries()]
       .filter(([key, { until }]) => now - until >= PROBATION_MS && !keys.includes(key))
-      .slice(0, MAX_REMOVALS - keys.length)
+      .slice(0, MAX_ROWS_PER_WRITE - keys.length)
       .map(([key]) => key);
     const written = keys.filter((key) => this.blocks.has(key));
     const removed = [...keys.filter((key) => !this.blocks.has(key)), ...expired];
--- a/packages/serving/test/steps/crashes.steps.ts
+++ b/packages/serving/test/steps/crashes.steps.ts
@@ -68,7 +68,6 @@
   crashes: number;
   /** Parts of the chats that are served all the time. */
   backgroundParts: string | undefined;
-  lastServedAt: number;
 }
 
 /** Computes the keys of a chat that differs from all others but for its parts. */
