--- a/packages/serving/src/online/OnlineRequestHandler.ts
+++ b/packages/serving/src/online/OnlineRequestHandler.ts
@@ -5,7 +5,7 @@
 import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
 import { systemClock } from '@jacinthlug/control/time/Clock';
 import type { ConfigurationView } from '../configuration/ConfigurationView.js';
-import type { Account, Route } from '../configuration/ServingConfiguration.js';
+import type { Route } from '../configuration/ServingConfiguration.js';
 import { computeContentKeys } from '../crashes/contentKeys.js';
 import type { CrashGuard } from '../crashes/CrashGuard.js';
 import type { DrainingTargets } from '../fleet/DrainingTargets.js';
@@ -21,37 +21,23 @@
 import type { StreamResumption } from '../streams/StreamResumption.js';
 import { computeStreamKey, type StreamVersions } from '../streams/StreamVersions.js';
 import { admitCaller } from './admitCaller.js';
+import { getBodyIdleTimeoutMs, getHeadTimeoutMs } from './attemptTimeouts.js';
 import { CallerResponse } from './CallerResponse.js';
 import { RequestProgress, type CompletedAttempt } from './RequestProgress.js';
 import { RequestLifetime } from './RequestLifetime.js';
+import type { OnlineRequest } from './OnlineRequest.js';
+import {
+  endAborted,
+  endComplete,
+  endWithoutTarget,
+  refuseAfterFailures,
+  type RequestOutcome,
+} from './requestOutcomes.js';
 import { isTargetFault, runAttempt, STREAM_STATUS, type AttemptOutcome } from './runAttempt.js';
 
 /** Number of attempts after which a request is not retried, even if the last attempt provably did not run it. */
 const MAX_ATTEMPTS_NOT_RUN = 4;
 
-/**
- * Timeout for the response head, after which a repeatable request is sent to another target, as a multiple of the
- * objective. Callers disconnect after two seconds or four objectives, whichever is later. With objectives up to 330 ms
- * the timeout is at most 1 s, which leaves a second target half of the two seconds.
- */
-const HEAD_TIMEOUT_OBJECTIVES = 3;
-
-/** Minimum timeout for the response head. Unit: ms. */
-const MIN_HEAD_TIMEOUT_MS = 800;
-
-/**
- * Idle timeout of the response body, after which a stream continues on another target, as a multiple of the
- * objective for pauses. A loaded target pauses for two or three objectives; callers disconnect after eight, but not
- * before two seconds.
- */
-const BODY_IDLE_TIMEOUT_OBJECTIVES = 4;
-
-/** Minimum idle timeout of the response body. Unit: ms. */
-const MIN_BODY_IDLE_TIMEOUT_MS = 800;
-
-/** Maximum idle timeout of the response body; lets another target continue before callers disconnect. Unit: ms. */
-const MAX_BODY_IDLE_TIMEOUT_MS = 1400;
-
 /** Status with which a target reports its own failure; 504 only reports that the deadline passed. */
 const FAILED_STATUS = 500;
 
@@ -64,12 +50,6 @@
 /** Maximum size of the response body of one target; also ends an endless stream of valid events. Unit: bytes. */
 const MAX_RESPONSE_BYTES = 16_777_216;
 
-/** Bounds of the retry delay while the fleet is full. Unit: seconds. */
-const OVERLOAD_RETRY_SECONDS = { min: 0.3, max: 1.1 } as const;
-
-/** Retry delay while there is no target. Unit: seconds. */
-const NO_TARGET_RETRY_SECONDS = 0.5;
-
 /** Dependencies of {@link OnlineRequestHandler}. */
 export interface OnlineRequestHandlerDependencies {
   readonly view: ConfigurationView;
@@ -91,37 +71,6 @@
   readonly streamResumption: StreamResumption;
 }
 
-/** A request with its route, account and state. */
-interface OnlineRequest {
-  readonly message: IncomingMessage;
-  readonly head: CallerHead;
-  readonly route: Route;
-  readonly account: Account | undefined;
-  readonly service: string;
-  readonly body: Buffer;
-  /** Identify the content that may crash targets, see {@link computeContentKeys}. */
-  readonly contentKeys: readonly string[];
-  readonly lifetime: RequestLifetime;
-  readonly callerResponse: CallerResponse;
-  /** Whether it may run more than once. */
-  readonly repeatable: boolean;
-  /** Key of its stream, if callers may take it up again. */
-  readonly streamKey: string | undefined;
-  readonly arrivedAt: number;
-}
-
-/** Outcome of a request. */
-type RequestOutcome =
-  | (CompletedAttempt & {
-      readonly kind: 'complete';
-      /** Whether another target has confirmed that no events follow. */
-      readonly isConfirmed: boolean;
-    })
-  | { readonly kind: 'refused'; readonly refusal: Refusal }
-  /** The response had started and cannot be continued. */
-  | { readonly kind: 'cut'; readonly cause: string }
-  | { readonly kind: 'caller-gone' };
-
 const pickService = (route: Route): string => {
   const total = route.services.reduce((sum, { weight }) => sum + weight, 0);
   let draw = Math.random() * total;
@@ -132,16 +81,6 @@
   return (found ?? route.services[0]!).service;
 };
 
-/** The request itself ends with the route's timeout; a multiple of a long objective may exceed the range of timers. */
-const getHeadTimeoutMs = ({ objectiveMs, timeoutMs }: Route): number =>
-  Math.min(timeoutMs, Math.max(MIN_HEAD_TIMEOUT_MS, objectiveMs * HEAD_TIMEOUT_OBJECTIVES));
-
-const getBodyIdleTimeoutMs = ({ pauseObjectiveMs }: Route): number =>
-  Math.min(
-    MAX_BODY_IDLE_TIMEOUT_MS,
-    Math.max(MIN_BODY_IDLE_TIMEOUT_MS, pauseObjectiveMs * BODY_IDLE_TIMEOUT_OBJECTIVES),
-  );
-
 const isRepeatable = ({ kind, resumable }: Route): boolean =>
   kind === 'idempotent' || (kind === 'streaming' && resumable);
 
@@ -161,48 +100,6 @@
     ? !outcome.unreachable
     : outcome.kind === 'broken' && outcome.connectionLost && !started;
 
-const drawRetrySeconds = (): number =>
-  OVERLOAD_RETRY_SECONDS.min +
-  Math.random() * (OVERLOAD_RETRY_SECONDS.max - OVERLOAD_RETRY_SECONDS.min);
-
-const refuseAfterFailures = ({ possibleRuns }: RequestProgress): Refusal =>
-  possibleRuns > 0
-    ? refuse('target-failed')
-    : refuse('no-target', { retryAfterSeconds: NO_TARGET_RETRY_SECONDS });
-
-const endAborted = (
-  { lifetime, callerResponse }: OnlineRequest,
-  { possibleRuns }: RequestProgress,
-): RequestOutcome => {
-  if (lifetime.abortReason === 'caller-gone') return { kind: 'caller-gone' };
-  if (callerResponse.started) return { kind: 'cut', cause: 'deadline' };
-  const refusal = possibleRuns > 0 ? refuse('deadline-passed') : refuse('deadline-passed-in-queue');
-  return { kind: 'refused', refusal };
-};
-
-/** Refusals by the reason why there is no target. */
-const refusalsWithoutTarget = {
-  full: () => refuse('overloaded', { retryAfterSeconds: drawRetrySeconds() }),
-  none: () => refuse('no-target', { retryAfterSeconds: NO_TARGET_RETRY_SECONDS }),
-};
-
-/** Ends a response, unless its end would state more than is known. */
-const endComplete = (completed: CompletedAttempt, isConfirmed: boolean): RequestOutcome =>
-  completed.canEnd || isConfirmed
-    ? { kind: 'complete', ...completed, isConfirmed }
-    : { kind: 'cut', cause: 'unknown-end' };
-
-const endWithoutTarget = (
-  kind: keyof typeof refusalsWithoutTarget,
-  { callerResponse }: OnlineRequest,
-  progress: RequestProgress,
-): RequestOutcome => {
-  if (callerResponse.started) return { kind: 'cut', cause: 'no other target' };
-  const refusal =
-    progress.possibleRuns > 0 ? refuseAfterFailures(progress) : refusalsWithoutTarget[kind]();
-  return { kind: 'refused', refusal };
-};
-
 /** Serves online requests. */
 export class OnlineRequestHandler {
   /** Number of requests in progress. */
--- /dev/null
+++ b/packages/serving/src/online/requestOutcomes.ts
@@ -0,0 +1,91 @@
+/** Outcomes of requests, and how a request ends when no further attempt follows. */
+import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
+import type { OnlineRequest } from './OnlineRequest.js';
+import type { CompletedAttempt, RequestProgress } from './RequestProgress.js';
+
+/** Bounds of the retry delay while the fleet is full. Unit: seconds. */
+const OVERLOAD_RETRY_SECONDS = { min: 0.3, max: 1.1 } as const;
+
+/** Retry delay while there is no target. Unit: seconds. */
+const NO_TARGET_RETRY_SECONDS = 0.5;
+
+/** Outcome of a request. */
+export type RequestOutcome =
+  | (CompletedAttempt & {
+      readonly kind: 'complete';
+      /** Whether another target has confirmed that no events follow. */
+      readonly isConfirmed: boolean;
+    })
+  | { readonly kind: 'refused'; readonly refusal: Refusal }
+  /** The response had started and cannot be continued. */
+  | { readonly kind: 'cut'; readonly cause: string }
+  | { readonly kind: 'caller-gone' };
+
+const drawRetrySeconds = (): number =>
+  OVERLOAD_RETRY_SECONDS.min +
+  Math.random() * (OVERLOAD_RETRY_SECONDS.max - OVERLOAD_RETRY_SECONDS.min);
+
+/**
+ * Refuses a request after the last attempt.
+ *
+ * @param progress - its attempts
+ * @returns refusal that states whether the request may have run
+ */
+export const refuseAfterFailures = ({ possibleRuns }: RequestProgress): Refusal =>
+  possibleRuns > 0
+    ? refuse('target-failed')
+    : refuse('no-target', { retryAfterSeconds: NO_TARGET_RETRY_SECONDS });
+
+/**
+ * Ends a request that was aborted.
+ *
+ * @param request - the request
+ * @param progress - its attempts
+ * @returns outcome by the reason for the abort
+ */
+export const endAborted = (
+  { lifetime, callerResponse }: OnlineRequest,
+  { possibleRuns }: RequestProgress,
+): RequestOutcome => {
+  if (lifetime.abortReason === 'caller-gone') return { kind: 'caller-gone' };
+  if (callerResponse.started) return { kind: 'cut', cause: 'deadline' };
+  const refusal = possibleRuns > 0 ? refuse('deadline-passed') : refuse('deadline-passed-in-queue');
+  return { kind: 'refused', refusal };
+};
+
+/** Refusals by the reason why there is no target. */
+const refusalsWithoutTarget = {
+  full: () => refuse('overloaded', { retryAfterSeconds: drawRetrySeconds() }),
+  none: () => refuse('no-target', { retryAfterSeconds: NO_TARGET_RETRY_SECONDS }),
+};
+
+/**
+ * Ends a response, unless its end would state more than is known.
+ *
+ * @param completed - attempt with which the response may be complete
+ * @param isConfirmed - whether another target has confirmed that no events follow
+ * @returns outcome of the request
+ */
+export const endComplete = (completed: CompletedAttempt, isConfirmed: boolean): RequestOutcome =>
+  completed.canEnd || isConfirmed
+    ? { kind: 'complete', ...completed, isConfirmed }
+    : { kind: 'cut', cause: 'unknown-end' };
+
+/**
+ * Ends a request for which no target is left.
+ *
+ * @param kind - why there is no target
+ * @param request - the request
+ * @param progress - its attempts
+ * @returns outcome of the request
+ */
+export const endWithoutTarget = (
+  kind: keyof typeof refusalsWithoutTarget,
+  { callerResponse }: OnlineRequest,
+  progress: RequestProgress,
+): RequestOutcome => {
+  if (callerResponse.started) return { kind: 'cut', cause: 'no other target' };
+  const refusal =
+    progress.possibleRuns > 0 ? refuseAfterFailures(progress) : refusalsWithoutTarget[kind]();
+  return { kind: 'refused', refusal };
+};
