Write the head of a response with the first part of its body

Callers saw: a closed connection with no status at all, when a target sent the head of a response and then closed, reset or fell silent until the deadline before the first byte of the body. Idempotent requests and new resumable streams were not retried on another target either.

Cause: the head was given to the response at once. Node.js sends it only with the first byte of the body, but counts it as sent, and so the request counted as started: it could neither be retried nor refused, only cut. The rule that a failed response cuts a started one was applied to responses of which nothing had been passed on.

Fix: the head is kept until the first part of the body is passed on, or the response ends. Until then, a repeatable request goes to another target, which sets status, headers and framing, and any other request is refused with 502, or 504 at the deadline, which promise nothing. A response that only another target can confirm may be continued only by events, as before, so that a failure of that target is no response to the caller; if it can't be confirmed and nothing was passed on, the caller gets 502.

Ruled out: a fault of Node.js or of the HTTP client (the attempt ended as broken, as it should).

--- a/packages/serving/src/batch/ItemResponse.ts
+++ b/packages/serving/src/batch/ItemResponse.ts
@@ -12,7 +12,7 @@
 /** Collects the events of an item's runs. */
 export class ItemResponse implements ResponseSink {
   /** Always false, as a run may return any status; only streams with status 200 count as output. */
-  readonly started = false;
+  readonly isContinuation = false;
 
   readonly expectsEvents = true;
 
--- a/packages/serving/src/online/CallerResponse.ts
+++ b/packages/serving/src/online/CallerResponse.ts
@@ -16,6 +16,12 @@
 ): Record<string, string | string[]> =>
   Object.fromEntries(Object.entries(headers).filter(([name]) => name !== LENGTH_HEADER));
 
+/** Status and headers of a response. */
+interface ResponseHead {
+  readonly status: number;
+  readonly headers: Record<string, string | string[]>;
+}
+
 /** Writes one response to a caller. */
 export class CallerResponse implements ResponseSink {
   private readonly events = new EventSequence();
@@ -28,8 +34,17 @@
   /** Whether the response to the caller has neither, as callers with HTTP/1.0 don't know chunks. */
   private endsWithConnection = false;
 
-  /** Whether the regular end of a connection is not enough to end the response. */
-  private requiresFramedEnd = false;
+  /**
+   * Head of the target's current response while none of its body is passed on. It is written with the first part of the
+   * body: if the response fails before, the caller can still get the response of another target, or a refusal.
+   */
+  private pendingHead: ResponseHead | undefined;
+
+  /** Whether the response that the caller receives began with a length or chunks. */
+  private beganFramed = false;
+
+  /** Whether the stream went on after the regular end of a target's connection. */
+  private hadFalseEnd = false;
 
   /** Whether the stream is complete unless another target has further events. */
   private awaitsConfirmation = false;
@@ -60,10 +75,19 @@
     if (this.isTakenUp) this.events.lastEventId = resumeAfter;
   }
 
+  /**
+   * Checks whether a part of a response was passed on.
+   *
+   * @returns false while the caller can still get any response
+   */
   get started(): boolean {
     return this.response.headersSent;
   }
 
+  get isContinuation(): boolean {
+    return this.started || this.awaitsConfirmation;
+  }
+
   get lastEventId(): string | undefined {
     return this.events.lastEventId;
   }
@@ -113,7 +137,7 @@
   /** Records that the stream went on after the regular end of a target's connection. */
   recordFalseEnd(): void {
     this.awaitsConfirmation = false;
-    this.requiresFramedEnd = true;
+    this.hadFalseEnd = true;
   }
 
   /**
@@ -133,10 +157,10 @@
    * @returns whether the end states no more to the caller than the target's end stated
    */
   get canEnd(): boolean {
-    return !this.isCloseDelimited || !(this.requiresFramedEnd || this.mayBeOver);
+    return !this.isCloseDelimited || !(this.beganFramed || this.hadFalseEnd || this.mayBeOver);
   }
 
-  /** Starts the next response. Only the first one sets status, headers and framing. */
+  /** Starts the next response. Only the first one of which a part is passed on sets status, headers and framing. */
   begin(
     status: number,
     headers: Record<string, string | string[]>,
@@ -148,13 +172,8 @@
     this.splitsEvents = this.expectsEvents && status === 200;
     this.events.beginResponse(acceptsEventLine);
     if (this.started) return;
-    this.requiresFramedEnd = !isCloseDelimited;
-    // A body of unknown length is sent in chunks. Without its final chunk it is incomplete however the connection ends,
-    // also when this process is killed or the caller's HTTP library doesn't report a reset.
-    const sentHeaders = this.splitsEvents ? omitLength(headers) : headers;
-    this.response.writeHead(status, sentHeaders);
-    this.endsWithConnection =
-      !this.response.chunkedEncoding && sentHeaders[LENGTH_HEADER] === undefined;
+    this.beganFramed = !isCloseDelimited;
+    this.pendingHead = { status, headers: this.splitsEvents ? omitLength(headers) : headers };
   }
 
   write(chunk: Buffer): boolean {
@@ -187,7 +206,19 @@
     this.response.once('drain', resume);
   }
 
+  private writeHead(): void {
+    if (!this.pendingHead) return;
+    const { status, headers } = this.pendingHead;
+    this.pendingHead = undefined;
+    // A body of unknown length is sent in chunks. Without its final chunk it is incomplete however the connection ends,
+    // also when this process is killed or the caller's HTTP library doesn't report a reset.
+    this.response.writeHead(status, headers);
+    this.endsWithConnection =
+      !this.response.chunkedEncoding && headers[LENGTH_HEADER] === undefined;
+  }
+
   private writeBytes(bytes: Buffer): boolean {
+    this.writeHead();
     const now = performance.now();
     if (this.firstWriteAt === undefined) this.firstWriteAt = now;
     else this.longestPauseMs = Math.max(this.longestPauseMs, now - this.lastWriteAt);
@@ -197,6 +228,7 @@
 
   /** Ends the response as complete. */
   end(): void {
+    this.writeHead();
     this.response.end();
   }
 
--- a/packages/serving/src/online/OnlineRequestHandler.ts
+++ b/packages/serving/src/online/OnlineRequestHandler.ts
@@ -93,7 +93,7 @@
 
 /**
  * Checks whether a target may serve a request a moment after it failed it: it rejected the request, or lost the connection
- * before it responded. A response that has started isn't continued there, as its caller may take it up again.
+ * before a part of its response was passed on. A response that has started isn't continued there, as its caller may take it up again.
  */
 const mayServeLater = ({ started }: CallerResponse, outcome: AttemptOutcome): boolean =>
   outcome.kind === 'not-run'
@@ -227,7 +227,7 @@
         const ended = await this.tryTarget(request, chosen.target, progress);
         if (ended) return ended;
       } else if (progress.unconfirmedEnd) {
-        return endComplete(progress.unconfirmedEnd, false);
+        return endComplete(progress.unconfirmedEnd, false, request);
       } else if (progress.version !== undefined && progress.readmitRecovering()) {
         await systemClock.sleep(SAME_TARGET_RETRY_DELAY_MS, request.lifetime.signal);
       } else {
@@ -253,7 +253,7 @@
     if (progress.unconfirmedEnd) {
       const hasFurtherEvents = callerResponse.progress > received || callerResponse.hasPartialEvent;
       if (!hasFurtherEvents && request.lifetime.abortReason !== 'caller-gone')
-        return endComplete(progress.unconfirmedEnd, outcome.kind === 'complete');
+        return endComplete(progress.unconfirmedEnd, outcome.kind === 'complete', request);
       if (hasFurtherEvents) this.recordFalseEnd(request, progress.unconfirmedEnd);
       progress.recordUnconfirmedEnd(undefined);
     }
@@ -268,16 +268,17 @@
 
   /** Ends a response, unless another target has to confirm its end. */
   private endOrConfirm(
-    { callerResponse, route, contentKeys }: OnlineRequest,
+    request: OnlineRequest,
     completed: CompletedAttempt,
     progress: RequestProgress,
   ): RequestOutcome | undefined {
+    const { callerResponse, route, contentKeys } = request;
     if (
       !callerResponse.needsConfirmation ||
       progress.possibleRuns >= route.attempts ||
       this.dependencies.crashGuard.findBlock(contentKeys)
     )
-      return endComplete(completed, false);
+      return endComplete(completed, false, request);
     callerResponse.awaitConfirmation();
     progress.recordUnconfirmedEnd(completed);
     progress.excludedTargets.add(completed.target.id);
--- a/packages/serving/src/online/ResponseSink.ts
+++ b/packages/serving/src/online/ResponseSink.ts
@@ -4,8 +4,8 @@
 
 /** Receives the responses of one or more attempts, one after the other. */
 export interface ResponseSink {
-  /** Whether status and headers are set, so that a further response can only continue the stream. */
-  readonly started: boolean;
+  /** Whether a further response can only continue the stream, as a part of it was passed on or has to be confirmed. */
+  readonly isContinuation: boolean;
 
   /** Whether a response with status 200 must be a stream of events. */
   readonly expectsEvents: boolean;
--- a/packages/serving/src/online/requestOutcomes.ts
+++ b/packages/serving/src/online/requestOutcomes.ts
@@ -17,7 +17,7 @@
       readonly isConfirmed: boolean;
     })
   | { readonly kind: 'refused'; readonly refusal: Refusal }
-  /** The response had started and cannot be continued. */
+  /** A part of the response was passed on, and it cannot be continued. */
   | { readonly kind: 'cut'; readonly cause: string }
   | { readonly kind: 'caller-gone' };
 
@@ -64,12 +64,19 @@
  *
  * @param completed - attempt with which the response may be complete
  * @param isConfirmed - whether another target has confirmed that no events follow
+ * @param request - the request
  * @returns outcome of the request
  */
-export const endComplete = (completed: CompletedAttempt, isConfirmed: boolean): RequestOutcome =>
-  completed.canEnd || isConfirmed
-    ? { kind: 'complete', ...completed, isConfirmed }
-    : { kind: 'cut', cause: 'unknown-end' };
+export const endComplete = (
+  completed: CompletedAttempt,
+  isConfirmed: boolean,
+  { callerResponse }: Pick<OnlineRequest, 'callerResponse'>,
+): RequestOutcome => {
+  if (completed.canEnd || isConfirmed) return { kind: 'complete', ...completed, isConfirmed };
+  return callerResponse.started
+    ? { kind: 'cut', cause: 'unknown-end' }
+    : { kind: 'refused', refusal: refuse('target-failed') };
+};
 
 /**
  * Ends a request for which no target is left.
--- a/packages/serving/src/online/runAttempt.ts
+++ b/packages/serving/src/online/runAttempt.ts
@@ -226,11 +226,11 @@
       this.call?.discard();
       return;
     }
-    if (sink.started && status !== STREAM_STATUS) {
+    if (sink.isContinuation && status !== STREAM_STATUS) {
       this.abortCall(this.createBrokenOutcome(`status ${status} to a resumed stream`));
       return;
     }
-    if (!sink.started && shouldRetryStatus(status)) {
+    if (!sink.isContinuation && shouldRetryStatus(status)) {
       this.finish({ kind: 'failed', cause: `status ${status}`, status });
       this.call?.discard();
       return;
--- a/packages/serving/test/steps/attempts.steps.ts
+++ b/packages/serving/test/steps/attempts.steps.ts
@@ -30,7 +30,7 @@
   const sequence = new EventSequence();
   let blocked = false;
   return {
-    get started() {
+    get isContinuation() {
       return world.headReceived;
     },
     expectsEvents: true,
--- a/packages/serving/test/steps/connections.steps.ts
+++ b/packages/serving/test/steps/connections.steps.ts
@@ -23,7 +23,7 @@
       target: createTarget(address),
       request: plainRequest,
       sink: {
-        started: false,
+        isContinuation: false,
         expectsEvents: false,
         lastEventId: undefined,
         progress: 0,
