Return to a silent target when the other ones fail, and leave it only for one that can go on

What callers saw: a target that was silent for a second and then went on cost them the response. A response of a route that can't be continued was broken off after 0.8 s of silence in its body; between the head and the first byte, its connection was closed without a status, as the buffered head was never sent. Where the other target rejected the request, failed it, broke off or was full, a repeatable request ended with its 500, a 502 or a cut, although the silent target would have completed it.

Cause: an idle timeout ended each attempt of a repeatable request as soon as another target looked healthy, whether or not the response could be continued, and whatever room that target had. The silent target then counted as one that had failed the request: it was excluded, and its run used up one of the attempts.

The idle timeout now ends an attempt only if the response can still go on elsewhere, at a target of the right version that looks healthy and has room, or at a silent one that has responded to other requests since. A target that was left for its silence is not excluded for good: the request returns to it, after the last event, once no other healthy target may run it. Each target allows one return, and is not left a second time, so that a request runs at most twice at each of its targets; `attempts` bounds the number of targets that run it, as before, and the runs that fail. A target that goes on after a silence is healthy again at once, so that requests held there end its pause.

Not covered: an idempotent response that another target has begun and broken off can't be continued by anyone.

--- a/packages/serving/src/online/OnlineRequestHandler.ts
+++ b/packages/serving/src/online/OnlineRequestHandler.ts
@@ -17,7 +17,8 @@
 import type { AccountRateLimiter } from '../rates/AccountRateLimiter.js';
 import type { LoadTable } from '../routing/LoadTable.js';
 import type { TargetHealth } from '../routing/TargetHealth.js';
-import type { TargetRouter } from '../routing/TargetRouter.js';
+import type { TargetChoice } from '../routing/chooseTarget.js';
+import type { ReturnTarget, TargetRouter } from '../routing/TargetRouter.js';
 import type { StreamResumption } from '../streams/StreamResumption.js';
 import { computeStreamKey, type StreamVersions } from '../streams/StreamVersions.js';
 import { admitCaller } from './admitCaller.js';
@@ -218,11 +219,7 @@
   ): Promise<RequestOutcome> {
     for (;;) {
       if (request.lifetime.abortReason) return endAborted(request, progress);
-      const chosen = this.dependencies.router.chooseForOnline(
-        request.service,
-        progress.excludedTargets,
-        progress.version,
-      );
+      const chosen = this.chooseTarget(request, progress);
       if (chosen.kind === 'target') {
         const ended = await this.tryTarget(request, chosen.target, progress);
         if (ended) return ended;
@@ -237,6 +234,37 @@
     }
   }
 
+  /**
+   * Chooses the next target. If the request has left a silent target, it returns there unless another one that looks healthy
+   * can run it.
+   */
+  private chooseTarget(request: OnlineRequest, progress: RequestProgress): TargetChoice {
+    const { router } = this.dependencies;
+    const { service, route } = request;
+    const { excludedTargets, version, unconfirmedEnd } = progress;
+    const left = unconfirmedEnd ? undefined : this.findReturnTarget(request, progress);
+    const prefersFurther =
+      progress.attempts < Math.max(MAX_ATTEMPTS_NOT_RUN, route.attempts) &&
+      progress.mayRunFurther(route.attempts) &&
+      router.hasAlternative(service, excludedTargets, version);
+    if (!left || prefersFurther) return router.chooseForOnline(service, excludedTargets, version);
+    progress.recordReturn(left.target.id);
+    return { kind: 'target', target: left.target };
+  }
+
+  /** Finds a target that the request has left while it was silent, and that can still run the request. */
+  private findReturnTarget(
+    { service }: OnlineRequest,
+    { returnableTargets, version }: RequestProgress,
+    startedVersion?: string,
+  ): ReturnTarget | undefined {
+    return this.dependencies.router.findReturnTarget(
+      service,
+      returnableTargets,
+      version ?? startedVersion,
+    );
+  }
+
   /** Sends a request to a target. Returns the outcome of the request, unless another attempt follows. */
   private async tryTarget(
     request: OnlineRequest,
@@ -248,7 +276,7 @@
     progress.countAttempt();
     const outcome = await this.attempt(request, target, progress);
     if (callerResponse.started) progress.beginStream(target.version);
-    if (outcome.kind === 'complete') progress.countPossibleRun();
+    if (outcome.kind === 'complete') progress.recordPossibleRun(target.id, false);
     else this.recordFailedAttempt(request, target, outcome, progress);
     if (progress.unconfirmedEnd) {
       const hasFurtherEvents = callerResponse.progress > received || callerResponse.hasPartialEvent;
@@ -298,14 +326,15 @@
   ): RequestOutcome | undefined {
     const { callerResponse, repeatable, route } = request;
     if (outcome.kind === 'given-up') return endAborted(request, progress);
+    const mayRunAgain =
+      repeatable &&
+      canContinue(callerResponse, outcome) &&
+      !this.dependencies.crashGuard.findBlock(request.contentKeys);
+    const mayReturn = mayRunAgain && this.findReturnTarget(request, progress) !== undefined;
     const mayRetry =
-      outcome.kind === 'not-run'
-        ? progress.attempts < MAX_ATTEMPTS_NOT_RUN
-        : repeatable &&
-          canContinue(callerResponse, outcome) &&
-          progress.possibleRuns < route.attempts &&
-          !this.dependencies.crashGuard.findBlock(request.contentKeys);
-    if (!mayRetry) {
+      progress.mayRunFurther(route.attempts) &&
+      (outcome.kind === 'not-run' ? progress.attempts < MAX_ATTEMPTS_NOT_RUN : mayRunAgain);
+    if (!mayRetry && !mayReturn) {
       if (callerResponse.started) return { kind: 'cut', cause: outcome.kind };
       return { kind: 'refused', refusal: refuseAfterFailures(progress) };
     }
@@ -320,14 +349,28 @@
   ): Promise<AttemptOutcome> {
     const { client, dialect, loadTable, health, router, crashGuard } = this.dependencies;
     const { head, route, account, lifetime, callerResponse, message, body, repeatable } = request;
-    const mayRunOnOtherTarget = (): boolean =>
-      repeatable &&
-      progress.possibleRuns + 1 < route.attempts &&
+    const received = callerResponse.progress;
+    const getStartedVersion = (): string | undefined =>
+      callerResponse.started ? target.version : undefined;
+    const mayRunOnFurtherTarget = (hasFailed: boolean): boolean =>
+      progress.mayRunFurtherAfter(target.id, hasFailed, route.attempts) &&
       router.hasAlternative(
         request.service,
         new Set(progress.excludedTargets).add(target.id),
-        progress.version ?? (callerResponse.started ? target.version : undefined),
+        progress.version ?? getStartedVersion(),
       );
+    const findReturnTarget = (): ReturnTarget | undefined =>
+      this.findReturnTarget(request, progress, getStartedVersion());
+    // A silent target may go on, so it is left only for one that is likely to respond.
+    const mayLeaveSilent = (): boolean =>
+      repeatable &&
+      callerResponse.canContinue &&
+      progress.mayLeave(target.id) &&
+      (mayRunOnFurtherTarget(false) || findReturnTarget()?.responsive === true);
+    const isUnconfirmedEnd = (): boolean =>
+      progress.unconfirmedEnd !== undefined &&
+      callerResponse.progress === received &&
+      !callerResponse.hasPartialEvent;
     const endLoad = loadTable.beginRequest(target.id, 'online');
     this.dependencies.onAttemptStart(target);
     const sentAt = performance.now();
@@ -353,8 +396,9 @@
       bodyIdleTimeoutMs: getBodyIdleTimeoutMs(route),
       onIdleTimeout: () => {
         health.recordFailure(target.id, 'silent');
-        return progress.unconfirmedEnd !== undefined || mayRunOnOtherTarget();
+        return isUnconfirmedEnd() || mayLeaveSilent();
       },
+      onResumed: () => health.recordSuccess(target.id),
       onResponse: (status) => {
         if (status === FAILED_STATUS) health.recordFailure(target.id, `status ${status}`);
         else health.recordSuccess(target.id);
@@ -364,7 +408,10 @@
       },
       onUnderWay: () => crashGuard.recordServed(request.service, request.contentKeys),
       onDraining: () => this.dependencies.drainingTargets.add(target),
-      shouldRetryStatus: (status) => status === FAILED_STATUS && mayRunOnOtherTarget(),
+      shouldRetryStatus: (status) =>
+        status === FAILED_STATUS &&
+        repeatable &&
+        (mayRunOnFurtherTarget(true) || findReturnTarget() !== undefined),
       maxResponseBytes: MAX_RESPONSE_BYTES,
     });
     endLoad();
@@ -387,7 +434,9 @@
     const { health, journal } = this.dependencies;
     const { head, account, callerResponse } = request;
     progress.excludedTargets.add(target.id);
-    if (outcome.kind !== 'not-run') progress.countPossibleRun();
+    if (outcome.kind !== 'not-run')
+      progress.recordPossibleRun(target.id, outcome.kind !== 'silent');
+    if (outcome.kind === 'silent') progress.recordLeft(target.id);
     if (mayServeLater(callerResponse, outcome)) progress.recordRecovering(target.id);
     if (isTargetFault(outcome)) health.recordFailure(target.id, outcome.cause);
     journal.record('attempt-failed', {
--- a/packages/serving/src/online/RequestProgress.ts
+++ b/packages/serving/src/online/RequestProgress.ts
@@ -19,9 +19,21 @@
   /** Those among them that may serve the request a moment later. */
   private readonly recoveringTargets = new Set<string>();
 
+  /** Ids of targets that may have run the request. */
+  private readonly runTargets = new Set<string>();
+
+  /** Ids of targets that were left while they were silent, and to which the request may return. */
+  private readonly leftTargets = new Set<string>();
+
+  /** Ids of targets to which the request has returned. */
+  private readonly returnedTargets = new Set<string>();
+
   /** Number of attempts in which the target may have run the request. */
   possibleRuns = 0;
 
+  /** Number of these attempts that the target failed. */
+  private failedRuns = 0;
+
   attempts = 0;
 
   /** Version of the targets that can continue the stream; undefined while none has begun. */
@@ -69,7 +81,69 @@
     this.attempts += 1;
   }
 
-  countPossibleRun(): void {
+  /**
+   * Records that a target may have run the request.
+   *
+   * @param target - id of the target
+   * @param hasFailed - whether the target failed the request; false if it was complete or only silent
+   */
+  recordPossibleRun(target: string, hasFailed: boolean): void {
     this.possibleRuns += 1;
+    this.runTargets.add(target);
+    if (hasFailed) this.failedRuns += 1;
+  }
+
+  /**
+   * Checks whether the request may run at a target to which it has not been sent yet.
+   *
+   * @param maxTargets - maximum number of targets that may run the request, and of runs that may fail
+   * @returns whether a further target is allowed
+   */
+  mayRunFurther(maxTargets: number): boolean {
+    return this.runTargets.size < maxTargets && this.failedRuns < maxTargets;
+  }
+
+  /**
+   * Checks the same for the time after an attempt in progress.
+   *
+   * @param target - id of the attempt's target
+   * @param hasFailed - whether the target fails the request, see {@link recordPossibleRun}
+   * @param maxTargets - maximum number of targets that may run the request, and of runs that may fail
+   * @returns whether a further target is allowed then
+   */
+  mayRunFurtherAfter(target: string, hasFailed: boolean, maxTargets: number): boolean {
+    const targets = this.runTargets.size + (this.runTargets.has(target) ? 0 : 1);
+    const failures = this.failedRuns + (hasFailed ? 1 : 0);
+    return targets < maxTargets && failures < maxTargets;
+  }
+
+  /**
+   * Checks whether the request may leave a target that is silent.
+   *
+   * @param target - id of the target
+   * @returns false if it has returned to this target before
+   */
+  mayLeave(target: string): boolean {
+    return !this.returnedTargets.has(target);
+  }
+
+  /** Records that the request has left a target because it was silent. */
+  recordLeft(target: string): void {
+    this.leftTargets.add(target);
+  }
+
+  /** Records that the request returns to a target that it has left. Each target allows this once. */
+  recordReturn(target: string): void {
+    this.leftTargets.delete(target);
+    this.returnedTargets.add(target);
+  }
+
+  /**
+   * Lists the targets to which the request may return.
+   *
+   * @returns ids, in the order in which the request has left them
+   */
+  get returnableTargets(): readonly string[] {
+    return [...this.leftTargets];
   }
 }
--- a/packages/serving/src/online/runAttempt.ts
+++ b/packages/serving/src/online/runAttempt.ts
@@ -73,6 +73,8 @@
    * @returns whether this ends the attempt
    */
   readonly onIdleTimeout: () => boolean;
+  /** Called when the target goes on with its body after a timeout that has not ended the attempt. */
+  readonly onResumed?: () => void;
   /** Maximum size of the response body. Unit: bytes. */
   readonly maxResponseBytes: number;
   /** Called with the status when the target itself responds. */
@@ -169,6 +171,8 @@
 
   private isUnderWay = false;
 
+  private isSilent = false;
+
   private isCloseDelimited = false;
 
   /** Progress of the sink before this attempt. */
@@ -182,6 +186,7 @@
   ) {
     this.initialProgress = options.sink.progress;
     this.idleTimeout = new IdleTimeout(() => {
+      this.isSilent = true;
       if (options.onIdleTimeout()) this.abortCall({ kind: 'silent' });
     }, options.timers);
   }
@@ -241,6 +246,7 @@
       return;
     }
     this.status = status;
+    this.isSilent = false;
     this.idleTimeout.start(bodyIdleTimeoutMs);
     this.isCloseDelimited =
       framing === 'none' && request.method !== 'HEAD' && !STATUSES_WITHOUT_BODY.has(status);
@@ -270,7 +276,7 @@
       return;
     }
     // Bytes that complete no event don't count as activity: the event may never end.
-    if (sink.progress > progress) this.idleTimeout.recordActivity();
+    if (sink.progress > progress) this.recordActivity();
     if (sink.progress - this.initialProgress >= PARTS_UNDER_WAY) this.recordUnderWay();
     if (acceptsMore) return;
     this.call?.pause();
@@ -304,6 +310,13 @@
     });
   }
 
+  private recordActivity(): void {
+    this.idleTimeout.recordActivity();
+    if (!this.isSilent) return;
+    this.isSilent = false;
+    this.options.onResumed?.();
+  }
+
   private recordUnderWay(): void {
     if (this.isUnderWay || this.status >= FIRST_UNSUCCESSFUL_STATUS) return;
     this.isUnderWay = true;
--- a/packages/serving/src/routing/TargetRouter.ts
+++ b/packages/serving/src/routing/TargetRouter.ts
@@ -8,6 +8,7 @@
   chooseTarget,
   findHoldersToNotify,
   countItemsToCancel,
+  hasUsableTarget,
   type Candidate,
   type TargetChoice,
   type TargetOccupancy,
@@ -24,6 +25,13 @@
   readonly health: TargetHealth;
 }
 
+/** A target to which a request may return. */
+export interface ReturnTarget {
+  readonly target: Target;
+  /** Whether it has responded since the request has left it. */
+  readonly responsive: boolean;
+}
+
 /** Chooses the targets of online requests and batch items. */
 export class TargetRouter {
   constructor(private readonly dependencies: TargetRouterDependencies) {}
@@ -100,7 +108,7 @@
   }
 
   /**
-   * Checks whether the service has another usable target.
+   * Checks whether the service has another usable target that is not full.
    *
    * @param service - name of the service
    * @param excluded - identities of targets to ignore
@@ -112,9 +120,33 @@
     excluded: ReadonlySet<string>,
     version: string | undefined,
   ): boolean {
-    return this.listCandidates(service, version).some(
-      ({ target, usable }) => usable && !excluded.has(target.id),
-    );
+    return hasUsableTarget({
+      candidates: this.listCandidates(service, version),
+      excluded,
+      isContinuation: version !== undefined,
+    });
+  }
+
+  /**
+   * Finds the target to which a request returns after it has left it, whatever the target's load and health. Targets that
+   * have responded to other requests since are preferred.
+   *
+   * @param service - name of the service
+   * @param left - identities of the targets that the request has left
+   * @param version - version that the target must have; undefined if any will do
+   * @returns the target; undefined if none of them accepts requests
+   */
+  findReturnTarget(
+    service: string,
+    left: readonly string[],
+    version: string | undefined,
+  ): ReturnTarget | undefined {
+    if (left.length === 0) return undefined;
+    const returnable = this.listAccepting(service)
+      .filter(({ id }) => left.includes(id))
+      .filter((target) => version === undefined || target.version === version)
+      .map((target) => ({ target, responsive: this.dependencies.health.isResponsive(target.id) }));
+    return returnable.find(({ responsive }) => responsive) ?? returnable[0];
   }
 
   /**
--- a/packages/serving/src/routing/chooseTarget.ts
+++ b/packages/serving/src/routing/chooseTarget.ts
@@ -147,6 +147,33 @@
     ? possible
     : possible.filter((candidate) => candidate.responsive && !isReportedUnresponsive(candidate));
 
+/** Lists the candidates to which a request may be sent, and those among them that look healthy. */
+const selectUsable = ({
+  candidates,
+  excluded,
+}: Pick<OnlineCriteria, 'candidates' | 'excluded'>): Readonly<
+  Record<'possible' | 'usable', readonly Candidate[]>
+> => {
+  const possible = candidates.filter(({ target }) => !excluded.has(target.id));
+  const usable = possible.filter(
+    (candidate) => candidate.usable && !isReportedUnresponsive(candidate),
+  );
+  return { possible, usable };
+};
+
+/**
+ * Checks whether a request could be sent to a target that looks healthy and is not full.
+ *
+ * @param criteria - candidates and properties of the request
+ * @returns whether there is one
+ */
+export const hasUsableTarget = (
+  criteria: Pick<OnlineCriteria, 'candidates' | 'excluded' | 'isContinuation'>,
+): boolean => {
+  const { usable } = selectUsable(criteria);
+  return findPreferred(usable, criteria.isContinuation).capacityOf !== undefined;
+};
+
 /**
  * Chooses the target of an online request. Load data is about 100 ms old, and in that time a failure domain of twenty
  * hosts places a dozen requests. If all of them went to the target with the most free slots, they would queue there
@@ -162,10 +189,7 @@
   isContinuation,
   random,
 }: OnlineCriteria): TargetChoice => {
-  const possible = candidates.filter(({ target }) => !excluded.has(target.id));
-  const usable = possible.filter(
-    (candidate) => candidate.usable && !isReportedUnresponsive(candidate),
-  );
+  const { possible, usable } = selectUsable({ candidates, excluded });
   const counts = {
     accepting: candidates.length,
     excluded: candidates.length - possible.length,
