Read the targets before the version of a stream is inferred

A caller takes up a resumable stream at a host that has not seen it begin. If only one version seems possible, the host lets the stream go on there. It took a response of the store to a read of open streams as proof that it had not missed a version. The list of targets is followed by another call, though, which may lag or fail on its own. A host that had not heard of the targets of a new version continued their streams on an older one, and the caller got one text from two versions.

A host also relied on a read of open streams that began up to 50 ms before the caller asked, and refused a stream whose version it knew from another host but whose targets it had not heard of yet.

Cause: the proof was taken from other data than the conclusion. A target is registered before a stream begins on it, so only a read of the targets that starts after the caller has asked shows every version in service. The follower of the targets makes the read beside its long poll; a late response to the poll can't undo what was read meanwhile, and a lost history makes it read the whole table.

Ruled out: rows of other hosts as proof. They are rewritten only on changes and may be missing, 15 s old, or not written by a host without the store.

--- a/packages/serving/src/store/TableFollower.ts
+++ b/packages/serving/src/store/TableFollower.ts
@@ -46,6 +46,9 @@
   readonly readTimestamp?: () => Timestamp;
 }
 
+const getRevision = (change: RecordChange): number =>
+  change.kind === 'written' ? change.record.revision : change.revision;
+
 /** Keeps a listener up to date with the content of a table. */
 export class TableFollower {
   /** Revision up to which the listener has received all changes. */
@@ -104,16 +107,14 @@
     const clock = this.dependencies.clock ?? systemClock;
     while (this.running) {
       const sentAt = this.now();
-      const failure = await this.readNext(sentAt);
+      // After a failure, polls without a wait: a long poll would delay the detection of the store's recovery.
+      const holdMs = this.consecutiveFailures > 0 ? 0 : this.options.holdMs;
+      const failure = await this.readNext(sentAt, holdMs);
       if (!failure) {
         this.recordSuccess();
         await this.waitForInterval(sentAt, clock);
       } else if (failure.kind === 'history-lost') {
-        this.confirmedAt = undefined;
-        this.dependencies.journal.record('history-lost', {
-          table: this.options.table,
-          revision: this.revision,
-        });
+        this.recordHistoryLoss();
       } else {
         this.recordFailure(failure);
         const delayMs = Math.min(
@@ -125,6 +126,19 @@
     }
   }
 
+  /**
+   * Reads the changes up to now, without waiting for the long poll in progress, whose response may be late or lost.
+   *
+   * @returns whether the listener has received all changes that were made before this call
+   */
+  async catchUp(): Promise<boolean> {
+    const sentAt = this.now();
+    const failure = await this.readNext(sentAt, 0);
+    if (failure?.kind !== 'history-lost') return !failure;
+    this.recordHistoryLoss();
+    return !(await this.readNext(sentAt, 0));
+  }
+
   private now(): Timestamp {
     return (this.dependencies.readTimestamp ?? readTimestamp)();
   }
@@ -134,40 +148,48 @@
     if (remainingMs > 0) await clock.sleep(remainingMs);
   }
 
-  private async readNext(sentAt: Timestamp): Promise<StoreFailure | undefined> {
+  private async readNext(sentAt: Timestamp, holdMs: number): Promise<StoreFailure | undefined> {
     try {
-      return await (this.confirmedAt ? this.pollChanges(sentAt) : this.loadTable(sentAt));
+      return await (this.confirmedAt ? this.pollChanges(sentAt, holdMs) : this.loadTable(sentAt));
     } catch (error) {
       return { kind: 'unknown', message: String(error) };
     }
   }
 
   private async loadTable(sentAt: Timestamp): Promise<StoreFailure | undefined> {
+    const before = this.revision;
     const page = await this.dependencies.store.readTable(this.options.table);
     if (page.isErr()) return page.error;
+    // Another call has read a later state meanwhile.
+    if (this.revision > before && this.revision >= page.value.revision) return undefined;
     this.revision = page.value.revision;
     // Set before the listener is called, as code that waits for the table checks the age right away.
-    this.confirmedAt = sentAt;
+    this.confirm(sentAt);
     this.replaceAll(page.value.records, page.value.revision);
     this.resolveLoaded();
     return undefined;
   }
 
-  private async pollChanges(sentAt: Timestamp): Promise<StoreFailure | undefined> {
-    const { table, holdMs } = this.options;
-    // After a failure, polls without a wait: a long poll would delay the detection of the store's recovery.
-    const page = await this.dependencies.store.follow(
-      table,
-      this.revision,
-      this.consecutiveFailures > 0 ? 0 : holdMs,
-    );
+  private async pollChanges(sentAt: Timestamp, holdMs: number): Promise<StoreFailure | undefined> {
+    const after = this.revision;
+    const page = await this.dependencies.store.follow(this.options.table, after, holdMs);
     if (page.isErr()) return page.error;
+    // Another call may have read some of the changes meanwhile. Applied again, they would undo later ones.
+    const changes =
+      this.revision === after
+        ? page.value.changes
+        : page.value.changes.filter((change) => getRevision(change) > this.revision);
     this.revision = Math.max(this.revision, page.value.revision);
-    this.confirmedAt = sentAt;
-    if (page.value.changes.length > 0) this.applyAll(page.value.changes);
+    this.confirm(sentAt);
+    if (changes.length > 0) this.applyAll(changes);
     return undefined;
   }
 
+  private confirm(sentAt: Timestamp): void {
+    if (!this.confirmedAt || sentAt.monotonic > this.confirmedAt.monotonic)
+      this.confirmedAt = sentAt;
+  }
+
   /** Passes the table on. If the listener fails on one record, it still receives the others. */
   private replaceAll(records: readonly StoredRecord[], revision: number): void {
     try {
@@ -196,6 +218,13 @@
     this.dependencies.journal.record('unhandled-fault', { table, cause: String(error) });
   }
 
+  /** Makes the next call read the whole table. */
+  private recordHistoryLoss(): void {
+    this.confirmedAt = undefined;
+    const { table } = this.options;
+    this.dependencies.journal.record('history-lost', { table, revision: this.revision });
+  }
+
   private recordSuccess(): void {
     if (this.consecutiveFailures === 0) return;
     this.consecutiveFailures = 0;
--- a/packages/serving/src/streams/StreamRecords.ts
+++ b/packages/serving/src/streams/StreamRecords.ts
@@ -5,6 +5,7 @@
 import type { HostIdentity } from '../fleet/HostIdentity.js';
 import { parseJson } from '../store/parseJson.js';
 import type { RecordStore, StoredRecord } from '../store/RecordStore.js';
+import { SharedRead } from '../store/SharedRead.js';
 import { STREAM_RETENTION_MS, type StreamVersions } from './StreamVersions.js';
 import type { VersionHistory } from './VersionHistory.js';
 
@@ -20,9 +21,6 @@
 /** Minimum time between two writes of a host per host of the fleet: 100 writes a second in all. Unit: ms. */
 const WRITE_INTERVAL_PER_HOST_MS = 10;
 
-/** Minimum time between two reads of a host. Unit: ms. */
-const READ_INTERVAL_MS = 50;
-
 /** Delay after a failed read at the start. Unit: ms. */
 const READ_RETRY_DELAY_MS = 250;
 
@@ -60,9 +58,7 @@
 
   private isLoaded = false;
 
-  private pendingRead: Promise<boolean> | undefined;
-
-  private readAt = Number.NEGATIVE_INFINITY;
+  private readonly sharedRead = new SharedRead(() => this.read());
 
   private writeTimer: NodeJS.Timeout | undefined;
 
@@ -94,16 +90,12 @@
   }
 
   /**
-   * Reads the rows of all hosts, unless this has just been done.
+   * Reads the rows of all hosts as of now or later.
    *
    * @returns whether the store has responded
    */
   refresh(): Promise<boolean> {
-    if (performance.now() - this.readAt < READ_INTERVAL_MS) return Promise.resolve(true);
-    this.pendingRead ??= this.read().finally(() => {
-      this.pendingRead = undefined;
-    });
-    return this.pendingRead;
+    return this.sharedRead.run();
   }
 
   private async read(): Promise<boolean> {
@@ -112,7 +104,6 @@
     const page = await this.dependencies.store.read(range);
     if (page.isErr()) return false;
     page.value.records.forEach((record) => this.applyRecord(record, sentAt));
-    this.readAt = sentAt;
     if (!this.isLoaded) {
       this.isLoaded = true;
       this.scheduleWrite();
--- a/packages/serving/src/streams/StreamResumption.ts
+++ b/packages/serving/src/streams/StreamResumption.ts
@@ -4,17 +4,27 @@
 import type { StreamVersions } from './StreamVersions.js';
 import type { VersionHistory } from './VersionHistory.js';
 
-/** Maximum time for one read of the store. Unit: ms. */
+/** Maximum time for the reads of the store. Unit: ms. */
 const READ_TIMEOUT_MS = 300;
 
 /** Time in which the host that began a stream reports or saves it, after which the store is read again. Unit: ms. */
 const RECHECK_DELAY_MS = 150;
 
+/** Waits for a read of the store; a late one counts as failed. */
+const limitRead = (read: Promise<boolean>): Promise<boolean> =>
+  Promise.race([read, systemClock.sleep(READ_TIMEOUT_MS).then(() => false)]);
+
 /** Dependencies of {@link StreamResumption}. */
 export interface StreamResumptionDependencies {
   readonly streamVersions: Pick<StreamVersions, 'find'>;
   readonly streamRecords: Pick<StreamRecords, 'refresh'>;
-  readonly versionHistory: Pick<VersionHistory, 'listPossible'>;
+  readonly versionHistory: Pick<VersionHistory, 'listPossible' | 'isInService'>;
+  /**
+   * Reads the registered targets as of now or later, and updates {@link versionHistory}.
+   *
+   * @returns whether the store has responded
+   */
+  readonly refreshTargets: () => Promise<boolean>;
 }
 
 /** Determines versions of streams that began on any host. */
@@ -30,17 +40,26 @@
    */
   async findVersion(key: string, service: string): Promise<string | undefined> {
     const known = this.dependencies.streamVersions.find(key);
-    if (known !== undefined) return known;
-    return (await this.readVersion(key, service)) ?? (await this.recheck(key, service));
+    if (known === undefined)
+      return (await this.readVersion(key, service)) ?? this.recheck(key, service);
+    // Another host may have seen targets of this version that are new to this one.
+    if (!this.dependencies.versionHistory.isInService(service, known))
+      await limitRead(this.dependencies.refreshTargets());
+    return known;
   }
 
-  /** Reads the store, which also proves that this host knows of all versions. */
+  /**
+   * Reads the rows of open streams and the registered targets. A target is registered before a stream begins on it, so
+   * that targets which are read after the caller has asked show all versions in service. The rows don't: a host may not
+   * have written its row yet.
+   */
   private async readVersion(key: string, service: string): Promise<string | undefined> {
-    const { streamVersions, streamRecords, versionHistory } = this.dependencies;
-    const isCurrent = await Promise.race([
-      streamRecords.refresh(),
-      systemClock.sleep(READ_TIMEOUT_MS).then(() => false),
-    ]);
+    const { streamVersions, streamRecords, versionHistory, refreshTargets } = this.dependencies;
+    const isCurrent = await limitRead(
+      Promise.all([streamRecords.refresh(), refreshTargets()]).then((results) =>
+        results.every(Boolean),
+      ),
+    );
     const known = streamVersions.find(key);
     if (known !== undefined || !isCurrent) return known;
     const possible = versionHistory.listPossible(service);
--- a/packages/serving/src/streams/VersionHistory.ts
+++ b/packages/serving/src/streams/VersionHistory.ts
@@ -62,6 +62,17 @@
       .map(([version]) => version);
   }
 
+  /**
+   * Checks whether a version is in service.
+   *
+   * @param service - name of the service
+   * @param version - name of the version
+   * @returns whether this host knows a registered target of the version
+   */
+  isInService(service: string, version: string): boolean {
+    return this.lastSeen.get(service)?.get(version) === Number.POSITIVE_INFINITY;
+  }
+
   /**
    * Checks whether any service may have streams of several versions.
    *
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -26,6 +26,7 @@
 import { TargetHealth } from '../routing/TargetHealth.js';
 import { TargetRouter } from '../routing/TargetRouter.js';
 import type { RecordChange, RecordStore, StoredRecord } from '../store/RecordStore.js';
+import { SharedRead } from '../store/SharedRead.js';
 import { StreamRecords } from '../streams/StreamRecords.js';
 import { StreamResumption } from '../streams/StreamResumption.js';
 import { StreamVersions } from '../streams/StreamVersions.js';
@@ -226,6 +227,7 @@
     createTargetsListener(targets, tables, journal, () => targetsFollower.timeSinceRecovery),
     followerDependencies,
   );
+  const targetsRead = new SharedRead(() => targetsFollower.catchUp());
   const membersFollower = new TableFollower(
     { table: MEMBERS_TABLE, holdMs: RELAXED_POLL_TIMEOUT_MS, intervalMs: 0 },
     members,
@@ -309,7 +311,12 @@
     onAttemptStart: (target) => exchange.sendReportTo(router.findHoldersToNotify(target)),
     drainingTargets,
     streamVersions,
-    streamResumption: new StreamResumption({ streamVersions, streamRecords, versionHistory }),
+    streamResumption: new StreamResumption({
+      streamVersions,
+      streamRecords,
+      versionHistory,
+      refreshTargets: () => targetsRead.run(),
+    }),
   });
   targets.onChange(() => versionHistory.update(targets.list()));
   drainingTargets.onAdded(() => exchange.scheduleReport());
--- a/packages/serving/test/features/following.feature
+++ b/packages/serving/test/features/following.feature
@@ -62,3 +62,29 @@
     And rows "a" and "b" are written
     Then the listener has rows "a, b"
     And the data was confirmed less than 100 ms ago
+
+  # Guards against data that stays outdated, though the store responds, because one long poll gets no response.
+  Scenario: A follower catches up while the response to its long poll is delayed, which then undoes nothing
+    Given a follower of a table with a minimum interval of 0 ms
+    When the response to a long poll with row "a" is delayed
+    And the follower catches up
+    Then the listener has rows "a"
+    When row "a" is removed
+    And the follower catches up
+    Then the listener has rows ""
+    When the delayed response arrives
+    Then the listener has rows ""
+
+  # Guards against changes that are missed by catching up from a revision that the store no longer retains.
+  Scenario: A follower catches up by reading the whole table when its history is lost
+    Given a follower of a table with a minimum interval of 0 ms
+    When the response to a long poll with row "a" is delayed
+    And the store no longer retains the history
+    And the follower catches up
+    Then the listener has rows "a"
+
+  # Guards against data that counts as current though it was not read.
+  Scenario: A follower can't catch up while the store is unavailable
+    Given a follower of a table with a minimum interval of 0 ms
+    When the store is down
+    Then the follower can't catch up
--- a/packages/serving/test/features/streams.feature
+++ b/packages/serving/test/features/streams.feature
@@ -60,6 +60,22 @@
     And the hosts have saved them
     Then "h-2" finds no version for a stream that no host has seen
 
+  # Guards against a guess by a host that has missed a version, while no other host has saved that it serves.
+  Scenario: A host that has missed a version finds it among the registered targets
+    Given hosts "h-1" and "h-2" that know versions "v1"
+    And the hosts have saved them
+    When version "v2" comes into service, and the hosts hear nothing of it
+    Then "h-2" finds no version for a stream that no host has seen
+
+  # Guards against a guess by a host that has missed a version, when other hosts have saved it some time ago.
+  Scenario: A host that can't read the targets doesn't guess from an older row of another host
+    Given hosts "h-1" and "h-2" that know versions "v1"
+    And the hosts have saved them
+    When version "v2" comes into service, and the hosts hear nothing of it
+    And "h-1" has written 20 s ago that version "v2" is in service
+    And the hosts can't read the targets
+    Then "h-2" finds no version for a stream that no host has seen
+
   Scenario: While one version serves, it has begun every stream, and the rows are written once
     Given hosts "h-1" and "h-2" that know versions "v1"
     When 30 streams of "v1" begin at "h-1"
--- a/packages/serving/test/steps/following.steps.ts
+++ b/packages/serving/test/steps/following.steps.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { After, Given, Then, When } from '@cucumber/cucumber';
+import type { RecordChange } from '@jacinthlug/serving/store/RecordStore';
 import { TableFollower } from '@jacinthlug/serving/store/TableFollower';
 import { errAsync, ResultAsync } from 'neverthrow';
 import { FakeClock } from '../fakes/FakeClock.js';
@@ -16,8 +17,18 @@
   /** Row on which the listener throws an error. */
   failingRow: string | undefined;
   events: { readonly name: string; readonly facts: object }[];
+  /** Delivers the response that the store has withheld. */
+  deliver: () => void;
 }
 
+const remove = async (store: MemoryRecordStore, key: string): Promise<void> => {
+  await store.commit({
+    conditions: [],
+    writes: [],
+    removals: [{ table: TABLE, partition: '', key }],
+  });
+};
+
 const write = async (store: MemoryRecordStore, key: string): Promise<void> => {
   const value = Buffer.from('x');
   await store.commit({ conditions: [], writes: [{ table: TABLE, partition: '', key, value }] });
@@ -50,8 +61,11 @@
       rows.clear();
       records.forEach(({ key }) => addRow(key));
     },
-    apply: (changes: readonly { kind: string; record?: { key: string } }[]) =>
-      changes.forEach(({ record }) => record && addRow(record.key)),
+    apply: (changes: readonly RecordChange[]) =>
+      changes.forEach((change) => {
+        if (change.kind === 'written') addRow(change.record.key);
+        else rows.delete(change.key.key);
+      }),
   };
   const follower = new TableFollower({ table: TABLE, holdMs, intervalMs }, listener, {
     store,
@@ -159,6 +173,51 @@
   assert.ok(JSON.stringify(failures).includes(`row ${row}`));
 });
 
+When(
+  'the response to a long poll with row {string} is delayed',
+  async function (this: FollowingWorld, key: string) {
+    const { store, clock } = this;
+    const follow = store.follow.bind(store);
+    const delivered = new Promise<void>((resolve) => {
+      this.deliver = resolve;
+    });
+    store.follow = (...call) => {
+      store.follow = follow;
+      return ResultAsync.fromSafePromise(write(store, key))
+        .andThen(() => follow(...call))
+        .andThen((page) => ResultAsync.fromSafePromise(delivered.then(() => page)));
+    };
+    await clock.advance(200);
+  },
+);
+
+When('row {string} is removed', function (this: FollowingWorld, key: string) {
+  return remove(this.store, key);
+});
+
+When('the store no longer retains the history', function (this: FollowingWorld) {
+  const { store } = this;
+  const follow = store.follow.bind(store);
+  const { revision } = store;
+  store.follow = (table, after, holdMs) =>
+    after < revision ? errAsync({ kind: 'history-lost' }) : follow(table, after, holdMs);
+});
+
+When('the follower catches up', async function (this: FollowingWorld) {
+  const result = this.follower.catchUp();
+  await this.clock.advance(100);
+  assert.ok(await result);
+});
+
+When('the delayed response arrives', async function (this: FollowingWorld) {
+  this.deliver();
+  await this.clock.advance(10);
+});
+
+Then("the follower can't catch up", async function (this: FollowingWorld) {
+  assert.ok(!(await this.follower.catchUp()));
+});
+
 When('the store is unavailable for {int} ms', async function (this: FollowingWorld, ms: number) {
   this.store.down = true;
   await this.clock.advance(ms);
@@ -196,7 +255,7 @@
 );
 
 Then('the listener has rows {string}', function (this: FollowingWorld, keys: string) {
-  assert.deepEqual([...this.rows].sort(), keys.split(', '));
+  assert.deepEqual([...this.rows].sort().join(', '), keys);
 });
 
 Then('the data was confirmed less than {int} ms ago', function (this: FollowingWorld, ms: number) {
--- a/packages/serving/test/steps/streams.steps.ts
+++ b/packages/serving/test/steps/streams.steps.ts
@@ -25,6 +25,9 @@
   store: MemoryRecordStore;
   hosts: Map<string, SimulatedHost>;
   keys: string[];
+  /** Versions that hosts find when they read the registered targets; undefined for those that each host knows. */
+  registered: string[] | undefined;
+  areTargetsReadable: boolean;
 }
 
 const createTargets = (versions: readonly string[]): Target[] =>
@@ -54,7 +57,16 @@
     countHosts: () => 2,
     journal: silentJournal,
   });
-  const resumption = new StreamResumption({ streamVersions, streamRecords, versionHistory });
+  const resumption = new StreamResumption({
+    streamVersions,
+    streamRecords,
+    versionHistory,
+    refreshTargets: () => {
+      if (!world.areTargetsReadable) return Promise.resolve(false);
+      if (world.registered) versionHistory.update(createTargets(world.registered));
+      return Promise.resolve(!world.store.down);
+    },
+  });
   world.hosts.set(name, { streamVersions, versionHistory, streamRecords, resumption });
   versionHistory.update(createTargets(versions));
   await streamRecords.start();
@@ -67,7 +79,13 @@
 };
 
 const startFleet = async (world: StreamsWorld, versions: readonly string[]): Promise<void> => {
-  Object.assign(world, { store: new MemoryRecordStore(), hosts: new Map(), keys: [] });
+  Object.assign(world, {
+    store: new MemoryRecordStore(),
+    hosts: new Map(),
+    keys: [],
+    registered: undefined,
+    areTargetsReadable: true,
+  });
   for (const name of ['h-1', 'h-2']) await startHost(world, name, versions);
 };
 
@@ -163,6 +181,33 @@
   },
 );
 
+When(
+  'version {string} comes into service, and the hosts hear nothing of it',
+  function (this: StreamsWorld, version: string) {
+    this.registered = ['v1', version];
+  },
+);
+
+When(
+  '{string} has written {int} s ago that version {string} is in service',
+  async function (this: StreamsWorld, key: string, seconds: number, version: string) {
+    const row = {
+      writtenAt: this.store.now() - seconds * 1000,
+      versions: { [SERVICE]: ['v1', version] },
+      streams: [],
+    };
+    const value = Buffer.from(JSON.stringify(row));
+    await this.store.commit({
+      conditions: [],
+      writes: [{ table: 'streams', partition: 'streams', key, value }],
+    });
+  },
+);
+
+When("the hosts can't read the targets", function (this: StreamsWorld) {
+  this.areTargetsReadable = false;
+});
+
 When(
   'version {string} has left {int} s ago',
   function (this: StreamsWorld, version: string, seconds: number) {
