Give every request that a stopping host has read a status

Callers saw: requests that came late in the grace time were taken and passed on, and were cut without a response at its end, among them requests that may not be repeated.

Cause: two gaps in the stop. First, the end of the notice period closed the listener and called closeIdleConnections, which in Node.js leaves out connections that have carried no request, and closes nothing later. Connections that were unused, within a response or within a request took new requests until the end. Second, at the end the connections of all responses without chunks were reset, also of those that had not started.

Fix: the server tracks its connections. After the notice period it closes each one as soon as nothing is being received or sent on it; requests that have arrived by then are read first, and later ones are not read. A request that becomes whole after the notice period is refused with 1402 (503, not run) before any target has it. At the end, requests whose response has not started end with 1402 if no target can have run them, otherwise with the new code 1406 (504, promises nothing); a caller that is still sending its head or body gets 503. Started responses end as before. Responses also announce the close if their request came before the signal. Requests that come within the notice period are served as before; it is 2.8 s instead of 3 s, since a late signal or timer would otherwise take requests that were sent later than 3 s after the signal, and at most half of the stop.

server.close() is replaced by that of net.Server, because the former also destroys connections whose last response has ended but is not sent yet.

--- a/packages/catalog/src/resultCodes.ts
+++ b/packages/catalog/src/resultCodes.ts
@@ -299,6 +299,15 @@
     run: 'not run',
     retryAfterSeconds: 1,
   },
+  'stopped-in-progress': {
+    number: 1406,
+    title: 'Host stopped',
+    message: 'This host has stopped before the outcome of the request was known.',
+    hint: 'The request may have run. Repeat it only if that does no harm.',
+    status: 504,
+    run: 'outcome unknown',
+    retryAfterSeconds: 0.1,
+  },
   'internal-fault': {
     number: 1499,
     title: 'Internal fault',
--- /dev/null
+++ b/packages/serving/src/http/CallerConnection.ts
@@ -0,0 +1,82 @@
+/** One connection of a caller, and the requests in progress on it. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+
+/** Response to a request of which a part was received; the request has not run. */
+const PARTIAL_REQUEST_RESPONSE = [
+  'HTTP/1.1 503 Service Unavailable',
+  'Connection: close',
+  'Content-Length: 0',
+  '',
+  '',
+].join('\r\n');
+
+/** Tracks the requests on one connection. */
+export class CallerConnection {
+  /** Responses in progress, in the order of their requests. */
+  readonly responses = new Set<ServerResponse>();
+
+  /** Bytes received up to the end of the last request. */
+  private handledBytes = 0;
+
+  private isClosing = false;
+
+  constructor(
+    private readonly socket: Socket,
+    private readonly onIdle: () => void,
+  ) {}
+
+  /** Whether no part of a request or response is on its way. Node.js doesn't count unused connections as idle. */
+  get isIdle(): boolean {
+    return this.responses.size === 0 && this.socket.bytesRead === this.handledBytes;
+  }
+
+  /**
+   * Tracks a request.
+   *
+   * @param message - the request
+   * @param response - its response
+   * @returns whether it can be answered; otherwise an earlier response closes the connection
+   */
+  begin(message: IncomingMessage, response: ServerResponse): boolean {
+    const isAnswerable = [...this.responses].every(
+      ({ headersSent, shouldKeepAlive }) => !headersSent || shouldKeepAlive,
+    );
+    this.responses.add(response);
+    const update = (): void => {
+      if (!message.complete || !response.closed) return;
+      this.handledBytes = this.socket.bytesRead;
+      if (this.isIdle) this.onIdle();
+    };
+    response.once('close', () => {
+      this.responses.delete(response);
+      update();
+    });
+    // After the response if that was sent before the whole request had arrived.
+    message.once('close', update);
+    if (this.isClosing) this.announceClose();
+    return isAnswerable;
+  }
+
+  /** Announces in the response to the last request, and in no earlier one, that the connection closes. */
+  announceClose(): void {
+    const unsent = [...this.responses].filter(({ headersSent }) => !headersSent);
+    const last = unsent.pop();
+    if (this.isClosing)
+      unsent.forEach((response) => Object.assign(response, { shouldKeepAlive: true }));
+    if (last) last.shouldKeepAlive = false;
+    this.isClosing = true;
+  }
+
+  /** Closes the connection, if it is idle. Requests that have not been read by now are not read. */
+  closeIfIdle(): void {
+    if (this.isIdle) this.socket.destroy();
+  }
+
+  /** Refuses a request whose head has not been received completely. */
+  refusePartialHead(): void {
+    if (this.responses.size > 0) return;
+    this.socket.write(PARTIAL_REQUEST_RESPONSE);
+    this.socket.destroySoon();
+  }
+}
--- a/packages/serving/src/http/CallerServer.ts
+++ b/packages/serving/src/http/CallerServer.ts
@@ -1,15 +1,28 @@
 /** HTTP server for callers, with a graceful stop. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { Server as NetServer, type Socket } from 'node:net';
+import { setImmediate } from 'node:timers/promises';
 import { systemClock } from '@jacinthlug/control/time/Clock';
 import type { CallerLimits } from '../configuration/ServingConfiguration.js';
+import { CallerConnection } from './CallerConnection.js';
 import { RESET_DELAY_MS, resetConnection } from './resetConnection.js';
+import type { Shutdown } from './Shutdown.js';
 
-/** How long a stopping host still accepts connections; load balancers need some seconds to notice. Unit: ms. */
-const DRAIN_NOTICE_MS = 3000;
+/**
+ * How long a stopping host takes requests; load balancers need some seconds to notice. Signals and timers may be late, and
+ * callers must not rely on requests later than 3 s after the signal. Unit: ms.
+ */
+const DRAIN_NOTICE_MS = 2800;
+
+/** Maximum ratio of that time to the time of the stop; requests taken at its end need the rest. */
+const MAX_NOTICE_RATIO = 0.5;
 
 /** Interval at which a stopping host checks for running requests. Unit: ms. */
 const DRAIN_CHECK_MS = 20;
 
+/** Maximum time in which the final responses of a stop are sent. Unit: ms. */
+const FLUSH_TIMEOUT_MS = 150;
+
 /** Limits until the configuration is loaded. */
 const INITIAL_LIMITS: CallerLimits = {
   headerBytes: 16_384,
@@ -33,23 +46,22 @@
 export class CallerServer {
   private readonly server: Server;
 
-  private stopping = false;
+  private isStopping = false;
 
-  /** Responses in progress. */
-  private readonly responses = new Set<ServerResponse>();
+  private readonly connections = new Map<Socket, CallerConnection>();
 
-  constructor(handler: CallerHandler) {
+  constructor(
+    handler: CallerHandler,
+    private readonly shutdown: Shutdown,
+  ) {
     this.server = createServer(
       { maxHeaderSize: INITIAL_LIMITS.headerBytes },
       (message, response) => {
-        this.responses.add(response);
-        if (this.stopping) response.setHeader('connection', 'close');
-        response.once('close', () => {
-          this.responses.delete(response);
-        });
-        void handler(message, response);
+        if (this.connections.get(message.socket)?.begin(message, response))
+          void handler(message, response);
       },
     );
+    this.server.on('connection', (socket) => this.addConnection(socket));
     this.applyLimits(INITIAL_LIMITS);
   }
 
@@ -78,28 +90,62 @@
   }
 
   /**
-   * Accepts requests until load balancers have noticed the stop, then waits for the running ones to end. Responses that
-   * are unfinished at the deadline are aborted.
+   * Takes requests until load balancers have noticed the stop, then closes each connection once it is idle. At the
+   * deadline, requests whose response has not started are ended, and responses that are unfinished are aborted.
    *
    * @param deadline - monotonic time at which waiting ends. Unit: ms
    */
   async stop(deadline: number): Promise<void> {
-    this.stopping = true;
-    await sleepUntil(Math.min(performance.now() + DRAIN_NOTICE_MS, deadline));
-    this.server.close();
-    this.server.closeIdleConnections();
-    while (this.responses.size > 0 && performance.now() < deadline)
+    const now = performance.now();
+    this.shutdown.answersDueAt = deadline;
+    this.isStopping = true;
+    this.connections.forEach((connection) => connection.announceClose());
+    await sleepUntil(Math.min(now + DRAIN_NOTICE_MS, now + (deadline - now) * MAX_NOTICE_RATIO));
+    this.shutdown.endIntake();
+    // The method of the HTTP server also closes connections whose last response is not sent completely.
+    NetServer.prototype.close.call(this.server);
+    // Requests that have arrived by now are read first.
+    await setImmediate();
+    this.connections.forEach((connection) => connection.closeIfIdle());
+    while (this.connections.size > 0 && performance.now() < deadline)
+      await systemClock.sleep(DRAIN_CHECK_MS);
+    await this.endUnfinished();
+  }
+
+  private addConnection(socket: Socket): void {
+    const connection: CallerConnection = new CallerConnection(socket, () => {
+      if (this.shutdown.isIntakeOver) connection.closeIfIdle();
+    });
+    if (this.isStopping) connection.announceClose();
+    this.connections.set(socket, connection);
+    socket.once('close', () => this.connections.delete(socket));
+  }
+
+  private async endUnfinished(): Promise<void> {
+    const responses = [...this.connections.values()].flatMap((connection) => [
+      ...connection.responses,
+    ]);
+    const unstarted = responses.filter(({ headersSent }) => !headersSent);
+    this.shutdown.requireAnswers();
+    this.connections.forEach((connection) => connection.refusePartialHead());
+    await Promise.all([
+      CallerServer.waitUntilSent(unstarted),
+      CallerServer.resetUnframed(responses.filter((response) => !unstarted.includes(response))),
+    ]);
+  }
+
+  private static async waitUntilSent(responses: ServerResponse[]): Promise<void> {
+    const deadline = performance.now() + FLUSH_TIMEOUT_MS;
+    while (responses.some(({ closed }) => !closed) && performance.now() < deadline)
       await systemClock.sleep(DRAIN_CHECK_MS);
-    this.server.closeIdleConnections();
-    await this.resetUnfinished();
   }
 
   /**
    * Resets the connections of unfinished responses that are not sent in chunks. The end of the process would close these
    * connections regularly, and responses without a length would look complete.
    */
-  private async resetUnfinished(): Promise<void> {
-    const sockets = [...this.responses]
+  private static async resetUnframed(responses: ServerResponse[]): Promise<void> {
+    const sockets = responses
       .filter(({ chunkedEncoding }) => !chunkedEncoding)
       .flatMap(({ socket }) => socket ?? []);
     if (sockets.length === 0) return;
--- a/packages/serving/src/online/OnlineRequestHandler.ts
+++ b/packages/serving/src/online/OnlineRequestHandler.ts
@@ -11,7 +11,8 @@
 import type { DrainingTargets } from '../fleet/DrainingTargets.js';
 import type { Target } from '../fleet/Target.js';
 import type { CallerHead, Dialect } from '../http/Dialect.js';
-import { readBody } from '../http/readBody.js';
+import type { Shutdown } from '../http/Shutdown.js';
+import { takeBody } from '../http/takeBody.js';
 import type { TargetClient } from '../http/TargetClient.js';
 import { writeRefusal } from '../http/writeRefusal.js';
 import type { AccountRateLimiter } from '../rates/AccountRateLimiter.js';
@@ -69,6 +70,7 @@
   readonly drainingTargets: DrainingTargets;
   readonly streamVersions: StreamVersions;
   readonly streamResumption: StreamResumption;
+  readonly shutdown: Shutdown;
 }
 
 const pickService = (route: Route): string => {
@@ -128,7 +130,7 @@
     response: ServerResponse,
     head: CallerHead,
   ): Promise<void> {
-    const { view } = this.dependencies;
+    const { view, shutdown } = this.dependencies;
     const arrivedAt = performance.now();
     const admitted = admitCaller(view, head);
     if (admitted.isErr()) {
@@ -137,9 +139,9 @@
     }
     const { route, account } = admitted.value;
     const waitMs = Math.min(head.waitMs ?? route.timeoutMs, route.timeoutMs);
-    const lifetime = new RequestLifetime(response, arrivedAt + waitMs);
+    const lifetime = new RequestLifetime(response, arrivedAt + waitMs, shutdown);
     try {
-      const body = await readBody(message, view.index!.configuration.limits.bodyBytes);
+      const body = await takeBody(message, view.index!.configuration.limits.bodyBytes, shutdown);
       if (body.isErr()) {
         this.refuse(response, head, body.error);
         return;
--- a/packages/serving/src/online/RequestLifetime.ts
+++ b/packages/serving/src/online/RequestLifetime.ts
@@ -1,15 +1,21 @@
-/** Lifetime of a request: until its deadline, or until its caller disconnects. */
+/** Lifetime of a request: until its deadline, until its caller disconnects, or until its host has to stop. */
 import type { ServerResponse } from 'node:http';
+import type { Shutdown } from '../http/Shutdown.js';
 
 /** Why a request was aborted. */
-export type AbortReason = 'deadline' | 'caller-gone';
+export type AbortReason = 'deadline' | 'caller-gone' | 'stopping';
 
-/** Aborts one request at its deadline, or when its caller disconnects. */
+/**
+ * Aborts one request at its deadline, when its caller disconnects, or when its host has to stop and the response has not
+ * started.
+ */
 export class RequestLifetime {
   private readonly controller = new AbortController();
 
   private readonly timer: NodeJS.Timeout;
 
+  private readonly removeListener: () => void;
+
   /** Why the request was aborted; undefined until then. */
   abortReason: AbortReason | undefined;
 
@@ -17,11 +23,15 @@
     response: ServerResponse,
     /** Monotonic time. Unit: ms. */
     readonly deadline: number,
+    shutdown: Shutdown,
   ) {
     this.timer = setTimeout(() => this.abort('deadline'), deadline - performance.now());
     response.once('close', () => {
       if (!response.writableFinished) this.abort('caller-gone');
     });
+    this.removeListener = shutdown.onAnswersDue(() => {
+      if (!response.headersSent) this.abort('stopping');
+    });
   }
 
   /**
@@ -42,8 +52,9 @@
     return this.deadline - performance.now();
   }
 
-  /** Stops the deadline timer. */
+  /** Stops watching the deadline and the stop of the host. */
   end(): void {
+    this.removeListener();
     clearTimeout(this.timer);
   }
 
--- a/packages/serving/src/online/requestOutcomes.ts
+++ b/packages/serving/src/online/requestOutcomes.ts
@@ -1,5 +1,6 @@
 /** Outcomes of requests, and how a request ends when no further attempt follows. */
 import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
+import { refuseStopping } from '../http/Shutdown.js';
 import type { OnlineRequest } from './OnlineRequest.js';
 import type { CompletedAttempt, RequestProgress } from './RequestProgress.js';
 
@@ -36,6 +37,15 @@
     ? refuse('target-failed')
     : refuse('no-target', { retryAfterSeconds: NO_TARGET_RETRY_SECONDS });
 
+/** Refusals of aborted requests by the reason for the abort. */
+const refusalsOfAborted = {
+  deadline: {
+    run: () => refuse('deadline-passed'),
+    notRun: () => refuse('deadline-passed-in-queue'),
+  },
+  stopping: { run: () => refuse('stopped-in-progress'), notRun: refuseStopping },
+};
+
 /**
  * Ends a request that was aborted.
  *
@@ -47,10 +57,11 @@
   { lifetime, callerResponse }: OnlineRequest,
   { possibleRuns }: RequestProgress,
 ): RequestOutcome => {
-  if (lifetime.abortReason === 'caller-gone') return { kind: 'caller-gone' };
-  if (callerResponse.started) return { kind: 'cut', cause: 'deadline' };
-  const refusal = possibleRuns > 0 ? refuse('deadline-passed') : refuse('deadline-passed-in-queue');
-  return { kind: 'refused', refusal };
+  const { abortReason = 'deadline' } = lifetime;
+  if (abortReason === 'caller-gone') return { kind: 'caller-gone' };
+  if (callerResponse.started) return { kind: 'cut', cause: abortReason };
+  const { run, notRun } = refusalsOfAborted[abortReason];
+  return { kind: 'refused', refusal: possibleRuns > 0 ? run() : notRun() };
 };
 
 /** Refusals by the reason why there is no target. */
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -19,6 +19,7 @@
 import type { Target } from '../fleet/Target.js';
 import { TargetList } from '../fleet/TargetList.js';
 import type { Dialect } from '../http/Dialect.js';
+import { Shutdown } from '../http/Shutdown.js';
 import { TargetClient } from '../http/TargetClient.js';
 import { OnlineRequestHandler } from '../online/OnlineRequestHandler.js';
 import { AccountRateLimiter } from '../rates/AccountRateLimiter.js';
@@ -88,6 +89,7 @@
   readonly identity: HostIdentity;
   readonly view: ConfigurationView;
   readonly online: OnlineRequestHandler;
+  readonly shutdown: Shutdown;
   readonly jobs: JobStore;
   readonly jobCache: JobCache;
   /** Returns name and incarnation of the host that is to run a job accepted here; null if any host may run it. */
@@ -179,6 +181,7 @@
 export const createHost = (dependencies: HostDependencies): Host => {
   const { identity, store, objects, dialect, tables, journal, metrics } = dependencies;
   const view = new ConfigurationView(journal);
+  const shutdown = new Shutdown();
   const targets = new TargetList(journal);
   const drainingTargets = new DrainingTargets(journal);
   const loadTable = new LoadTable();
@@ -310,6 +313,7 @@
     drainingTargets,
     streamVersions,
     streamResumption: new StreamResumption({ streamVersions, streamRecords, versionHistory }),
+    shutdown,
   });
   targets.onChange(() => versionHistory.update(targets.list()));
   drainingTargets.onAdded(() => exchange.scheduleReport());
@@ -332,6 +336,7 @@
     identity,
     view,
     online,
+    shutdown,
     jobs,
     jobCache,
     holderOf: (job) => members.assignHolder(job),
