Refuse a request that can't begin before the end of a stop

Callers saw: a request that a target had refused late in a stop was sent to the next one, and got 504 at the end of the stop, although nothing had run until shortly before. Callers must not repeat a request that runs at most once after 504.

Fix: after the notice period, a request that no target can have run is refused with 1402 (503, not run) if less time is left than a target may take to begin its response. The caller repeats it at another host. A request that a target may have run goes on, as a refusal would tell its caller no more than the end of the stop.

--- a/packages/serving/src/online/OnlineRequestHandler.ts
+++ b/packages/serving/src/online/OnlineRequestHandler.ts
@@ -11,7 +11,7 @@
 import type { DrainingTargets } from '../fleet/DrainingTargets.js';
 import type { Target } from '../fleet/Target.js';
 import type { CallerHead, Dialect } from '../http/Dialect.js';
-import type { Shutdown } from '../http/Shutdown.js';
+import { refuseStopping, type Shutdown } from '../http/Shutdown.js';
 import { takeBody } from '../http/takeBody.js';
 import type { TargetClient } from '../http/TargetClient.js';
 import { writeRefusal } from '../http/writeRefusal.js';
@@ -220,6 +220,8 @@
   ): Promise<RequestOutcome> {
     for (;;) {
       if (request.lifetime.abortReason) return endAborted(request, progress);
+      if (this.isTooLateToRun(request, progress))
+        return { kind: 'refused', refusal: refuseStopping() };
       const chosen = this.dependencies.router.chooseForOnline(
         request.service,
         progress.excludedTargets,
@@ -239,6 +241,20 @@
     }
   }
 
+  /** Checks whether the host stops before a target may have begun to respond, and none can have run the request. */
+  private isTooLateToRun(
+    { route, callerResponse }: OnlineRequest,
+    { possibleRuns }: RequestProgress,
+  ): boolean {
+    const { isIntakeOver, answersDueAt } = this.dependencies.shutdown;
+    return (
+      isIntakeOver &&
+      possibleRuns === 0 &&
+      !callerResponse.started &&
+      answersDueAt - performance.now() < getHeadTimeoutMs(route)
+    );
+  }
+
   /** Sends a request to a target. Returns the outcome of the request, unless another attempt follows. */
   private async tryTarget(
     request: OnlineRequest,
