--- a/packages/serving/src/online/OnlineRequestHandler.ts
+++ b/packages/serving/src/online/OnlineRequestHandler.ts
@@ -11,7 +11,8 @@
 import type { DrainingTargets } from '../fleet/DrainingTargets.js';
 import type { Target } from '../fleet/Target.js';
 import type { CallerHead, Dialect } from '../http/Dialect.js';
-import { readBody } from '../http/readBody.js';
+import { refuseStopping, type Shutdown } from '../http/Shutdown.js';
+import { takeBody } from '../http/takeBody.js';
 import type { TargetClient } from '../http/TargetClient.js';
 import { writeRefusal } from '../http/writeRefusal.js';
 import type { AccountRateLimiter } from '../rates/AccountRateLimiter.js';
@@ -70,6 +71,7 @@
   readonly drainingTargets: DrainingTargets;
   readonly streamVersions: StreamVersions;
   readonly streamResumption: StreamResumption;
+  readonly shutdown: Shutdown;
 }
 
 const pickService = (route: Route): string => {
@@ -129,7 +131,7 @@
     response: ServerResponse,
     head: CallerHead,
   ): Promise<void> {
-    const { view } = this.dependencies;
+    const { view, shutdown } = this.dependencies;
     const arrivedAt = performance.now();
     const admitted = admitCaller(view, head);
     if (admitted.isErr()) {
@@ -138,9 +140,9 @@
     }
     const { route, account } = admitted.value;
     const waitMs = Math.min(head.waitMs ?? route.timeoutMs, route.timeoutMs);
-    const lifetime = new RequestLifetime(response, arrivedAt + waitMs);
+    const lifetime = new RequestLifetime(response, arrivedAt + waitMs, shutdown);
     try {
-      const body = await readBody(message, view.index!.configuration.limits.bodyBytes);
+      const body = await takeBody(message, view.index!.configuration.limits.bodyBytes, shutdown);
       if (body.isErr()) {
         this.refuse(response, head, body.error);
         return;
@@ -219,6 +221,8 @@
   ): Promise<RequestOutcome> {
     for (;;) {
       if (request.lifetime.abortReason) return endAborted(request, progress);
+      if (this.isTooLateToRun(request, progress))
+        return { kind: 'refused', refusal: refuseStopping() };
       const chosen = this.chooseTarget(request, progress);
       if (chosen.kind === 'target') {
         const ended = await this.tryTarget(request, chosen.target, progress);
@@ -234,6 +238,20 @@
     }
   }
 
+  /** Checks whether the host stops before a target may have begun to respond, and none can have run the request. */
+  private isTooLateToRun(
+    { route, callerResponse }: OnlineRequest,
+    { possibleRuns }: RequestProgress,
+  ): boolean {
+    const { isIntakeOver, answersDueAt } = this.dependencies.shutdown;
+    return (
+      isIntakeOver &&
+      possibleRuns === 0 &&
+      !callerResponse.started &&
+      answersDueAt - performance.now() < getHeadTimeoutMs(route)
+    );
+  }
+
   /**
    * Chooses the next target. If the request has left a silent target, it returns there unless another one that looks healthy
    * can run it.
