Tell outages of the store from lost connections of this host

Registrations that expire while the store is unavailable are back within two seconds of its return, so a host keeps the missing ones for that time. Any failed call to the table of targets counted as an outage, even a single lost connection, and the time counted from the first response about this table rather than from the return of the store. A host whose connections were reset thus kept targets that had left in the meantime, for 2 s after a read that may itself be late.

An outage is now a second without a response to any call that follows a table, since a registration only expires after several missed renewals; it ends with the first response to any of them.

What remains: a host whose calls all fail for over a second can't tell this from an outage, and keeps missing registrations for 2 s from its first response.

--- a/packages/serving/src/fleet/TargetList.ts
+++ b/packages/serving/src/fleet/TargetList.ts
@@ -37,13 +37,13 @@
    * Replaces the complete list.
    *
    * @param targets - all targets with a readable registration
-   * @param sinceRecoveryMs - time since the store recovered; infinite if it never failed. Unit: ms
+   * @param sinceOutageMs - time since the end of the store's latest outage; infinite if there was none. Unit: ms
    */
-  replace(targets: readonly Target[], sinceRecoveryMs: number): void {
+  replace(targets: readonly Target[], sinceOutageMs: number): void {
     const present = new Set(targets.map(({ id }) => id));
     [...this.targets.keys()]
       .filter((id) => !present.has(id))
-      .forEach((id) => this.handleRemoval(id, sinceRecoveryMs));
+      .forEach((id) => this.handleRemoval(id, sinceOutageMs));
     targets.forEach((target) => this.setTarget(target));
     this.notifyListeners();
   }
@@ -62,10 +62,10 @@
    * Removes a target whose registration was removed; after a store outage only once the grace period has passed.
    *
    * @param id - id of the target
-   * @param sinceRecoveryMs - time since the store recovered; infinite if it never failed. Unit: ms
+   * @param sinceOutageMs - time since the end of the store's latest outage; infinite if there was none. Unit: ms
    */
-  remove(id: string, sinceRecoveryMs: number): void {
-    this.handleRemoval(id, sinceRecoveryMs);
+  remove(id: string, sinceOutageMs: number): void {
+    this.handleRemoval(id, sinceOutageMs);
     this.notifyListeners();
   }
 
@@ -137,11 +137,11 @@
     });
   }
 
-  private handleRemoval(id: string, sinceRecoveryMs: number): void {
+  private handleRemoval(id: string, sinceOutageMs: number): void {
     const target = this.targets.get(id);
     if (!target) return;
-    if (sinceRecoveryMs < RENEWAL_GRACE_MS) {
-      const deadline = performance.now() + RENEWAL_GRACE_MS - sinceRecoveryMs;
+    if (sinceOutageMs < RENEWAL_GRACE_MS) {
+      const deadline = performance.now() + RENEWAL_GRACE_MS - sinceOutageMs;
       if (!this.missingRegistrations.has(id))
         this.missingRegistrations.set(id, { target, deadline });
       return;
--- a/packages/serving/src/store/TableFollower.ts
+++ b/packages/serving/src/store/TableFollower.ts
@@ -1,7 +1,9 @@
 /** Follows the changes of one table by long polling. */
 import type { Journal } from '@jacinthlug/catalog/Journal';
 import { systemClock, type Clock } from '@jacinthlug/control/time/Clock';
+import type { Result } from 'neverthrow';
 import { ageOf, readTimestamp, type Timestamp } from '../time/Timestamp.js';
+import type { StoreContact } from './StoreContact.js';
 import type { RecordChange, RecordStore, StoreFailure, StoredRecord } from './RecordStore.js';
 
 /** Delay after the first failed call, doubled with each consecutive one. Unit: ms. */
@@ -41,6 +43,8 @@
 export interface TableFollowerDependencies {
   readonly store: RecordStore;
   readonly journal: Journal;
+  /** Told of responses and failed calls. */
+  readonly contact?: StoreContact;
   readonly clock?: Clock;
   /** Reads both clocks of the process. Tests replace it. */
   readonly readTimestamp?: () => Timestamp;
@@ -156,9 +160,21 @@
     }
   }
 
+  private recordContact(
+    result: Result<unknown, StoreFailure>,
+    sentAt: Timestamp,
+    holdMs: number,
+  ): void {
+    const { contact } = this.dependencies;
+    const now = this.now().monotonic;
+    if (result.isOk() || result.error.kind === 'history-lost') contact?.recordResponse(now);
+    else contact?.recordFailure(sentAt.monotonic, holdMs, now);
+  }
+
   private async loadTable(sentAt: Timestamp): Promise<StoreFailure | undefined> {
     const before = this.revision;
     const page = await this.dependencies.store.readTable(this.options.table);
+    this.recordContact(page, sentAt, 0);
     if (page.isErr()) return page.error;
     // Another call has read a later state meanwhile.
     if (this.revision > before && this.revision >= page.value.revision) return undefined;
@@ -173,6 +189,7 @@
   private async pollChanges(sentAt: Timestamp, holdMs: number): Promise<StoreFailure | undefined> {
     const after = this.revision;
     const page = await this.dependencies.store.follow(this.options.table, after, holdMs);
+    this.recordContact(page, sentAt, holdMs);
     if (page.isErr()) return page.error;
     // Another call may have read some of the changes meanwhile. Applied again, they would undo later ones.
     const changes =
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -27,6 +27,7 @@
 import { TargetRouter } from '../routing/TargetRouter.js';
 import type { RecordChange, RecordStore, StoredRecord } from '../store/RecordStore.js';
 import { SharedRead } from '../store/SharedRead.js';
+import { StoreContact } from '../store/StoreContact.js';
 import { StreamRecords } from '../streams/StreamRecords.js';
 import { StreamResumption } from '../streams/StreamResumption.js';
 import { StreamVersions } from '../streams/StreamVersions.js';
@@ -145,7 +146,7 @@
   targets: TargetList,
   tables: ExternalTables,
   journal: Journal,
-  timeSinceRecovery: () => number,
+  timeSinceOutage: () => number,
 ): TableListener => {
   const decode = (record: StoredRecord): Target | undefined => {
     const target = tables.decodeTarget(record);
@@ -156,7 +157,7 @@
   };
   const applyChange = (change: RecordChange): void => {
     if (change.kind === 'removed') {
-      targets.remove(change.key.key, timeSinceRecovery());
+      targets.remove(change.key.key, timeSinceOutage());
       return;
     }
     const target = decode(change.record);
@@ -165,7 +166,7 @@
   return selectPartition(tables.partition, {
     replace: (records) => {
       const decoded = records.map(decode).filter((target) => target !== undefined);
-      targets.replace(decoded, timeSinceRecovery());
+      targets.replace(decoded, timeSinceOutage());
     },
     apply: (changes) => changes.forEach(applyChange),
   });
@@ -215,16 +216,17 @@
   const jobs = new JobStore({ store, objects, jobCache, journal });
   const progress = new ProgressStore({ store, journal });
 
-  const followerDependencies = { store, journal };
+  const storeContact = new StoreContact();
+  const followerDependencies = { store, journal, contact: storeContact };
   const configurationFollower = new TableFollower(
     { table: tables.configurationTable, holdMs: URGENT_POLL_TIMEOUT_MS, intervalMs: 0 },
     createConfigurationListener(view, tables),
     followerDependencies,
   );
   view.follower = configurationFollower;
-  const targetsFollower: TableFollower = new TableFollower(
+  const targetsFollower = new TableFollower(
     { table: tables.targetsTable, holdMs: URGENT_POLL_TIMEOUT_MS, intervalMs: 0 },
-    createTargetsListener(targets, tables, journal, () => targetsFollower.timeSinceRecovery),
+    createTargetsListener(targets, tables, journal, () => storeContact.timeSinceOutage()),
     followerDependencies,
   );
   const targetsRead = new SharedRead(() => targetsFollower.catchUp());
