--- a/packages/serving/test/features/attempts.feature
+++ b/packages/serving/test/features/attempts.feature
@@ -36,6 +36,14 @@
     And nothing arrives for 1700 ms
     Then the attempt has not ended and 2 idle timeouts were reported
 
+  # Guards against a target that counts as silent although the response that it holds up has gone on.
+  Scenario: A response that goes on after a tolerated idle timeout is reported once
+    Given no other target could continue the stream
+    When the response head arrives after 100 ms
+    And nothing arrives for 1700 ms
+    And 2 events arrive, one every 100 ms
+    Then the attempt has resumed 1 time
+
   Scenario: A failure status is passed on only when no other target can serve the request
     Given another target could serve the request
     When the response head arrives after 100 ms with status 500
--- a/packages/serving/test/steps/attempts.steps.ts
+++ b/packages/serving/test/steps/attempts.steps.ts
@@ -15,6 +15,7 @@
   lastEventAt: number;
   events: number;
   idleTimeouts: number;
+  resumptions: number;
   headReceived: boolean;
   /** Resumes the stream; set while the caller does not read. */
   drain: (() => void) | undefined;
@@ -66,6 +67,7 @@
     this.timers = new SteppedTimers();
     this.events = 0;
     this.idleTimeouts = 0;
+    this.resumptions = 0;
     this.headReceived = false;
     this.outcome = undefined;
     this.hasAlternative = true;
@@ -93,6 +95,9 @@
         this.idleTimeouts += 1;
         return this.hasAlternative;
       },
+      onResumed: () => {
+        this.resumptions += 1;
+      },
       maxResponseBytes: 1_000_000,
       onResponse: () => undefined,
       onDraining: () => undefined,
@@ -216,3 +221,7 @@
 Then('nothing was passed on', function (this: AttemptWorld) {
   assert.equal(this.headReceived, false);
 });
+
+Then(/^the attempt has resumed (\d+) times?$/, function (this: AttemptWorld, times: number) {
+  assert.equal(this.resumptions, times);
+});
