Return once more to a silent target that rejects the return

What callers saw: a repeatable request that had left a silent target, was failed by the other one and returned got a 502, or a cut stream, when the first target rejected the return. Such a target notices the end of the former run only when it goes on, so its slot may still be taken.

Cause: a rejected return counted as the end of the possibilities. It is now repeated after the delay that streams use for targets that rejected them, within the four attempts of a request that may end without a run.

--- a/packages/serving/src/online/OnlineRequestHandler.ts
+++ b/packages/serving/src/online/OnlineRequestHandler.ts
@@ -24,6 +24,7 @@
 import { admitCaller } from './admitCaller.js';
 import { getBodyIdleTimeoutMs, getHeadTimeoutMs } from './attemptTimeouts.js';
 import { CallerResponse } from './CallerResponse.js';
+import { mayLeaveFailedTarget, mayLeaveSilentTarget, type RunningAttempt } from './leaveTarget.js';
 import { RequestProgress, type CompletedAttempt } from './RequestProgress.js';
 import { RequestLifetime } from './RequestLifetime.js';
 import type { OnlineRequest } from './OnlineRequest.js';
@@ -101,6 +102,13 @@
     ? !outcome.unreachable
     : outcome.kind === 'broken' && outcome.connectionLost && !started;
 
+/** Checks whether a target has rejected a request that returned to it; it may still be busy with the run that was ended. */
+const isRejectedReturn = (
+  { id }: Target,
+  outcome: AttemptOutcome,
+  progress: RequestProgress,
+): boolean => outcome.kind === 'not-run' && !outcome.unreachable && progress.hasReturnedTo(id);
+
 /** Serves online requests. */
 export class OnlineRequestHandler {
   /** Number of requests in progress. */
@@ -256,13 +264,8 @@
   private findReturnTarget(
     { service }: OnlineRequest,
     { returnableTargets, version }: RequestProgress,
-    startedVersion?: string,
   ): ReturnTarget | undefined {
-    return this.dependencies.router.findReturnTarget(
-      service,
-      returnableTargets,
-      version ?? startedVersion,
-    );
+    return this.dependencies.router.findReturnTarget(service, returnableTargets, version);
   }
 
   /** Sends a request to a target. Returns the outcome of the request, unless another attempt follows. */
@@ -285,13 +288,16 @@
       if (hasFurtherEvents) this.recordFalseEnd(request, progress.unconfirmedEnd);
       progress.recordUnconfirmedEnd(undefined);
     }
-    return outcome.kind === 'complete'
-      ? this.endOrConfirm(
-          request,
-          { attempt: outcome, target, canEnd: callerResponse.canEnd },
-          progress,
-        )
-      : this.endOrRetry(request, outcome, progress);
+    if (outcome.kind === 'complete')
+      return this.endOrConfirm(
+        request,
+        { attempt: outcome, target, canEnd: callerResponse.canEnd },
+        progress,
+      );
+    const ended = this.endOrRetry(request, outcome, progress);
+    if (!ended && isRejectedReturn(target, outcome, progress))
+      await systemClock.sleep(SAME_TARGET_RETRY_DELAY_MS, request.lifetime.signal);
+    return ended;
   }
 
   /** Ends a response, unless another target has to confirm its end. */
@@ -348,29 +354,9 @@
     progress: RequestProgress,
   ): Promise<AttemptOutcome> {
     const { client, dialect, loadTable, health, router, crashGuard } = this.dependencies;
-    const { head, route, account, lifetime, callerResponse, message, body, repeatable } = request;
-    const received = callerResponse.progress;
-    const getStartedVersion = (): string | undefined =>
-      callerResponse.started ? target.version : undefined;
-    const mayRunOnFurtherTarget = (hasFailed: boolean): boolean =>
-      progress.mayRunFurtherAfter(target.id, hasFailed, route.attempts) &&
-      router.hasAlternative(
-        request.service,
-        new Set(progress.excludedTargets).add(target.id),
-        progress.version ?? getStartedVersion(),
-      );
-    const findReturnTarget = (): ReturnTarget | undefined =>
-      this.findReturnTarget(request, progress, getStartedVersion());
-    // A silent target may go on, so it is left only for one that is likely to respond.
-    const mayLeaveSilent = (): boolean =>
-      repeatable &&
-      callerResponse.canContinue &&
-      progress.mayLeave(target.id) &&
-      (mayRunOnFurtherTarget(false) || findReturnTarget()?.responsive === true);
-    const isUnconfirmedEnd = (): boolean =>
-      progress.unconfirmedEnd !== undefined &&
-      callerResponse.progress === received &&
-      !callerResponse.hasPartialEvent;
+    const { head, route, account, lifetime, callerResponse, message, body } = request;
+    const { progress: received } = callerResponse;
+    const running: RunningAttempt = { router, request, target, progress, received };
     const endLoad = loadTable.beginRequest(target.id, 'online');
     this.dependencies.onAttemptStart(target);
     const sentAt = performance.now();
@@ -396,7 +382,7 @@
       bodyIdleTimeoutMs: getBodyIdleTimeoutMs(route),
       onIdleTimeout: () => {
         health.recordFailure(target.id, 'silent');
-        return isUnconfirmedEnd() || mayLeaveSilent();
+        return mayLeaveSilentTarget(running);
       },
       onResumed: () => health.recordSuccess(target.id),
       onResponse: (status) => {
@@ -408,10 +394,7 @@
       },
       onUnderWay: () => crashGuard.recordServed(request.service, request.contentKeys),
       onDraining: () => this.dependencies.drainingTargets.add(target),
-      shouldRetryStatus: (status) =>
-        status === FAILED_STATUS &&
-        repeatable &&
-        (mayRunOnFurtherTarget(true) || findReturnTarget() !== undefined),
+      shouldRetryStatus: (status) => status === FAILED_STATUS && mayLeaveFailedTarget(running),
       maxResponseBytes: MAX_RESPONSE_BYTES,
     });
     endLoad();
@@ -436,7 +419,11 @@
     progress.excludedTargets.add(target.id);
     if (outcome.kind !== 'not-run')
       progress.recordPossibleRun(target.id, outcome.kind !== 'silent');
-    if (outcome.kind === 'silent') progress.recordLeft(target.id);
+    if (
+      outcome.kind === 'silent' ||
+      (isRejectedReturn(target, outcome, progress) && progress.attempts < MAX_ATTEMPTS_NOT_RUN)
+    )
+      progress.recordLeft(target.id);
     if (mayServeLater(callerResponse, outcome)) progress.recordRecovering(target.id);
     if (isTargetFault(outcome)) health.recordFailure(target.id, outcome.cause);
     journal.record('attempt-failed', {
--- a/packages/serving/src/online/RequestProgress.ts
+++ b/packages/serving/src/online/RequestProgress.ts
@@ -118,21 +118,21 @@
   }
 
   /**
-   * Checks whether the request may leave a target that is silent.
+   * Checks whether the request has returned to a target, which it doesn't leave a second time.
    *
    * @param target - id of the target
-   * @returns false if it has returned to this target before
+   * @returns whether it has
    */
-  mayLeave(target: string): boolean {
-    return !this.returnedTargets.has(target);
+  hasReturnedTo(target: string): boolean {
+    return this.returnedTargets.has(target);
   }
 
-  /** Records that the request has left a target because it was silent. */
+  /** Records that the request may return to a target: it was silent, or has rejected the return. */
   recordLeft(target: string): void {
     this.leftTargets.add(target);
   }
 
-  /** Records that the request returns to a target that it has left. Each target allows this once. */
+  /** Records that the request returns to a target that it has left. */
   recordReturn(target: string): void {
     this.leftTargets.delete(target);
     this.returnedTargets.add(target);
