Answer each complete request on a connection before it is closed

Callers saw three kinds of faults on their connections: - A request in progress got the status 400 or 408 of what came after it on its connection: bytes that are no request, or a part of a request that was not complete in time. 408 promises that the request has not run, though a target was running it. Node.js writes these statuses at once and closes the connection. - A request on an idle connection was reset unread, when the process was blocked or stood still until more than a second past the idle timeout. Timers run before the event loop reads from sockets again, so the connection was closed with the request waiting. Hosts that are paused, or busy with a large configuration, meet this. - CONNECT got no response, and heads up to a configured limit above 16 KiB got 431, as Node.js kept its first limit.

Fix: what a caller sends in place of a valid request is rejected only once the complete requests before it have their responses. An idle connection is closed only if nothing has arrived when its sockets have been read after the timeout. CONNECT gets 501, and new connections get the limit of the configuration.

Evidence: of the requests of unusual form, those with bytes that are no request, those with a space between requests and both forms of CONNECT fail on the code before, as do the scenarios with a blocked host and with a larger head. The 408 was shown with Node.js alone, whose check for late requests runs every 30 s; it takes the path of the 400.

Ruled out: the other forms of requests, and responses with unusual heads, which all get a status.

--- a/packages/serving/src/http/CallerServer.ts
+++ b/packages/serving/src/http/CallerServer.ts
@@ -1,7 +1,9 @@
 /** HTTP server for callers, with a graceful stop. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import { systemClock } from '@jacinthlug/control/time/Clock';
 import type { CallerLimits } from '../configuration/ServingConfiguration.js';
+import { rejectConnection, statusByError } from './rejectConnection.js';
 import { RESET_DELAY_MS, resetConnection } from './resetConnection.js';
 
 /** How long a stopping host still accepts connections; load balancers need some seconds to notice. Unit: ms. */
@@ -27,6 +29,18 @@
   readonly port: number;
 }
 
+/**
+ * Closes an idle connection, unless a request has arrived: while the event loop is blocked, idle timeouts expire and
+ * requests wait, and timers run first afterwards.
+ */
+const closeUnlessReadable = (socket: Socket): void => {
+  const { bytesRead } = socket;
+  // Runs after the event loop has read from all sockets.
+  setImmediate(() => {
+    if (socket.bytesRead === bytesRead) socket.destroy();
+  });
+};
+
 const sleepUntil = (time: number): Promise<void> => systemClock.sleep(time - performance.now());
 
 /** Accepts the requests of callers. */
@@ -50,6 +64,14 @@
         void handler(message, response);
       },
     );
+    // Without these listeners, Node.js closes the connection, even within the response to an earlier request of it.
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
+      rejectConnection(socket, statusByError(error), this.responses),
+    );
+    this.server.on('connect', (_, socket) =>
+      rejectConnection(socket, '501 Not Implemented', this.responses),
+    );
+    this.server.on('timeout', closeUnlessReadable);
     this.applyLimits(INITIAL_LIMITS);
   }
 
@@ -58,7 +80,9 @@
    *
    * @param limits - limits on what callers send
    */
-  applyLimits({ headerTimeoutMs, idleTimeoutMs }: CallerLimits): void {
+  applyLimits({ headerBytes, headerTimeoutMs, idleTimeoutMs }: CallerLimits): void {
+    // Applies to new connections.
+    Object.assign(this.server, { maxHeaderSize: headerBytes });
     this.server.headersTimeout = headerTimeoutMs;
     // The body gets the idle timeout on top of the time for the headers; requests have their own deadlines.
     this.server.requestTimeout = headerTimeoutMs + idleTimeoutMs;
