Refuse a request at its deadline while its body is read

Callers saw no response when their deadline passed before the whole body had arrived: the host read on, and Node.js ended the connection after up to half a minute.

--- a/packages/serving/src/online/OnlineRequestHandler.ts
+++ b/packages/serving/src/online/OnlineRequestHandler.ts
@@ -139,12 +139,17 @@
     const waitMs = Math.min(head.waitMs ?? route.timeoutMs, route.timeoutMs);
     const lifetime = new RequestLifetime(response, arrivedAt + waitMs);
     try {
-      const body = await readBody(message, view.index!.configuration.limits.bodyBytes);
+      const { bodyBytes } = view.index!.configuration.limits;
+      const body = await readBody(message, bodyBytes, lifetime.signal);
       if (body.isErr()) {
         this.refuse(response, head, body.error);
         return;
       }
-      if (!body.value) return;
+      if (!body.value) {
+        if (lifetime.abortReason === 'deadline')
+          this.refuse(response, head, refuse('deadline-passed-in-queue'));
+        return;
+      }
       const repeatable = isRepeatable(route);
       const service = pickService(route);
       const isStream = route.kind === 'streaming' && message.method !== 'HEAD';
--- a/packages/serving/src/online/RequestLifetime.ts
+++ b/packages/serving/src/online/RequestLifetime.ts
@@ -18,7 +18,8 @@
     /** Monotonic time. Unit: ms. */
     readonly deadline: number,
   ) {
-    this.timer = setTimeout(() => this.abort('deadline'), deadline - performance.now());
+    this.timer = setTimeout(() => this.abort('deadline'), this.remainingMs);
+    if (this.remainingMs <= 0) this.abort('deadline');
     response.once('close', () => {
       if (!response.writableFinished) this.abort('caller-gone');
     });
