Pass on responses with status 204 and 304 that state a length

Callers saw 502, or a closed connection before heads were kept back, for a sound response with status 304 (or 204) whose head states a length, as that of a 304 usually does.

Cause: the HTTP client waits for a body of that length, and fails the response when it ends with its head.

Fix: a response with one of these statuses is complete with its head, and such a failure only closes the connection. The length is passed on with 304, but not with 204, which must not have one.

--- a/packages/serving/src/http/TargetExchange.ts
+++ b/packages/serving/src/http/TargetExchange.ts
@@ -21,6 +21,9 @@
 /** Lowest status of a final response; lower ones are informational. */
 const FIRST_FINAL_STATUS = 200;
 
+/** Statuses of responses that have no body, whatever their heads state. */
+export const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
+
 const createAbortError = (): Error => new Error('request aborted');
 
 /** The connection of an exchange. */
@@ -43,6 +46,9 @@
 
   private isEnded = false;
 
+  /** Whether the response ends with its head. */
+  private hasNoBody = false;
+
   /** Whether the listener has paused the response. */
   private isPaused = false;
 
@@ -91,6 +97,7 @@
       return;
     }
     this.sizeLimit.recordHead();
+    this.hasNoBody = STATUSES_WITHOUT_BODY.has(status);
     this.listener?.head(status, headers);
   }
 
@@ -109,7 +116,13 @@
   }
 
   onResponseError(_: Dispatcher.DispatchController | undefined, error: Error): void {
-    this.fail(error);
+    // The client takes the stated length of such a response for that of a body, which never comes.
+    if (!this.hasNoBody || this.isEnded) {
+      this.fail(error);
+      return;
+    }
+    this.settle()?.end(undefined);
+    this.connection.onFail(error);
   }
 
   /**
--- a/packages/serving/src/online/CallerResponse.ts
+++ b/packages/serving/src/online/CallerResponse.ts
@@ -7,6 +7,9 @@
 
 const LENGTH_HEADER = 'content-length';
 
+/** Status of a response without a body, which must not state a length. */
+const NO_CONTENT = 204;
+
 /**
  * Leaves out the length of a target's response, which is not that of a stream of several responses. The final chunk states
  * the end of the stream in its place.
@@ -173,7 +176,8 @@
     this.events.beginResponse(acceptsEventLine);
     if (this.started) return;
     this.beganFramed = !isCloseDelimited;
-    this.pendingHead = { status, headers: this.splitsEvents ? omitLength(headers) : headers };
+    const hasLength = !this.splitsEvents && status !== NO_CONTENT;
+    this.pendingHead = { status, headers: hasLength ? headers : omitLength(headers) };
   }
 
   write(chunk: Buffer): boolean {
--- a/packages/serving/src/online/runAttempt.ts
+++ b/packages/serving/src/online/runAttempt.ts
@@ -3,6 +3,7 @@
 import type { Dialect, HeadClassification, ResponseHeaders } from '../http/Dialect.js';
 import type { TargetCall, TargetRequest } from '../http/TargetCall.js';
 import type { TargetClient } from '../http/TargetClient.js';
+import { STATUSES_WITHOUT_BODY } from '../http/TargetExchange.js';
 import type { ResponseSink } from './ResponseSink.js';
 import { IdleTimeout, type Timers } from './IdleTimeout.js';
 
@@ -134,9 +135,6 @@
   return headers['content-length'] === undefined ? 'none' : 'length';
 };
 
-/** Statuses of responses that have no body. */
-const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
-
 /** Number of parts of a response, or of events, after which it is under way. */
 const PARTS_UNDER_WAY = 3;
 
