--- a/packages/serving/src/http/CallerServer.ts
+++ b/packages/serving/src/http/CallerServer.ts
@@ -1,10 +1,12 @@
 /** HTTP server for callers, with a graceful stop. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Server as NetServer, type Socket } from 'node:net';
-import { setImmediate } from 'node:timers/promises';
+import type { Duplex } from 'node:stream';
+import { setImmediate as yieldToEventLoop } from 'node:timers/promises';
 import { systemClock } from '@jacinthlug/control/time/Clock';
 import type { CallerLimits } from '../configuration/ServingConfiguration.js';
 import { CallerConnection } from './CallerConnection.js';
+import { rejectConnection, statusByError } from './rejectConnection.js';
 import { RESET_DELAY_MS, resetConnection } from './resetConnection.js';
 import type { Shutdown } from './Shutdown.js';
 
@@ -40,6 +42,18 @@
   readonly port: number;
 }
 
+/**
+ * Closes an idle connection, unless a request has arrived: while the event loop is blocked, idle timeouts expire and
+ * requests wait, and timers run first afterwards.
+ */
+const closeUnlessReadable = (socket: Socket): void => {
+  const { bytesRead } = socket;
+  // Runs after the event loop has read from all sockets.
+  setImmediate(() => {
+    if (socket.bytesRead === bytesRead) socket.destroy();
+  });
+};
+
 const sleepUntil = (time: number): Promise<void> => systemClock.sleep(time - performance.now());
 
 /** Accepts the requests of callers. */
@@ -48,7 +62,7 @@
 
   private isStopping = false;
 
-  private readonly connections = new Map<Socket, CallerConnection>();
+  private readonly connections = new Map<Duplex, CallerConnection>();
 
   constructor(
     handler: CallerHandler,
@@ -62,6 +76,12 @@
       },
     );
     this.server.on('connection', (socket) => this.addConnection(socket));
+    // Without these listeners, Node.js closes the connection, even within the response to an earlier request of it.
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
+      this.reject(socket, statusByError(error)),
+    );
+    this.server.on('connect', (_, socket) => this.reject(socket, '501 Not Implemented'));
+    this.server.on('timeout', closeUnlessReadable);
     this.applyLimits(INITIAL_LIMITS);
   }
 
@@ -70,7 +90,9 @@
    *
    * @param limits - limits on what callers send
    */
-  applyLimits({ headerTimeoutMs, idleTimeoutMs }: CallerLimits): void {
+  applyLimits({ headerBytes, headerTimeoutMs, idleTimeoutMs }: CallerLimits): void {
+    // Applies to new connections.
+    Object.assign(this.server, { maxHeaderSize: headerBytes });
     this.server.headersTimeout = headerTimeoutMs;
     // The body gets the idle timeout on top of the time for the headers; requests have their own deadlines.
     this.server.requestTimeout = headerTimeoutMs + idleTimeoutMs;
@@ -105,13 +127,17 @@
     // The method of the HTTP server also closes connections whose last response is not sent completely.
     NetServer.prototype.close.call(this.server);
     // Requests that have arrived by now are read first.
-    await setImmediate();
+    await yieldToEventLoop();
     this.connections.forEach((connection) => connection.closeIfIdle());
     while (this.connections.size > 0 && performance.now() < deadline)
       await systemClock.sleep(DRAIN_CHECK_MS);
     await this.endUnfinished();
   }
 
+  private reject(socket: Duplex, status: string): void {
+    rejectConnection(socket, status, this.connections.get(socket)?.responses ?? new Set());
+  }
+
   private addConnection(socket: Socket): void {
     const connection: CallerConnection = new CallerConnection(socket, () => {
       if (this.shutdown.isIntakeOver) connection.closeIfIdle();
--- a/packages/serving/src/http/takeBody.ts
+++ b/packages/serving/src/http/takeBody.ts
@@ -12,15 +12,17 @@
  * @param message - the request
  * @param limitBytes - maximum body size. Unit: bytes
  * @param shutdown - stop of the host
- * @returns the body, undefined if the caller disconnected before its end, or a refusal
+ * @param signal - ends reading when it is aborted
+ * @returns the body, undefined if the caller disconnected or the signal was aborted before its end, or a refusal
  */
 export const takeBody = async (
   message: IncomingMessage,
   limitBytes: number,
   shutdown: Shutdown,
+  signal?: AbortSignal,
 ): Promise<Result<Buffer | undefined, Refusal>> => {
   const body = await shutdown.settle<Result<Buffer | undefined, Refusal>>(
-    readBody(message, limitBytes),
+    readBody(message, limitBytes, signal),
     () => err(refuseStopping()),
   );
   return body.isOk() && body.value && shutdown.isIntakeOver ? err(refuseStopping()) : body;
--- a/packages/serving/src/online/OnlineRequestHandler.ts
+++ b/packages/serving/src/online/OnlineRequestHandler.ts
@@ -150,12 +150,17 @@
     const waitMs = Math.min(head.waitMs ?? route.timeoutMs, route.timeoutMs);
     const lifetime = new RequestLifetime(response, arrivedAt + waitMs, shutdown);
     try {
-      const body = await takeBody(message, view.index!.configuration.limits.bodyBytes, shutdown);
+      const { bodyBytes } = view.index!.configuration.limits;
+      const body = await takeBody(message, bodyBytes, shutdown, lifetime.signal);
       if (body.isErr()) {
         this.refuse(response, head, body.error);
         return;
       }
-      if (!body.value) return;
+      if (!body.value) {
+        if (lifetime.abortReason === 'deadline')
+          this.refuse(response, head, refuse('deadline-passed-in-queue'));
+        return;
+      }
       const repeatable = isRepeatable(route);
       const service = pickService(route);
       const isStream = route.kind === 'streaming' && message.method !== 'HEAD';
--- a/packages/serving/src/online/RequestLifetime.ts
+++ b/packages/serving/src/online/RequestLifetime.ts
@@ -25,7 +25,8 @@
     readonly deadline: number,
     shutdown: Shutdown,
   ) {
-    this.timer = setTimeout(() => this.abort('deadline'), deadline - performance.now());
+    this.timer = setTimeout(() => this.abort('deadline'), this.remainingMs);
+    if (this.remainingMs <= 0) this.abort('deadline');
     response.once('close', () => {
       if (!response.writableFinished) this.abort('caller-gone');
     });
