Refuse a body over the limit with a status

Callers saw: a request whose body exceeds the limit ended without a response, in place of the 413 in the log.

Cause: leaving a loop over a message destroys the message, and with it the connection on which the refusal is sent.

Fix: the loop leaves the message alone, and the rest of the body is read and dropped, so that the connection can be used again.

Evidence: the new scenario of serving.feature got no response before, and gets 413 and then 200 on the same connection now.

--- a/packages/serving/src/http/readBody.ts
+++ b/packages/serving/src/http/readBody.ts
@@ -17,16 +17,20 @@
   const chunks: Buffer[] = [];
   let size = 0;
   try {
-    for await (const chunk of message as AsyncIterable<Buffer>) {
-      size += chunk.length;
-      if (size > limitBytes) {
-        return err(refuse('body-too-large', { detail: `The limit is ${limitBytes} bytes.` }));
-      }
-      chunks.push(chunk);
+    // A message that is destroyed closes its connection, on which the refusal of a large body is sent.
+    for await (const chunk of message.iterator({ destroyOnReturn: false })) {
+      const part = chunk as Buffer;
+      size += part.length;
+      if (size > limitBytes) break;
+      chunks.push(part);
     }
   } catch {
     // The caller disconnected, so no response is needed.
     return ok(undefined);
   }
+  if (size > limitBytes) {
+    message.resume();
+    return err(refuse('body-too-large', { detail: `The limit is ${limitBytes} bytes.` }));
+  }
   return ok(Buffer.concat(chunks, size));
 };
