Record the outcome of a claimed stream before its response ends

A caller that repeated a request with an idempotency key right after its streamed response had ended was refused with 409 (outcome-unknown, retry after 5 s) instead of getting the response again.

The response ended as soon as its last event was passed on; the claim got its recorded response only afterwards, so that an immediate resend found a claim without an outcome. Complete responses are already written after they are recorded.

--- a/packages/entry/src/core/online/OnlineRunner.ts
+++ b/packages/entry/src/core/online/OnlineRunner.ts
@@ -39,6 +39,8 @@
   /** Whether the request provably did not run on any target. */
   readonly notRun: boolean;
   readonly refusal?: Refusal;
+  /** Whether all events of a complete stream were passed on, while the caller's response is still open. */
+  readonly streamed?: boolean;
 }
 
 const isFailure = ({ status }: RecordedResponse): boolean => status >= 500 || status === 429;
@@ -158,7 +160,7 @@
         controller,
       );
       if (claim) await this.settleClaim(request, claim, outcome);
-      this.writeRecordedResponse(exchange, request, claim, outcome);
+      this.endResponse(exchange, request, outcome);
       return outcome;
     } finally {
       stopSupervising();
@@ -193,7 +195,7 @@
     shouldRecord: boolean,
     { response: streamed, signal, finish }: Extract<ForwardResult, { kind: 'streaming' }>,
   ): Promise<RequestOutcome> {
-    const { requestId, route } = request;
+    const { requestId } = request;
     const recorded: Buffer[] = [];
     let streamBytes = 0;
     beginStream(response, requestId, streamed);
@@ -207,11 +209,10 @@
     }
     finish();
     if (next.value === 'complete') {
-      response.end();
-      this.dependencies.metrics.count('requests.completed', { route });
       const canRecord = shouldRecord && streamBytes <= MAX_RECORDED_STREAM_BYTES;
       return {
         notRun: false,
+        streamed: true,
         ...(canRecord && {
           response: {
             status: streamed.status,
@@ -255,15 +256,16 @@
     if (response) await claims.record(claim, response);
   }
 
-  /** Writes a complete response. Called after recording it, so that an immediate resend finds the record. */
-  private writeRecordedResponse(
+  /** Ends a complete response. Called after recording it, so that an immediate resend finds the record. */
+  private endResponse(
     { response }: Exchange,
     request: OnlineRequest,
-    claim: Claim | undefined,
-    { response: targetResponse }: RequestOutcome,
+    { response: targetResponse, streamed }: RequestOutcome,
   ): void {
-    if (!targetResponse || response.headersSent) return;
-    writeCompleteResponse(response, request.requestId, targetResponse);
+    if (streamed) response.end();
+    else if (targetResponse && !response.headersSent)
+      writeCompleteResponse(response, request.requestId, targetResponse);
+    else return;
     this.dependencies.metrics.count('requests.completed', { route: request.route });
   }
 }
