Answer requests whose body is still being received when a host has to stop

A caller that never ended its body got no status at the end of the stop: the stop aborts the lifetime of the request, and with it the reading of the body, and only the deadline led to a refusal. Any reason for the abort now leads to its refusal, unless the caller has disconnected.

--- a/packages/serving/src/online/OnlineRequestHandler.ts
+++ b/packages/serving/src/online/OnlineRequestHandler.ts
@@ -34,6 +34,7 @@
   endComplete,
   endWithoutTarget,
   refuseAfterFailures,
+  refuseUnsent,
   type RequestOutcome,
 } from './requestOutcomes.js';
 import { isTargetFault, runAttempt, STREAM_STATUS, type AttemptOutcome } from './runAttempt.js';
@@ -157,8 +158,8 @@
         return;
       }
       if (!body.value) {
-        if (lifetime.abortReason === 'deadline')
-          this.refuse(response, head, refuse('deadline-passed-in-queue'));
+        const refusal = refuseUnsent(lifetime);
+        if (refusal) this.refuse(response, head, refusal);
         return;
       }
       const repeatable = isRepeatable(route);
--- a/packages/serving/src/online/requestOutcomes.ts
+++ b/packages/serving/src/online/requestOutcomes.ts
@@ -2,6 +2,7 @@
 import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
 import { refuseStopping } from '../http/Shutdown.js';
 import type { OnlineRequest } from './OnlineRequest.js';
+import type { RequestLifetime } from './RequestLifetime.js';
 import type { CompletedAttempt, RequestProgress } from './RequestProgress.js';
 
 /** Bounds of the retry delay while the fleet is full. Unit: seconds. */
@@ -46,6 +47,19 @@
   stopping: { run: () => refuse('stopped-in-progress'), notRun: refuseStopping },
 };
 
+/**
+ * Refuses a request that was aborted before any target had it.
+ *
+ * @param lifetime - lifetime of the request
+ * @returns the refusal; undefined if the caller has disconnected
+ */
+export const refuseUnsent = ({
+  abortReason,
+}: Pick<RequestLifetime, 'abortReason'>): Refusal | undefined =>
+  abortReason === undefined || abortReason === 'caller-gone'
+    ? undefined
+    : refusalsOfAborted[abortReason].notRun();
+
 /**
  * Ends a request that was aborted.
  *
