Don't count a request that can't be sent as a failure of its targets

Callers and other requests saw: one request with two Host headers, or with a space in the name of a header, paused every target that it was tried on for half a second and longer, as if the target's connection had been refused. Batch items with such headers did the same each time they were tried.

Cause: the HTTP client rejects such a request before it opens a connection. The attempt ended as not run with an unreachable target, which counts as a failure of the target.

Fix: the rejection has a code of its own, and the attempt ends as not run without a fault of the target. The caller still gets 503, which is true. An invalid address of a target counts as its failure, as before.

--- a/packages/serving/src/http/TargetCall.ts
+++ b/packages/serving/src/http/TargetCall.ts
@@ -12,6 +12,9 @@
   readonly body: Buffer | null;
 }
 
+/** Code of the failure of a request that can't be sent to any target, as its head is invalid. */
+export const INVALID_REQUEST = 'INVALID_REQUEST';
+
 /** Receives the response of a target. The last call is either `end` or `fail`, unless the response is discarded. */
 export interface ResponseListener {
   /** Called when the request is about to be written; from here on the target may have run it. */
--- a/packages/serving/src/http/TargetExchange.ts
+++ b/packages/serving/src/http/TargetExchange.ts
@@ -2,7 +2,7 @@
 import type { Dispatcher } from 'undici';
 import { ResponseSizeLimit } from './ResponseSizeLimit.js';
 import type { ResponseHeaders } from './Dialect.js';
-import type { ResponseListener, TargetCall } from './TargetCall.js';
+import { INVALID_REQUEST, type ResponseListener, type TargetCall } from './TargetCall.js';
 
 /** Timeout for the rest of a discarded response. Unit: ms. */
 const DISCARD_TIMEOUT_MS = 1000;
@@ -24,6 +24,9 @@
 /** Statuses of responses that have no body, whatever their heads state. */
 export const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 
+/** Code with which the client rejects a request. */
+const REJECTED_BY_CLIENT = 'UND_ERR_INVALID_ARG';
+
 const createAbortError = (): Error => new Error('request aborted');
 
 /** The connection of an exchange. */
@@ -118,7 +121,9 @@
   onResponseError(_: Dispatcher.DispatchController | undefined, error: Error): void {
     // The client takes the stated length of such a response for that of a body, which never comes.
     if (!this.hasNoBody || this.isEnded) {
-      this.fail(error);
+      const { code, message } = error as NodeJS.ErrnoException;
+      const isRejected = !this.controller && code === REJECTED_BY_CLIENT;
+      this.fail(isRejected ? Object.assign(new Error(message), { code: INVALID_REQUEST }) : error);
       return;
     }
     this.settle()?.end(undefined);
--- a/packages/serving/src/online/runAttempt.ts
+++ b/packages/serving/src/online/runAttempt.ts
@@ -1,7 +1,7 @@
 /** Sends a request to one target and passes its response on. */
 import type { Target } from '../fleet/Target.js';
 import type { Dialect, HeadClassification, ResponseHeaders } from '../http/Dialect.js';
-import type { TargetCall, TargetRequest } from '../http/TargetCall.js';
+import { INVALID_REQUEST, type TargetCall, type TargetRequest } from '../http/TargetCall.js';
 import type { TargetClient } from '../http/TargetClient.js';
 import { STATUSES_WITHOUT_BODY } from '../http/TargetExchange.js';
 import type { ResponseSink } from './ResponseSink.js';
@@ -316,7 +316,7 @@
     const cause = (error as NodeJS.ErrnoException).code ?? error.message;
     const outcome: AttemptOutcome = this.isSent
       ? this.createBrokenOutcome(cause, CONNECTION_LOST_CAUSES.has(cause))
-      : { kind: 'not-run', cause, unreachable: true };
+      : { kind: 'not-run', cause, unreachable: cause !== INVALID_REQUEST };
     this.finish(outcome);
   }
 
