--- /dev/null
+++ b/packages/serving/test/features/stopping.feature
@@ -0,0 +1,8 @@
+Feature: Stopping the server for callers
+  Guards against responses that are cut although they could be completed.
+
+  # Guards against a stop that takes a response for sent as soon as its last byte is queued.
+  Scenario: A caller that reads slowly gets the rest of a response that has ended before the host stops
+    Given a server whose response of 32 MB has ended, and a caller that has read nothing
+    When the server stops, and the caller reads once it listens no more
+    Then the caller has got the whole response
