Tell listeners when a missing registration expires

After an outage of the store in which a version left, hosts refused streams that they had not seen begin (1209) until the next change of any target, though only one version could have begun them.

A target whose registration is missing after an outage is removed once its time to renew it is over. Listeners of the list did not hear of this, so the version of the target counted as in service.

--- a/packages/serving/src/fleet/TargetList.ts
+++ b/packages/serving/src/fleet/TargetList.ts
@@ -152,9 +152,12 @@
   private removeExpired(): void {
     if (this.missingRegistrations.size === 0) return;
     const now = performance.now();
-    [...this.missingRegistrations.entries()]
-      .filter(([, { deadline }]) => now >= deadline)
-      .forEach(([id]) => this.deleteTarget(id, 'registration not renewed after an outage'));
+    const expired = [...this.missingRegistrations.entries()].filter(
+      ([, { deadline }]) => now >= deadline,
+    );
+    if (expired.length === 0) return;
+    expired.forEach(([id]) => this.deleteTarget(id, 'registration not renewed after an outage'));
+    this.notifyListeners();
   }
 
   private deleteTarget(id: string, cause: string): void {
--- a/packages/serving/test/features/outages.feature
+++ b/packages/serving/test/features/outages.feature
@@ -27,3 +27,8 @@
     When calls for both tables fail for 4000 ms, and target "t-1" leaves meanwhile
     And calls for both tables get responses again
     Then the host uses targets "t-1, t-2"
+
+  # Guards against a version that counts as in service though none of its targets has come back.
+  Scenario: Listeners hear of a target that has not renewed its registration
+    When target "t-1" leaves 1950 ms after an outage of the store
+    Then listeners of the list hear that only "t-2" is left
--- a/packages/serving/test/steps/outages.steps.ts
+++ b/packages/serving/test/steps/outages.steps.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { silentJournal } from '@jacinthlug/catalog/Journal';
 import type { Target } from '@jacinthlug/serving/fleet/Target';
@@ -132,6 +133,28 @@
   await this.clock.advance(RETRY_TIME_MS);
 });
 
+When(
+  /^target "(.+)" leaves (\d+) ms after an outage of the store$/,
+  function (this: OutagesWorld, id: string, ms: string) {
+    this.list.remove(id, Number(ms));
+  },
+);
+
+Then(
+  'listeners of the list hear that only {string} is left',
+  async function (this: OutagesWorld, id: string) {
+    let heard = this.list.list();
+    this.list.onChange(() => {
+      heard = this.list.list();
+    });
+    while (this.list.listReady('chat').length > 1) await sleep(10);
+    assert.deepEqual(
+      heard.map((target) => target.id),
+      [id],
+    );
+  },
+);
+
 Then('the host uses targets {string}', async function (this: OutagesWorld, ids: string) {
   this.failingTables = [];
   await this.clock.advance(RETRY_TIME_MS);
