Remember versions for as long as streams may last

Streams of routes with long timeouts could go on at another version: a version counted as impossible 15 s after its last target had left, while a stream that began on it may be in progress for the timeout of its route, and its caller returns to another host afterwards. The rows of open streams were ignored after 15 s, too.

The retention is now 10 s longer than the longest timeout of a route with resumable streams, and at least 15 s as before. With timeouts of 5 s nothing changes.

--- a/packages/serving/src/streams/StreamRecords.ts
+++ b/packages/serving/src/streams/StreamRecords.ts
@@ -6,7 +6,8 @@
 import { parseJson } from '../store/parseJson.js';
 import type { RecordStore, StoredRecord } from '../store/RecordStore.js';
 import { SharedRead } from '../store/SharedRead.js';
-import { STREAM_RETENTION_MS, type StreamVersions } from './StreamVersions.js';
+import type { StreamRetention } from './StreamRetention.js';
+import type { StreamVersions } from './StreamVersions.js';
 import type { VersionHistory } from './VersionHistory.js';
 
 /** Table with one row for each host, which holds its open streams. */
@@ -47,6 +48,7 @@
   readonly store: RecordStore;
   readonly streamVersions: StreamVersions;
   readonly versionHistory: VersionHistory;
+  readonly retention: Pick<StreamRetention, 'ms'>;
   /** Returns the number of hosts in the fleet. */
   readonly countHosts: () => number;
   readonly journal: Pick<Journal, 'record'>;
@@ -122,7 +124,7 @@
     const writtenAt = now + row.writtenAt - storeNow;
     // A process that starts can't know how long the versions of a row were in service after it was written.
     versionHistory.learn(row.versions, this.isLoaded ? writtenAt : now);
-    if (this.isLoaded && now - writtenAt > STREAM_RETENTION_MS) return;
+    if (this.isLoaded && now - writtenAt > this.dependencies.retention.ms) return;
     if (key !== identity.name) streamVersions.learn(row.streams, now);
     else if (!this.isLoaded) streamVersions.adopt(row.streams, now);
   }
--- a/packages/serving/src/streams/StreamVersions.ts
+++ b/packages/serving/src/streams/StreamVersions.ts
@@ -1,12 +1,7 @@
 /** The version of the targets that began each stream, which only targets of that version can continue. */
 import { createHash } from 'node:crypto';
 import type { LoadReport } from '@jacinthlug/protocol/loadReport';
-
-/**
- * How long the version of a stream is remembered after its response has ended. Callers take a stream up again within
- * the time that they wait for it, some seconds. Unit: ms.
- */
-export const STREAM_RETENTION_MS = 15_000;
+import type { StreamRetention } from './StreamRetention.js';
 
 /** Maximum number of streams in a report. Keeps datagrams small when many responses break off. */
 const MAX_PER_REPORT = 12;
@@ -59,6 +54,8 @@
 
   private readonly listeners: (() => void)[] = [];
 
+  constructor(private readonly retention: Pick<StreamRetention, 'ms'>) {}
+
   /**
    * Registers a listener for streams that begin or break off here.
    *
@@ -91,7 +88,7 @@
   end(key: string, isComplete: boolean, now = performance.now()): void {
     const stream = this.ownStreams.get(key);
     if (!stream) return;
-    stream.until = now + STREAM_RETENTION_MS;
+    stream.until = now + this.retention.ms;
     stream.isOpen = !isComplete;
     if (stream.isOpen) this.notifyListeners();
   }
@@ -106,7 +103,7 @@
     streams
       .filter(([key]) => !this.ownStreams.has(key))
       .forEach(([key, version]) => {
-        const until = now + STREAM_RETENTION_MS;
+        const until = now + this.retention.ms;
         this.ownStreams.set(key, { version, until, isOpen: true, reportCount: 0 });
       });
   }
@@ -120,7 +117,7 @@
   learn(streams: readonly StreamVersion[], now = performance.now()): void {
     streams.forEach(([key, version]) => {
       this.learnedStreams.delete(key);
-      this.learnedStreams.set(key, { version, until: now + STREAM_RETENTION_MS });
+      this.learnedStreams.set(key, { version, until: now + this.retention.ms });
     });
     for (const [key, { until }] of this.learnedStreams) {
       if (until > now && this.learnedStreams.size <= MAX_LEARNED) break;
--- a/packages/serving/src/streams/VersionHistory.ts
+++ b/packages/serving/src/streams/VersionHistory.ts
@@ -1,6 +1,6 @@
 /** Versions of the targets of each service, including those that were replaced a short time ago. */
 import type { Target } from '../fleet/Target.js';
-import { STREAM_RETENTION_MS } from './StreamVersions.js';
+import type { StreamRetention } from './StreamRetention.js';
 
 /** Versions by service. */
 export type VersionsByService = Record<string, string[]>;
@@ -12,6 +12,8 @@
 
   private readonly listeners: (() => void)[] = [];
 
+  constructor(private readonly retention: Pick<StreamRetention, 'ms'>) {}
+
   /**
    * Registers a listener for versions that come into service or leave it.
    *
@@ -58,7 +60,7 @@
   listPossible(service: string, now = performance.now()): string[] {
     const versions = [...(this.lastSeen.get(service)?.entries() ?? [])];
     return versions
-      .filter(([, seenAt]) => now - seenAt < STREAM_RETENTION_MS)
+      .filter(([, seenAt]) => now - seenAt < this.retention.ms)
       .map(([version]) => version);
   }
 
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -30,6 +30,7 @@
 import { StoreContact } from '../store/StoreContact.js';
 import { StreamRecords } from '../streams/StreamRecords.js';
 import { StreamResumption } from '../streams/StreamResumption.js';
+import { StreamRetention } from '../streams/StreamRetention.js';
 import { StreamVersions } from '../streams/StreamVersions.js';
 import { VersionHistory } from '../streams/VersionHistory.js';
 import { TableFollower, type TableListener } from '../store/TableFollower.js';
@@ -196,13 +197,15 @@
     loadTable,
     health,
   });
-  const streamVersions = new StreamVersions();
-  const versionHistory = new VersionHistory();
+  const retention = new StreamRetention();
+  const streamVersions = new StreamVersions(retention);
+  const versionHistory = new VersionHistory(retention);
   const streamRecords = new StreamRecords({
     identity,
     store,
     streamVersions,
     versionHistory,
+    retention,
     countHosts: () => members.fleetSize.local + members.fleetSize.remote + 1,
     journal,
   });
@@ -323,7 +326,10 @@
   targets.onChange(() => versionHistory.update(targets.list()));
   drainingTargets.onAdded(() => exchange.scheduleReport());
   crashGuard.onEvidence(() => exchange.scheduleReport());
-  view.onChange(({ configuration }) => rates.configure(configuration));
+  view.onChange(({ configuration }) => {
+    rates.configure(configuration);
+    retention.configure(configuration);
+  });
   loadTable.onOwnLoadChange(() => {
     exchange.scheduleReport();
     worker.queueScheduling();
--- a/packages/serving/test/features/streams.feature
+++ b/packages/serving/test/features/streams.feature
@@ -87,3 +87,10 @@
     Given hosts "h-1" and "h-2" that know versions "v1" and "v2"
     When version "v1" has left 16 s ago
     Then only version "v2" can have begun a stream at "h-1"
+
+  # Guards against streams that last longer than the versions of the targets that left meanwhile are remembered.
+  Scenario: A version that left may have begun the streams that are still in progress
+    Given hosts "h-1" and "h-2" that know versions "v1" and "v2"
+    When streams may last 60 s at "h-1"
+    And version "v1" has left 65 s ago
+    Then versions "v1" and "v2" can have begun a stream at "h-1"
--- a/packages/serving/test/steps/streams.steps.ts
+++ b/packages/serving/test/steps/streams.steps.ts
@@ -2,9 +2,11 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { silentJournal } from '@jacinthlug/catalog/Journal';
+import type { Route } from '@jacinthlug/serving/configuration/ServingConfiguration';
 import type { Target } from '@jacinthlug/serving/fleet/Target';
 import { StreamRecords } from '@jacinthlug/serving/streams/StreamRecords';
 import { StreamResumption } from '@jacinthlug/serving/streams/StreamResumption';
+import { StreamRetention } from '@jacinthlug/serving/streams/StreamRetention';
 import { computeStreamKey, StreamVersions } from '@jacinthlug/serving/streams/StreamVersions';
 import { VersionHistory } from '@jacinthlug/serving/streams/VersionHistory';
 import { MemoryRecordStore } from '../fakes/MemoryRecordStore.js';
@@ -19,6 +21,7 @@
   readonly versionHistory: VersionHistory;
   readonly streamRecords: StreamRecords;
   readonly resumption: StreamResumption;
+  readonly retention: StreamRetention;
 }
 
 interface StreamsWorld {
@@ -47,13 +50,15 @@
   name: string,
   versions: readonly string[],
 ): Promise<void> => {
-  const streamVersions = new StreamVersions();
-  const versionHistory = new VersionHistory();
+  const retention = new StreamRetention();
+  const streamVersions = new StreamVersions(retention);
+  const versionHistory = new VersionHistory(retention);
   const streamRecords = new StreamRecords({
     identity: { name },
     store: world.store,
     streamVersions,
     versionHistory,
+    retention,
     countHosts: () => 2,
     journal: silentJournal,
   });
@@ -67,7 +72,7 @@
       return Promise.resolve(!world.store.down);
     },
   });
-  world.hosts.set(name, { streamVersions, versionHistory, streamRecords, resumption });
+  world.hosts.set(name, { streamVersions, versionHistory, streamRecords, resumption, retention });
   versionHistory.update(createTargets(versions));
   await streamRecords.start();
 };
@@ -208,6 +213,22 @@
   this.areTargetsReadable = false;
 });
 
+When(
+  'streams may last {int} s at {string}',
+  function (this: StreamsWorld, seconds: number, name: string) {
+    const routes = [{ resumable: true, timeoutMs: seconds * 1000 }] as Route[];
+    this.hosts.get(name)!.retention.configure({ routes });
+  },
+);
+
+Then(
+  'versions {string} and {string} can have begun a stream at {string}',
+  function (this: StreamsWorld, first: string, second: string, name: string) {
+    const { versionHistory } = this.hosts.get(name)!;
+    assert.deepEqual(versionHistory.listPossible(SERVICE).sort(), [first, second]);
+  },
+);
+
 When(
   'version {string} has left {int} s ago',
   function (this: StreamsWorld, version: string, seconds: number) {
