Save the versions that have left service a short time ago

A host that started after the last target of a version had left, and that took up a stream of this version which no host had saved, continued it at the version that was left: the rows of other hosts, which it reads at the start, named only the versions in service. The same holds for a host that has to read the whole table of targets as its history was lost, and so misses a version that came and left in between.

Rows now also name the versions that have left within the retention, with the time of it, so that a host that starts refuses (1209) what the hosts that saw the version leave refuse. Rows without the field can still be read.

--- a/packages/serving/src/streams/StreamRecords.ts
+++ b/packages/serving/src/streams/StreamRecords.ts
@@ -36,12 +36,27 @@
   writtenAt: z.number(),
   /** Versions in service, by service. */
   versions: z.record(z.string(), z.array(z.string())),
+  /** Store times until which other versions were in service, by service and version. Unit: ms. */
+  former: z.record(z.string(), z.record(z.string(), z.number())).default({}),
   /** Key and version of each open stream. */
   streams: z.array(z.tuple([z.string(), z.string()])),
 });
 
 type StreamsRow = z.infer<typeof streamsRow>;
 
+const mapTimes = (
+  times: StreamsRow['former'],
+  convert: (time: number) => number,
+): StreamsRow['former'] =>
+  Object.fromEntries(
+    Object.entries(times).map(([service, versions]) => [
+      service,
+      Object.fromEntries(
+        Object.entries(versions).map(([version, time]) => [version, convert(time)]),
+      ),
+    ]),
+  );
+
 /** Dependencies of {@link StreamRecords}. */
 export interface StreamRecordsDependencies {
   readonly identity: Pick<HostIdentity, 'name'>;
@@ -121,9 +136,15 @@
       journal.record('record-unreadable', { table: STREAMS_TABLE, key });
       return;
     }
-    const writtenAt = now + row.writtenAt - storeNow;
+    const toMonotonic = (storeTime: number): number => now + storeTime - storeNow;
+    const writtenAt = toMonotonic(row.writtenAt);
     // A process that starts can't know how long the versions of a row were in service after it was written.
     versionHistory.learn(row.versions, this.isLoaded ? writtenAt : now);
+    Object.entries(row.former).forEach(([service, versions]) =>
+      Object.entries(versions).forEach(([version, seenAt]) =>
+        versionHistory.learn({ [service]: [version] }, toMonotonic(seenAt)),
+      ),
+    );
     if (this.isLoaded && now - writtenAt > this.dependencies.retention.ms) return;
     if (key !== identity.name) streamVersions.learn(row.streams, now);
     else if (!this.isLoaded) streamVersions.adopt(row.streams, now);
@@ -180,9 +201,12 @@
     const storeNow = store.now();
     if (storeNow === undefined) return undefined;
     const streams = streamVersions.listOpen().slice(-MAX_STREAMS_PER_ROW);
+    const now = performance.now();
+    const toStoreTime = (time: number): number => Math.round(storeNow + time - now);
     return {
       writtenAt: Math.round(storeNow),
       versions: versionHistory.current,
+      former: mapTimes(versionHistory.listFormer(now), toStoreTime),
       streams: streams.map(([key, version]) => [key, version]),
     };
   }
--- a/packages/serving/src/streams/VersionHistory.ts
+++ b/packages/serving/src/streams/VersionHistory.ts
@@ -101,6 +101,24 @@
     return Object.fromEntries(entries.sort(([a], [b]) => (a < b ? -1 : 1)));
   }
 
+  /**
+   * Lists the versions that have left service but may have begun a stream which a caller takes up again now.
+   *
+   * @param now - monotonic time. Unit: ms
+   * @returns monotonic times until which they were in service, by service and version. Unit: ms
+   */
+  listFormer(now = performance.now()): Record<string, Record<string, number>> {
+    const entries = [...this.lastSeen.entries()].map(([service, versions]) => [
+      service,
+      Object.fromEntries(
+        [...versions.entries()].filter(
+          ([, seenAt]) => now - seenAt < this.retention.ms && seenAt <= now,
+        ),
+      ),
+    ]);
+    return Object.fromEntries(entries) as Record<string, Record<string, number>>;
+  }
+
   private set(service: string, version: string, seenAt: number): void {
     const versions = this.lastSeen.get(service) ?? new Map<string, number>();
     versions.set(version, Math.max(versions.get(version) ?? seenAt, seenAt));
--- a/packages/serving/test/features/streams.feature
+++ b/packages/serving/test/features/streams.feature
@@ -94,3 +94,11 @@
     When streams may last 60 s at "h-1"
     And version "v1" has left 65 s ago
     Then versions "v1" and "v2" can have begun a stream at "h-1"
+
+  # Guards against a guess by a host that starts when one of two versions has just left.
+  Scenario: A host that starts learns of a version that has just left
+    Given hosts "h-1" and "h-2" that know versions "v1" and "v2"
+    When version "v1" leaves service
+    And the hosts have saved them
+    And host "h-2" is killed, starts again with versions "v2" and saves its row
+    Then "h-2" finds no version for a stream that no host has seen
--- a/packages/serving/test/steps/streams.steps.ts
+++ b/packages/serving/test/steps/streams.steps.ts
@@ -213,6 +213,11 @@
   this.areTargetsReadable = false;
 });
 
+When('version {string} leaves service', function (this: StreamsWorld, version: string) {
+  const others = createTargets(['v1', 'v2'].filter((each) => each !== version));
+  this.hosts.forEach(({ versionHistory }) => versionHistory.update(others));
+});
+
 When(
   'streams may last {int} s at {string}',
   function (this: StreamsWorld, seconds: number, name: string) {
