--- a/packages/serving/src/streams/VersionHistory.ts
+++ b/packages/serving/src/streams/VersionHistory.ts
@@ -1,6 +1,6 @@
 /** Versions of the targets of each service, including those that were replaced a short time ago. */
 import type { Target } from '../fleet/Target.js';
-import { STREAM_RETENTION_MS } from './StreamVersions.js';
+import type { StreamRetention } from './StreamRetention.js';
 
 /** Versions by service. */
 export type VersionsByService = Record<string, string[]>;
@@ -12,6 +12,8 @@
 
   private readonly listeners: (() => void)[] = [];
 
+  constructor(private readonly retention: Pick<StreamRetention, 'ms'>) {}
+
   /**
    * Registers a listener for versions that come into service or leave it.
    *
@@ -58,7 +60,7 @@
   listPossible(service: string, now = performance.now()): string[] {
     const versions = [...(this.lastSeen.get(service)?.entries() ?? [])];
     return versions
-      .filter(([, seenAt]) => now - seenAt < STREAM_RETENTION_MS)
+      .filter(([, seenAt]) => now - seenAt < this.retention.ms)
       .map(([version]) => version);
   }
 
@@ -99,6 +101,24 @@
     return Object.fromEntries(entries.sort(([a], [b]) => (a < b ? -1 : 1)));
   }
 
+  /**
+   * Lists the versions that have left service but may have begun a stream which a caller takes up again now.
+   *
+   * @param now - monotonic time. Unit: ms
+   * @returns monotonic times until which they were in service, by service and version. Unit: ms
+   */
+  listFormer(now = performance.now()): Record<string, Record<string, number>> {
+    const entries = [...this.lastSeen.entries()].map(([service, versions]) => [
+      service,
+      Object.fromEntries(
+        [...versions.entries()].filter(
+          ([, seenAt]) => now - seenAt < this.retention.ms && seenAt <= now,
+        ),
+      ),
+    ]);
+    return Object.fromEntries(entries) as Record<string, Record<string, number>>;
+  }
+
   private set(service: string, version: string, seenAt: number): void {
     const versions = this.lastSeen.get(service) ?? new Map<string, number>();
     versions.set(version, Math.max(versions.get(version) ?? seenAt, seenAt));
