Complete an item only after an event that two targets end with

An item could be completed with a part of its output: one target ended its response without length or chunks after three of seven events, the next one, asked to go on, ended right after its head. Two ends at the same event counted as a confirmation, but a target that crashes after its head sends the same bytes as one that has nothing to add.

After such an end the output now drops its last event, so that the next run resumes before it. The end counts once another response, or the same target's next one, repeats that event, from the same version, and ends there too. An empty response confirms nothing and delays the next run. A stated end (a length or chunks) counts as before, unless the response lacks the event that was dropped. An output of which the event before the last one is unknown starts again. As the dropped event comes again from a run that was asked for it, no event stands twice.

Nine of the rows of the new outline failed on the code before; the others guard the ends that have to complete an item.

--- a/packages/serving/src/batch/BatchWorker.ts
+++ b/packages/serving/src/batch/BatchWorker.ts
@@ -336,11 +336,9 @@
     const endRequest = loadTable.beginRequest(target.id, 'batch');
     const attempt = await this.send(job, task, target, controller.signal);
     endRequest();
+    const events = task.response.eventCount;
+    this.paceEstimator.recordRun(events - eventsBefore, performance.now() - startedAt);
     const state = task.finishRun(attempt, eventsBefore, performance.now());
-    this.paceEstimator.recordRun(
-      task.response.eventCount - eventsBefore,
-      performance.now() - startedAt,
-    );
     if (state === 'completed')
       this.paceEstimator.recordCompletedItem(task.item.tokens, task.response.eventCount);
     if (isTargetFault(attempt)) health.recordFailure(target.id, attempt.cause);
@@ -353,7 +351,7 @@
       ...('status' in attempt && { status: attempt.status }),
       ...('cause' in attempt && { cause: attempt.cause }),
       ...(controller.signal.aborted && { cause: String(controller.signal.reason) }),
-      events: task.response.eventCount,
+      events,
       tookMs: Math.round(performance.now() - startedAt),
       state,
     });
--- a/packages/serving/src/batch/ItemResponse.ts
+++ b/packages/serving/src/batch/ItemResponse.ts
@@ -9,6 +9,13 @@
 
 const callImmediately = (resume: () => void): void => resume();
 
+/** Where a run can resume. */
+interface ResumePoint {
+  /** Undefined at the start. */
+  readonly lastEventId: string | undefined;
+  readonly eventCount: number;
+}
+
 /** Collects the events of an item's runs. */
 export class ItemResponse implements ResponseSink {
   /** Always false, as a run may return any status; only streams with status 200 count as output. */
@@ -26,6 +33,9 @@
   /** Number of events up to the last one after which another run can resume. */
   resumableEventCount = 0;
 
+  /** Where a run can resume to repeat the last event; undefined if there is none, or it is unknown. */
+  private beforeLastEvent: ResumePoint | undefined;
+
   /** Version of the targets that produce the output; undefined before the first run. */
   version: string | undefined;
 
@@ -52,6 +62,15 @@
     );
   }
 
+  /**
+   * Checks whether the current run has continued the output.
+   *
+   * @returns whether its response has an event
+   */
+  get hasNewEvents(): boolean {
+    return !this.events.isResponseEmpty;
+  }
+
   get isUnusable(): boolean {
     return this.isCollecting && (this.events.isUnusable || this.isTooLarge);
   }
@@ -105,6 +124,37 @@
     this.truncate(0);
     data.forEach((each) => this.append(each));
     this.resumableEventCount = this.eventCount;
+    // Unless ids count the events from 1, some events may have no data.
+    const eventCount = this.eventCount - 1;
+    this.beforeLastEvent =
+      Number(lastEventId) === this.eventCount && eventCount > 0
+        ? { lastEventId: String(eventCount), eventCount }
+        : undefined;
+  }
+
+  /**
+   * Removes the last event, so that the next run has to repeat it. An event that was removed already is not removed again.
+   *
+   * @returns whether the next run can resume before the event
+   */
+  removeLastEvent(): boolean {
+    if (!this.beforeLastEvent) return false;
+    const { lastEventId, eventCount } = this.beforeLastEvent;
+    this.events.lastEventId = lastEventId;
+    this.truncate(eventCount);
+    this.resumableEventCount = eventCount;
+    return true;
+  }
+
+  /**
+   * Checks whether the output is shorter than what targets have sent.
+   *
+   * @returns whether an event was removed and not repeated yet
+   */
+  get lacksRemovedEvent(): boolean {
+    return (
+      this.beforeLastEvent !== undefined && this.beforeLastEvent.lastEventId === this.lastEventId
+    );
   }
 
   /** Starts the response to the next run, which repeats all events after the last one with an id. */
@@ -122,10 +172,14 @@
 
   write(chunk: Buffer): boolean {
     if (!this.isCollecting) return true;
+    let { lastEventId } = this;
     this.events.push(chunk).forEach((event) => {
       const data = readData(event);
       if (data !== undefined) this.append(data);
-      if (event.id !== undefined) this.resumableEventCount = this.eventCount;
+      if (event.id === undefined) return;
+      this.beforeLastEvent = { lastEventId, eventCount: this.resumableEventCount };
+      this.resumableEventCount = this.eventCount;
+      lastEventId = event.id;
     });
     return true;
   }
--- a/packages/serving/src/batch/ItemTask.ts
+++ b/packages/serving/src/batch/ItemTask.ts
@@ -44,8 +44,8 @@
   /** Number of consecutive runs without a new resumable event, except those that ended with a crash of the target. */
   private runsWithoutProgress = 0;
 
-  /** Number of events at the latest end of a response that only the end of its connection showed. */
-  private unconfirmedEndCount: number | undefined;
+  /** The latest end of a response with events that only the end of its connection showed. */
+  private unconfirmedEnd: Pick<ItemResponse, 'lastEventId' | 'version'> | undefined;
 
   /** Monotonic time before which the item is not run. Unit: ms. */
   notBefore = 0;
@@ -72,7 +72,7 @@
   discardOutput(): void {
     this.response = new ItemResponse();
     this.savedEventCount = 0;
-    this.unconfirmedEndCount = undefined;
+    this.unconfirmedEnd = undefined;
   }
 
   /**
@@ -97,11 +97,18 @@
     this.run = undefined;
     const outcome = ('status' in attempt && outcomesByStatus.get(attempt.status)) || 'again';
     if (outcome === 'completed') {
-      if (!this.mayBeTruncated(attempt)) return 'completed';
-      this.notBefore = now;
-      return undefined;
+      const isEndStated = attempt.kind === 'complete' && !attempt.isCloseDelimited;
+      if (isEndStated && !this.response.lacksRemovedEvent) return 'completed';
+      if (this.response.hasNewEvents) {
+        if (this.confirmEnd()) return 'completed';
+        this.runsWithoutProgress = 0;
+        this.notBefore = now;
+        return undefined;
+      }
+      // A target that crashes after its head sends the same response, so that it confirms no end.
+      if (!this.response.removeLastEvent()) this.discardOutput();
     }
-    if (attempt.kind === 'broken') this.unconfirmedEndCount = undefined;
+    if (attempt.kind === 'broken') this.unconfirmedEnd = undefined;
     if (outcome === 'impossible') return 'dead-lettered';
     if (outcome === 'failed') {
       this.failures += 1;
@@ -121,14 +128,17 @@
   }
 
   /**
-   * Checks whether further events may follow, as only the end of a connection shows where the response ends. The next run
-   * continues after its last event, and confirms the end if its response ends there too.
+   * Checks whether a response that ended with its connection is the second one in a row that did so after the same event.
+   * Unless it is, further events may follow: the next run has to repeat the last event and end there too, which a target
+   * that has crashed does not do.
    */
-  private mayBeTruncated(attempt: AttemptOutcome): boolean {
-    if (attempt.kind !== 'complete' || !attempt.isCloseDelimited) return false;
-    const { eventCount } = this.response;
-    const isConfirmed = this.unconfirmedEndCount === eventCount;
-    this.unconfirmedEndCount = eventCount;
-    return !isConfirmed;
+  private confirmEnd(): boolean {
+    const { response, unconfirmedEnd } = this;
+    const { lastEventId, version } = response;
+    if (unconfirmedEnd?.lastEventId === lastEventId && unconfirmedEnd?.version === version)
+      return true;
+    this.unconfirmedEnd = { lastEventId, version };
+    response.removeLastEvent();
+    return false;
   }
 }
--- a/packages/serving/test/features/jobs.feature
+++ b/packages/serving/test/features/jobs.feature
@@ -99,6 +99,36 @@
       | 12   | refused         |
       | 12   | silent          |
 
+  # Guards against an item that is completed with a part of its output, after responses that ended as those of crashed targets.
+  Scenario Outline: An item isn't completed by ends of connections that no target confirms with an event
+    When targets respond in turn to the runs of an item: <responses>
+    Then the item has <state>
+
+    Examples:
+      | responses                                           | state                        |
+      | to event 3                                          | no final state               |
+      | to event 3; nothing                                 | no final state               |
+      | to event 3; nothing; nothing; nothing               | no final state               |
+      | to event 3, broken; nothing                         | no final state               |
+      | to event 3; nothing, stated                         | no final state               |
+      | to event 3; to event 7                              | no final state               |
+      | to event 1; nothing; to event 1                     | no final state               |
+      | saved to event 3; nothing; nothing                  | no final state               |
+      | to event 3; to event 3 of another version           | no final state               |
+      | to event 3; to event 3                              | completed with events 1 to 3 |
+      | to event 3; nothing; to event 3                     | completed with events 1 to 3 |
+      | to event 3; to event 7; to event 7                  | completed with events 1 to 7 |
+      | to event 3; nothing; to event 7, stated             | completed with events 1 to 7 |
+      | to event 3; nothing, stated; to event 3, stated     | completed with events 1 to 3 |
+      | to event 3; to event 3, stated                      | completed with events 1 to 3 |
+      | to event 3, broken; nothing; to event 3; to event 3 | completed with events 1 to 3 |
+      | to event 3, broken; nothing, stated                 | completed with events 1 to 3 |
+      | to event 1; to event 1                              | completed with events 1 to 1 |
+      | to event 3 and an id; to event 3 and an id          | completed with events 1 to 3 |
+      | to event 3 and an id; nothing; to event 3 and an id | completed with events 1 to 3 |
+      | saved to event 3; nothing; to event 3; to event 3   | completed with events 1 to 3 |
+      | saved to event 3; to event 5; to event 5            | completed with events 1 to 5 |
+
   Scenario: An ended job gets no further results
     Given hosts "h-1" and "h-2" with a store
     When job "j-1" with 3 items is submitted to "h-1"
--- a/packages/serving/test/steps/jobs.steps.ts
+++ b/packages/serving/test/steps/jobs.steps.ts
@@ -159,6 +159,56 @@
   },
 );
 
+/** Lets a target continue an item up to an event, and end its response. */
+const respondToRun = (task: ItemTask, text: string): ItemState | undefined => {
+  const [, last = '0'] = /^to event (\d+)/.exec(text) ?? [];
+  const { response } = task;
+  const eventsBefore = response.resumableEventCount;
+  const isCloseDelimited = !text.endsWith('stated');
+  response.version = text.endsWith('another version') ? 'v2' : 'v1';
+  response.begin(200, {}, isCloseDelimited);
+  for (let event = Number(response.lastEventId ?? 0) + 1; event <= Number(last); event += 1)
+    response.write(Buffer.from(`id: ${event}\ndata: event ${event}\n\n`));
+  if (text.endsWith('and an id'))
+    response.write(Buffer.from(`id: ${Number(response.lastEventId) + 1}\n\n`));
+  const isBroken = text.endsWith('broken') || response.isTruncated;
+  const outcome: AttemptOutcome = isBroken
+    ? RUN_OUTCOMES['lost connection']!
+    : { kind: 'complete', status: 200, isCloseDelimited };
+  return task.finishRun(outcome, eventsBefore, 0);
+};
+
+When(
+  /^targets respond in turn to the runs of an item: (.+)$/,
+  function (this: JobsWorld, responses: string) {
+    this.task = new ItemTask(0, createItem(0), 3);
+    this.state = undefined;
+    responses.split('; ').forEach((text) => {
+      assert.equal(this.state, undefined);
+      const [, saved] = /^saved to event (\d+)$/.exec(text) ?? [];
+      if (saved === undefined) this.state = respondToRun(this.task, text);
+      else
+        this.task.resume({
+          lastEventId: saved,
+          data: eventTexts(1, Number(saved)),
+          version: 'v1',
+        });
+    });
+  },
+);
+
+Then('the item has no final state', function (this: JobsWorld) {
+  assert.equal(this.state, undefined);
+});
+
+Then(
+  'the item has completed with events {int} to {int}',
+  function (this: JobsWorld, first: number, last: number) {
+    assert.equal(this.state, 'completed');
+    assert.equal(this.task.response.text, eventTexts(first, last).join('\n'));
+  },
+);
+
 Given(
   'hosts {string} and {string} with a store',
   function (this: JobsWorld, first: string, second: string) {
