Read what has arrived before an idle timeout of a target expires

Callers saw: a response that a target had sent was broken off, or sent to another target, when the host stood still for longer than the idle timeout, or was busy for as long.

The timeout now expires only after the sockets have been read once. The new scenario of attempts.feature ends as silent without this.

--- a/packages/serving/src/online/IdleTimeout.ts
+++ b/packages/serving/src/online/IdleTimeout.ts
@@ -13,6 +13,14 @@
    * @returns function that cancels the call
    */
   after(ms: number, callback: () => void): () => void;
+
+  /**
+   * Schedules one call after the bytes that have arrived by now are read.
+   *
+   * @param callback - called unless cancelled before
+   * @returns function that cancels the call
+   */
+  afterReads(callback: () => void): () => void;
 }
 
 const systemTimers: Timers = {
@@ -21,6 +29,10 @@
     const timer = setTimeout(callback, ms);
     return () => clearTimeout(timer);
   },
+  afterReads(callback) {
+    const immediate = setImmediate(callback);
+    return () => clearImmediate(immediate);
+  },
 };
 
 /**
@@ -73,12 +85,21 @@
     this.cancelTimer = this.timers.after(ms, () => this.check());
   }
 
+  /** Lets bytes be read first: if the process stood still, timers fire before the event loop reads what has arrived. */
   private check(): void {
-    const remainingMs = this.deadline - this.timers.now();
-    if (remainingMs > 0) {
-      this.schedule(remainingMs);
-      return;
-    }
+    if (this.deadline > this.timers.now()) this.scheduleRest();
+    else
+      this.cancelTimer = this.timers.afterReads(() => {
+        if (this.deadline > this.timers.now()) this.scheduleRest();
+        else this.expire();
+      });
+  }
+
+  private scheduleRest(): void {
+    this.schedule(this.deadline - this.timers.now());
+  }
+
+  private expire(): void {
     this.start(this.timeoutMs);
     this.onTimeout();
   }
--- a/packages/serving/test/fakes/SteppedTimers.ts
+++ b/packages/serving/test/fakes/SteppedTimers.ts
@@ -11,6 +11,8 @@
 
   private readonly scheduledCalls = new Set<ScheduledCall>();
 
+  private readonly callsAfterReads = new Set<() => void>();
+
   now(): number {
     return this.time;
   }
@@ -21,16 +23,45 @@
     return () => this.scheduledCalls.delete(call);
   }
 
-  /** Advances the time, and fires each timer when it is due. */
+  afterReads(callback: () => void): () => void {
+    this.callsAfterReads.add(callback);
+    return () => this.callsAfterReads.delete(callback);
+  }
+
+  /** Advances the time, and fires each timer when it is due. Nothing arrives meanwhile. */
   advance(ms: number): void {
     const end = this.time + ms;
-    for (;;) {
-      const [next] = [...this.scheduledCalls].sort((a, b) => a.at - b.at);
-      if (!next || next.at > end) break;
-      this.scheduledCalls.delete(next);
+    for (let next = this.takeDue(end); next; next = this.takeDue(end)) {
       this.time = next.at;
       next.callback();
+      this.flushCallsAfterReads();
     }
     this.time = end;
   }
+
+  /**
+   * Advances the time as if the process stood still: timers fire late, and before anything is read.
+   *
+   * @param ms - time for which the process stands still. Unit: ms
+   * @param read - reads what has arrived
+   */
+  stall(ms: number, read: () => void): void {
+    this.time += ms;
+    for (let next = this.takeDue(this.time); next; next = this.takeDue(this.time)) next.callback();
+    read();
+    this.flushCallsAfterReads();
+  }
+
+  private takeDue(end: number): ScheduledCall | undefined {
+    const [next] = [...this.scheduledCalls].sort((a, b) => a.at - b.at);
+    if (!next || next.at > end) return undefined;
+    this.scheduledCalls.delete(next);
+    return next;
+  }
+
+  private flushCallsAfterReads(): void {
+    const calls = [...this.callsAfterReads];
+    this.callsAfterReads.clear();
+    calls.forEach((call) => call());
+  }
 }
--- a/packages/serving/test/features/attempts.feature
+++ b/packages/serving/test/features/attempts.feature
@@ -30,6 +30,14 @@
     When nothing arrives for 800 ms
     Then the attempt ends as silent
 
+  # Guards against a target that counts as silent because its host stood still, although its events have arrived.
+  Scenario: Events that have arrived are read before an idle timeout expires
+    When the response head arrives after 100 ms
+    And the host stands still for 3000 ms, in which an event arrives
+    Then the attempt has not ended
+    When nothing arrives for 800 ms
+    Then the attempt ends as silent, 800 ms after the last event
+
   Scenario: A tolerated idle timeout is reported again
     Given no other target could continue the stream
     When the response head arrives after 100 ms
--- a/packages/serving/test/steps/attempts.steps.ts
+++ b/packages/serving/test/steps/attempts.steps.ts
@@ -186,6 +186,14 @@
   await settle();
 });
 
+When(
+  'the host stands still for {int} ms, in which an event arrives',
+  async function (this: AttemptWorld, ms: number) {
+    this.timers.stall(ms, () => sendEvent(this));
+    await settle();
+  },
+);
+
 When('the target ends its response', async function (this: AttemptWorld) {
   this.target.end(undefined);
   await settle();
