Run a request on no further target once the route's limit is reached

A request that returned to a silent target, was rejected there, and found it draining 100 ms later, went to a further target beyond the route's attempts: the choice of the next target asked for the limit only beside a target to return to. It is asked for every further target now.

--- a/packages/serving/src/online/OnlineRequestHandler.ts
+++ b/packages/serving/src/online/OnlineRequestHandler.ts
@@ -238,16 +238,16 @@
       if (this.isTooLateToRun(request, progress))
         return { kind: 'refused', refusal: refuseStopping() };
       const chosen = this.chooseTarget(request, progress);
-      if (chosen.kind === 'target') {
+      if (chosen?.kind === 'target') {
         const ended = await this.tryTarget(request, chosen.target, progress);
         if (ended) return ended;
       } else if (progress.unconfirmedEnd) {
         return endComplete(progress.unconfirmedEnd, false, request);
-      } else if (progress.version !== undefined && progress.readmitRecovering()) {
+      } else if (chosen && progress.version !== undefined && progress.readmitRecovering()) {
         await systemClock.sleep(SAME_TARGET_RETRY_DELAY_MS, request.lifetime.signal);
       } else {
-        progress.recordNoTarget(chosen.counts);
-        return endWithoutTarget(chosen.kind, request, progress);
+        if (chosen) progress.recordNoTarget(chosen.counts);
+        return endWithoutTarget(chosen?.kind ?? 'none', request, progress);
       }
     }
   }
@@ -267,18 +267,23 @@
   }
 
   /**
-   * Chooses the next target. If the request has left a silent target, it returns there unless another one that looks healthy
-   * can run it.
+   * Chooses the next target; undefined if no further target may run the request. If the request has left a silent target, it
+   * returns there unless another one that looks healthy can run it.
    */
-  private chooseTarget(request: OnlineRequest, progress: RequestProgress): TargetChoice {
+  private chooseTarget(
+    request: OnlineRequest,
+    progress: RequestProgress,
+  ): TargetChoice | undefined {
     const { router } = this.dependencies;
     const { service, route } = request;
     const { excludedTargets, version, unconfirmedEnd } = progress;
     const left = unconfirmedEnd ? undefined : this.findReturnTarget(request, progress);
+    const mayRunFurther = progress.mayRunFurther(route.attempts);
     const prefersFurther =
+      mayRunFurther &&
       progress.attempts < Math.max(MAX_ATTEMPTS_NOT_RUN, route.attempts) &&
-      progress.mayRunFurther(route.attempts) &&
       router.hasAlternative(service, excludedTargets, version);
+    if (!left && !mayRunFurther) return undefined;
     if (!left || prefersFurther) return router.chooseForOnline(service, excludedTargets, version);
     progress.recordReturn(left.target.id);
     return { kind: 'target', target: left.target };
