End the request of a caller that disconnects within its next one

A target worked on for a caller that had sent a part of a further request and then disconnected: the parser reports that as an invalid request, which was rejected only after the response to the first one. A connection is also rejected only once, as each further part after invalid bytes added listeners, and a request with an expectation that can't be met counts as one, so that its connection closes in a stop. These two have no test of their own. Found by review.

--- a/packages/serving/src/http/CallerServer.ts
+++ b/packages/serving/src/http/CallerServer.ts
@@ -25,6 +25,9 @@
 /** Maximum time in which the final responses of a stop are sent. Unit: ms. */
 const FLUSH_TIMEOUT_MS = 150;
 
+/** Code of the parser's error when a caller disconnects within a request. */
+const CALLER_GONE_WITHIN_REQUEST = 'HPE_INVALID_EOF_STATE';
+
 /** Limits until the configuration is loaded. */
 const INITIAL_LIMITS: CallerLimits = {
   headerBytes: 16_384,
@@ -62,6 +65,9 @@
 
   private isStopping = false;
 
+  /** Connections that are closed once their complete requests have responses. */
+  private readonly rejected = new WeakSet<Duplex>();
+
   private readonly connections = new Map<Duplex, CallerConnection>();
 
   constructor(
@@ -77,9 +83,14 @@
     );
     this.server.on('connection', (socket) => this.addConnection(socket));
     // Without these listeners, Node.js closes the connection, even within the response to an earlier request of it.
-    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
-      this.reject(socket, statusByError(error)),
-    );
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+      if (error.code === CALLER_GONE_WITHIN_REQUEST) socket.destroy();
+      else this.reject(socket, statusByError(error));
+    });
+    this.server.on('checkExpectation', (message, response) => {
+      if (this.connections.get(message.socket)?.begin(message, response))
+        response.writeHead(417).end();
+    });
     this.server.on('connect', (_, socket) => this.reject(socket, '501 Not Implemented'));
     this.server.on('timeout', closeUnlessReadable);
     this.applyLimits(INITIAL_LIMITS);
@@ -135,6 +146,8 @@
   }
 
   private reject(socket: Duplex, status: string): void {
+    if (this.rejected.has(socket)) return;
+    this.rejected.add(socket);
     rejectConnection(socket, status, this.connections.get(socket)?.responses ?? new Set());
   }
 
