Stop looking for the version of a stream when its request is aborted

With a store that doesn't respond, a host went on for up to 0.75 s after the caller had disconnected, its deadline had passed or the host had to stop, so that a stop with a short grace time could end without a status. Found by review, by reading; no test of its own.

--- a/packages/serving/src/online/OnlineRequestHandler.ts
+++ b/packages/serving/src/online/OnlineRequestHandler.ts
@@ -217,11 +217,14 @@
 
   /** Refuses to continue a stream if this host can't tell which version began it. */
   private async refuseUnknownVersion(
-    { head, service, streamKey }: OnlineRequest,
+    { head, service, streamKey, lifetime }: OnlineRequest,
     progress: RequestProgress,
   ): Promise<RequestOutcome | undefined> {
     if (streamKey === undefined || head.resumeAfter === undefined) return undefined;
-    const version = await this.dependencies.streamResumption.findVersion(streamKey, service);
+    const version = await Promise.race([
+      this.dependencies.streamResumption.findVersion(streamKey, service),
+      systemClock.sleep(lifetime.remainingMs, lifetime.signal).then(() => undefined),
+    ]);
     if (version === undefined) {
       return { kind: 'refused', refusal: refuse('stream-version-unknown') };
     }
