--- a/packages/serving/test/steps/drainingTargets.steps.ts
+++ b/packages/serving/test/steps/drainingTargets.steps.ts
@@ -2,11 +2,11 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import { silentJournal } from '@jacinthlug/catalog/Journal';
 import { DrainingTargets } from '@jacinthlug/serving/fleet/DrainingTargets';
-import type { Target } from '@jacinthlug/serving/fleet/Target';
 import { TargetList } from '@jacinthlug/serving/fleet/TargetList';
 import { LoadTable } from '@jacinthlug/serving/routing/LoadTable';
 import { TargetHealth } from '@jacinthlug/serving/routing/TargetHealth';
 import { TargetRouter } from '@jacinthlug/serving/routing/TargetRouter';
+import { createListedTarget } from '../fakes/createListedTarget.js';
 
 interface DrainingTargetsWorld {
   drainingTargets: DrainingTargets;
@@ -15,17 +15,6 @@
   addedCount: number;
 }
 
-const createTarget = (id: string, bornAt = 1): Target => ({
-  id,
-  bornAt,
-  service: 'chat',
-  version: 'v1',
-  address: '127.0.0.1:1',
-  failureDomain: 'a',
-  slots: 8,
-  state: 'ready',
-});
-
 const createName = (index: number): string => `t-${index}`;
 
 Given(
@@ -33,7 +22,10 @@
   function (this: DrainingTargetsWorld, first: string, second: string) {
     this.drainingTargets = new DrainingTargets(silentJournal);
     this.list = new TargetList(silentJournal);
-    this.list.replace([createTarget(first), createTarget(second)], Number.POSITIVE_INFINITY);
+    this.list.replace(
+      [createListedTarget(first), createListedTarget(second)],
+      Number.POSITIVE_INFINITY,
+    );
     this.router = new TargetRouter({
       identity: { name: 'h-1', failureDomain: 'a', incarnation: 1, address: '', port: 1, cores: 1 },
       targets: this.list,
@@ -53,11 +45,11 @@
 
 When('{string} is registered as ready again', function (this: DrainingTargetsWorld, id: string) {
   this.list.remove(id, Number.POSITIVE_INFINITY);
-  this.list.put(createTarget(id));
+  this.list.put(createListedTarget(id));
 });
 
 When('{string} restarts with the same id', function (this: DrainingTargetsWorld, id: string) {
-  this.list.put(createTarget(id, 2));
+  this.list.put(createListedTarget(id, 2));
 });
 
 /** Returns the targets chosen in 50 attempts for requests and items each. */
@@ -97,7 +89,7 @@
     this.drainingTargets = new DrainingTargets(silentJournal);
     this.addedCount = Number(targets);
     for (let index = 0; index < this.addedCount; index += 1) {
-      this.drainingTargets.add(createTarget(createName(index)), 0);
+      this.drainingTargets.add(createListedTarget(createName(index)), 0);
     }
   },
 );
@@ -138,7 +130,7 @@
 
 const checkTracked = ({ drainingTargets, addedCount }: DrainingTargetsWorld): boolean[] =>
   Array.from({ length: addedCount }, (_, index) =>
-    drainingTargets.includes(createTarget(createName(index))),
+    drainingTargets.includes(createListedTarget(createName(index))),
   );
 
 Then('all of them are still tracked', function (this: DrainingTargetsWorld) {
--- a/packages/serving/test/steps/outages.steps.ts
+++ b/packages/serving/test/steps/outages.steps.ts
@@ -2,13 +2,13 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { silentJournal } from '@jacinthlug/catalog/Journal';
-import type { Target } from '@jacinthlug/serving/fleet/Target';
 import { TargetList } from '@jacinthlug/serving/fleet/TargetList';
 import { StoreContact } from '@jacinthlug/serving/store/StoreContact';
 import { TableFollower, type TableListener } from '@jacinthlug/serving/store/TableFollower';
 import { errAsync, okAsync } from 'neverthrow';
 import { FakeClock } from '../fakes/FakeClock.js';
 import { MemoryRecordStore } from '../fakes/MemoryRecordStore.js';
+import { createListedTarget } from '../fakes/createListedTarget.js';
 
 const TARGETS = 'targets';
 
@@ -31,17 +31,6 @@
   failingTables: readonly string[];
 }
 
-const createTarget = (id: string): Target => ({
-  id,
-  bornAt: 1,
-  service: 'chat',
-  version: 'v1',
-  address: '127.0.0.1:1',
-  failureDomain: 'a',
-  slots: 8,
-  state: 'ready',
-});
-
 const createStore = (world: OutagesWorld): MemoryRecordStore => {
   const store = new MemoryRecordStore();
   store.enableLongPolling(world.clock);
@@ -60,13 +49,13 @@
 const createListener = (list: TargetList, timeSinceOutage: () => number): TableListener => ({
   replace: (records) =>
     list.replace(
-      records.map(({ key }) => createTarget(key)),
+      records.map(({ key }) => createListedTarget(key)),
       timeSinceOutage(),
     ),
   apply: (changes) =>
     changes.forEach((change) => {
       if (change.kind === 'removed') list.remove(change.key.key, timeSinceOutage());
-      else list.put(createTarget(change.record.key));
+      else list.put(createListedTarget(change.record.key));
     }),
 });
 
