Record the version of a stream just before its first event

Callers saw: a stream that they took up at another host went on with events of another version, and ended as complete.

Cause: the version of a stream was recorded at the head of a target's response. Since the response of another target may still take the place of one of which nothing was passed on. Other hosts had learned the first target's version from reports and rows by then, and continued the stream at it.

Fix: the version belongs to the head that waits for the first part of its body. CallerResponse passes it on in the moment before it writes that part, and only there does it become known to this host, and so to reports and rows. It can't change after that, as a stream that has begun goes on at its version only; late and reordered reports, and rows of earlier processes, therefore tell the right one. A stream that is taken up has begun: its version is recorded once it is found, so that a continuation without an event still keeps it known, as before.

Ruled out: reordered reports (Members drops older ones), and a wrong guess of the other host (it didn't guess, the version was reported to it).

--- a/packages/serving/src/batch/ItemResponse.ts
+++ b/packages/serving/src/batch/ItemResponse.ts
@@ -162,6 +162,7 @@
     status: number,
     _headers: Record<string, string | string[]>,
     isCloseDelimited: boolean,
+    _version: string,
     acceptsEventLine?: EventLineCheck,
   ): void {
     this.isCollecting = status === 200;
--- a/packages/serving/src/online/CallerResponse.ts
+++ b/packages/serving/src/online/CallerResponse.ts
@@ -22,6 +22,8 @@
 /** Status and headers of a response. */
 interface ResponseHead {
   readonly status: number;
+  /** Version of the target. */
+  readonly version: string;
   readonly headers: Record<string, string | string[]>;
 }
 
@@ -73,6 +75,8 @@
     private readonly isResumable: boolean,
     /** Id of the last event that the caller has, when it takes a stream up again. */
     resumeAfter?: string,
+    /** Called with the version of its target just before the first part of a stream is written. */
+    private readonly onStreamStart?: (version: string) => void,
   ) {
     this.isTakenUp = isEventId(resumeAfter);
     if (this.isTakenUp) this.events.lastEventId = resumeAfter;
@@ -168,6 +172,7 @@
     status: number,
     headers: Record<string, string | string[]>,
     isCloseDelimited: boolean,
+    version: string,
     acceptsEventLine?: EventLineCheck,
   ): void {
     this.isCloseDelimited = isCloseDelimited;
@@ -177,7 +182,7 @@
     if (this.started) return;
     this.beganFramed = !isCloseDelimited;
     const hasLength = !this.splitsEvents && status !== NO_CONTENT;
-    this.pendingHead = { status, headers: hasLength ? headers : omitLength(headers) };
+    this.pendingHead = { status, version, headers: hasLength ? headers : omitLength(headers) };
   }
 
   write(chunk: Buffer): boolean {
@@ -222,6 +227,7 @@
   }
 
   private writeBytes(bytes: Buffer): boolean {
+    if (this.pendingHead && this.splitsEvents) this.onStreamStart?.(this.pendingHead.version);
     this.writeHead();
     const now = performance.now();
     if (this.firstWriteAt === undefined) this.firstWriteAt = now;
--- a/packages/serving/src/online/OnlineRequestHandler.ts
+++ b/packages/serving/src/online/OnlineRequestHandler.ts
@@ -37,7 +37,7 @@
   refuseUnsent,
   type RequestOutcome,
 } from './requestOutcomes.js';
-import { isTargetFault, runAttempt, STREAM_STATUS, type AttemptOutcome } from './runAttempt.js';
+import { isTargetFault, runAttempt, type AttemptOutcome } from './runAttempt.js';
 
 /** Number of attempts after which a request is not retried, even if the last attempt provably did not run it. */
 const MAX_ATTEMPTS_NOT_RUN = 4;
@@ -165,6 +165,10 @@
       const repeatable = isRepeatable(route);
       const service = pickService(route);
       const isStream = route.kind === 'streaming' && message.method !== 'HEAD';
+      const streamKey =
+        repeatable && route.kind === 'streaming'
+          ? computeStreamKey(account?.name, head.resumedRequest ?? head.id)
+          : undefined;
       const request: OnlineRequest = {
         message,
         head,
@@ -185,12 +189,10 @@
           isStream,
           repeatable,
           isStream && repeatable ? head.resumeAfter : undefined,
+          (version) => this.recordVersion(streamKey, version),
         ),
         repeatable,
-        streamKey:
-          repeatable && route.kind === 'streaming'
-            ? computeStreamKey(account?.name, head.resumedRequest ?? head.id)
-            : undefined,
+        streamKey,
         arrivedAt,
       };
       const progress = new RequestProgress();
@@ -229,9 +231,18 @@
       return { kind: 'refused', refusal: refuse('stream-version-unknown') };
     }
     progress.beginStream(version);
+    this.recordVersion(streamKey, version);
     return undefined;
   }
 
+  /**
+   * Records the version of a stream, of which the caller has an event or gets one now. A head alone tells no version, as the
+   * response of another target may take its place.
+   */
+  private recordVersion(streamKey: string | undefined, version: string): void {
+    if (streamKey !== undefined) this.dependencies.streamVersions.begin(streamKey, version);
+  }
+
   private async tryTargets(
     request: OnlineRequest,
     progress: RequestProgress,
@@ -421,9 +432,6 @@
       onResponse: (status) => {
         if (status === FAILED_STATUS) health.recordFailure(target.id, `status ${status}`);
         else health.recordSuccess(target.id);
-        // Before the first event reaches the caller, who may then take the stream up again at another host.
-        if (status === STREAM_STATUS && request.streamKey !== undefined && !callerResponse.started)
-          this.dependencies.streamVersions.begin(request.streamKey, target.version);
       },
       onUnderWay: () => crashGuard.recordServed(request.service, request.contentKeys),
       onDraining: () => this.dependencies.drainingTargets.add(target),
--- a/packages/serving/src/online/ResponseSink.ts
+++ b/packages/serving/src/online/ResponseSink.ts
@@ -31,12 +31,14 @@
    * @param status - HTTP status
    * @param headers - headers for the caller
    * @param isCloseDelimited - whether the response has neither a length nor chunks, and ends with its connection
+   * @param version - version of the target
    * @param acceptsEventLine - checks lines of events whose field the event-stream format does not define
    */
   begin(
     status: number,
     headers: Record<string, string | string[]>,
     isCloseDelimited: boolean,
+    version: string,
     acceptsEventLine?: EventLineCheck,
   ): void;
 
--- a/packages/serving/src/online/runAttempt.ts
+++ b/packages/serving/src/online/runAttempt.ts
@@ -144,7 +144,7 @@
 const FIRST_UNSUCCESSFUL_STATUS = 300;
 
 /** Status of a response that contains events. */
-export const STREAM_STATUS = 200;
+const STREAM_STATUS = 200;
 
 const EVENT_STREAM_TYPE = /^text\/event-stream\s*(?:;|$)/i;
 
@@ -209,8 +209,8 @@
   }
 
   private handleHead(status: number, headers: ResponseHeaders): void {
-    const { dialect, request, sink, onResponse, onDraining, shouldRetryStatus, bodyIdleTimeoutMs } =
-      this.options;
+    const { dialect, target, request, sink, bodyIdleTimeoutMs } = this.options;
+    const { onResponse, onDraining, shouldRetryStatus } = this.options;
     const classification = dialect.classifyHead(status, headers, request.id);
     const unusableCause = unusableHeads[classification];
     if (unusableCause !== undefined) {
@@ -252,6 +252,7 @@
       status,
       dialect.selectCallerHeaders(headers),
       this.isCloseDelimited,
+      target.version,
       dialect.acceptsEventLine,
     );
   }
--- a/packages/serving/src/streams/StreamVersions.ts
+++ b/packages/serving/src/streams/StreamVersions.ts
@@ -66,13 +66,19 @@
   }
 
   /**
-   * Records that a target begins a stream, or continues one of its version.
+   * Records the version of a stream in progress. Other hosts rely on it from now on, so that it must be that of the events
+   * which the caller gets.
    *
    * @param key - key of the stream
-   * @param version - version of the target
+   * @param version - version of the targets that began it
    */
   begin(key: string, version: string): void {
     const until = Number.POSITIVE_INFINITY;
+    const known = this.ownStreams.get(key);
+    if (known?.isOpen && known.version === version) {
+      known.until = until;
+      return;
+    }
     this.ownStreams.set(key, { version, until, isOpen: true, reportCount: 0 });
     this.notifyListeners();
   }
--- a/packages/serving/test/features/streams.feature
+++ b/packages/serving/test/features/streams.feature
@@ -14,6 +14,24 @@
     And the streams complete
     Then the next report of "h-1" has 0 streams
 
+  # Guards against the version of a target whose response another one replaces before the caller gets a part of it.
+  Scenario Outline: Hosts learn the version whose event a caller gets, and none before, from <source>
+    Given hosts "h-1" and "h-2" that know versions "v1" and "v2"
+    When a target of "v1" sends a head at "h-1"
+    And <source> reach the other host
+    Then "<host>" finds no version for any of them
+    When a target of "v2" sends a head and an event at "h-1"
+    And <source> reach the other host
+    Then "<host>" finds version "v2" for all of them
+    And the version was known when the event was passed on
+
+    Examples:
+      | source                                            | host |
+      | reports                                           | h-2  |
+      | reports, the first ones last                      | h-2  |
+      | rows of the store                                 | h-2  |
+      | rows of the store, after the host starts again    | h-1  |
+
   # Guards against versions that are lost with all hosts.
   Scenario: Hosts that start after a loss of all hosts find the versions in the store
     Given hosts "h-1" and "h-2" that know versions "v1" and "v2"
--- a/packages/serving/test/steps/jobs.steps.ts
+++ b/packages/serving/test/steps/jobs.steps.ts
@@ -100,7 +100,7 @@
 
 /** Lets a run of an item output one event for each text. */
 const writeEvents = (task: ItemTask, texts: readonly string[], first = 1): void => {
-  task.response.begin(200, {}, false);
+  task.response.begin(200, {}, false, 'v1');
   texts.forEach((text, index) =>
     task.response.write(Buffer.from(`id: ${first + index}\ndata: ${text}\n\n`)),
   );
@@ -166,7 +166,7 @@
   const eventsBefore = response.resumableEventCount;
   const isCloseDelimited = !text.endsWith('stated');
   response.version = text.endsWith('another version') ? 'v2' : 'v1';
-  response.begin(200, {}, isCloseDelimited);
+  response.begin(200, {}, isCloseDelimited, response.version);
   for (let event = Number(response.lastEventId ?? 0) + 1; event <= Number(last); event += 1)
     response.write(Buffer.from(`id: ${event}\ndata: event ${event}\n\n`));
   if (text.endsWith('and an id'))
--- a/packages/serving/test/steps/streams.steps.ts
+++ b/packages/serving/test/steps/streams.steps.ts
@@ -1,13 +1,19 @@
 import assert from 'node:assert/strict';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { After, Given, Then, When } from '@cucumber/cucumber';
+import type { ServerResponse } from 'node:http';
 import { silentJournal } from '@jacinthlug/catalog/Journal';
 import type { Route } from '@jacinthlug/serving/configuration/ServingConfiguration';
 import type { Target } from '@jacinthlug/serving/fleet/Target';
+import { CallerResponse } from '@jacinthlug/serving/online/CallerResponse';
 import { StreamRecords } from '@jacinthlug/serving/streams/StreamRecords';
 import { StreamResumption } from '@jacinthlug/serving/streams/StreamResumption';
 import { StreamRetention } from '@jacinthlug/serving/streams/StreamRetention';
-import { computeStreamKey, StreamVersions } from '@jacinthlug/serving/streams/StreamVersions';
+import {
+  computeStreamKey,
+  StreamVersions,
+  type StreamVersion,
+} from '@jacinthlug/serving/streams/StreamVersions';
 import { VersionHistory } from '@jacinthlug/serving/streams/VersionHistory';
 import { MemoryRecordStore } from '../fakes/MemoryRecordStore.js';
 
@@ -31,6 +37,12 @@
   /** Versions that hosts find when they read the registered targets; undefined for those that each host knows. */
   registered: string[] | undefined;
   areTargetsReadable: boolean;
+  /** Response to the caller of the stream. */
+  response: CallerResponse | undefined;
+  /** Versions of the stream that its host knew when it wrote to the caller. */
+  versionsAtWrites: (string | undefined)[];
+  /** Streams of the reports so far, the latest first. */
+  reports: StreamVersion[][];
 }
 
 const createTargets = (versions: readonly string[]): Target[] =>
@@ -90,6 +102,9 @@
     keys: [],
     registered: undefined,
     areTargetsReadable: true,
+    response: undefined,
+    versionsAtWrites: [],
+    reports: [],
   });
   for (const name of ['h-1', 'h-2']) await startHost(world, name, versions);
 };
@@ -122,6 +137,62 @@
   },
 );
 
+const createResponse = (world: StreamsWorld, name: string, key: string): CallerResponse => {
+  const { streamVersions } = world.hosts.get(name)!;
+  const response = {
+    headersSent: false,
+    writeHead: () => Object.assign(response, { headersSent: true }),
+    write: () => world.versionsAtWrites.push(streamVersions.find(key)) > 0,
+  };
+  return new CallerResponse(
+    response as unknown as ServerResponse,
+    true,
+    true,
+    undefined,
+    (version) => streamVersions.begin(key, version),
+  );
+};
+
+When(
+  /^a target of "([^"]+)" sends a head( and an event)? at "([^"]+)"$/,
+  function (this: StreamsWorld, version: string, event: string | null, name: string) {
+    const key = computeStreamKey('account', 'r-0');
+    this.keys = [key];
+    this.response ??= createResponse(this, name, key);
+    this.response.begin(200, {}, false, version);
+    if (event) this.response.write(Buffer.from('id: 1\ndata: text\n\n'));
+  },
+);
+
+Then('the version was known when the event was passed on', function (this: StreamsWorld) {
+  assert.deepEqual(this.versionsAtWrites, ['v2']);
+});
+
+/** Passes on what "h-1" knows. */
+const sources: Readonly<Record<string, (world: StreamsWorld) => unknown>> = {
+  reports: ({ hosts }) => {
+    const streams = hosts.get('h-1')!.streamVersions.selectForReport();
+    hosts.get('h-2')!.streamVersions.applyReport({ streams });
+  },
+  'reports, the first ones last': ({ hosts, reports }) => {
+    reports.unshift(hosts.get('h-1')!.streamVersions.selectForReport());
+    reports.forEach((streams) => hosts.get('h-2')!.streamVersions.learn(streams));
+  },
+  'rows of the store': () => sleep(SAVE_TIME_MS),
+  'rows of the store, after the host starts again': async (world) => {
+    await sleep(SAVE_TIME_MS);
+    // A process that was killed has not ended its streams.
+    world.hosts.get('h-1')!.streamRecords.stop();
+    const { response } = world;
+    await startHost(world, 'h-1', ['v1', 'v2']);
+    Object.assign(world, { response: response?.started ? response : undefined });
+  },
+};
+
+When(/^(.+) reach the other host$/, async function (this: StreamsWorld, source: string) {
+  await sources[source]!(this);
+});
+
 When('the streams complete', function (this: StreamsWorld) {
   this.keys.forEach((key) => this.hosts.get('h-1')!.streamVersions.end(key, true));
 });
