Take the version of a stream from the first report that has it

Callers saw: streams that they took up at another host right after the first event went on some 150 ms later than before versions were recorded with the first event, if their target sends its head earlier.

Cause: a host that doesn't know a version reads the store and, 150 ms later, reads it again. A report that arrived meanwhile was used only then. A stream that began also caused no report: the next one came with a change of the load.

Fix: a search ends with the first report that has the version. While several versions serve, a stream that begins schedules a report, within the usual minimum interval, so that reports become no more frequent than they are under load.

--- a/packages/serving/src/streams/StreamResumption.ts
+++ b/packages/serving/src/streams/StreamResumption.ts
@@ -16,7 +16,7 @@
 
 /** Dependencies of {@link StreamResumption}. */
 export interface StreamResumptionDependencies {
-  readonly streamVersions: Pick<StreamVersions, 'find'>;
+  readonly streamVersions: Pick<StreamVersions, 'find' | 'onLearned'>;
   readonly streamRecords: Pick<StreamRecords, 'refresh'>;
   readonly versionHistory: Pick<VersionHistory, 'listPossible' | 'isInService'>;
   /**
@@ -39,15 +39,27 @@
    * @returns the version; undefined if several versions are possible, or this host can't tell
    */
   async findVersion(key: string, service: string): Promise<string | undefined> {
-    const known = this.dependencies.streamVersions.find(key);
-    if (known === undefined)
-      return (await this.readVersion(key, service)) ?? this.recheck(key, service);
+    const known =
+      this.dependencies.streamVersions.find(key) ?? (await this.awaitVersion(key, service));
+    if (known === undefined) return undefined;
     // Another host may have seen targets of this version that are new to this one.
     if (!this.dependencies.versionHistory.isInService(service, known))
       await limitRead(this.dependencies.refreshTargets());
     return known;
   }
 
+  /** Waits until another host reports the version, or the store shows it or that nobody knows it. */
+  private async awaitVersion(key: string, service: string): Promise<string | undefined> {
+    let stopListening = (): void => undefined;
+    const reported = new Promise<string>((resolve) => {
+      stopListening = this.dependencies.streamVersions.onLearned(key, resolve);
+    });
+    const read = this.readVersion(key, service).then(
+      (version) => version ?? this.recheck(key, service),
+    );
+    return Promise.race([reported, read]).finally(stopListening);
+  }
+
   /**
    * Reads the rows of open streams and the registered targets. A target is registered before a stream begins on it, so
    * that targets which are read after the caller has asked show all versions in service. The rows don't: a host may not
--- a/packages/serving/src/streams/StreamVersions.ts
+++ b/packages/serving/src/streams/StreamVersions.ts
@@ -54,6 +54,9 @@
 
   private readonly listeners: (() => void)[] = [];
 
+  /** Requests that look for the version of a stream, by key. */
+  private readonly versionListeners = new Map<string, Set<(version: string) => void>>();
+
   constructor(private readonly retention: Pick<StreamRetention, 'ms'>) {}
 
   /**
@@ -124,6 +127,7 @@
     streams.forEach(([key, version]) => {
       this.learnedStreams.delete(key);
       this.learnedStreams.set(key, { version, until: now + this.retention.ms });
+      this.versionListeners.get(key)?.forEach((listener) => listener(version));
     });
     for (const [key, { until }] of this.learnedStreams) {
       if (until > now && this.learnedStreams.size <= MAX_LEARNED) break;
@@ -152,6 +156,22 @@
     return stream && stream.until > now ? stream.version : undefined;
   }
 
+  /**
+   * Registers a listener for the version of a stream that this host doesn't know yet.
+   *
+   * @param key - key of the stream
+   * @param listener - called with the version when another host tells it
+   * @returns removes the listener
+   */
+  onLearned(key: string, listener: (version: string) => void): () => void {
+    const listeners = this.versionListeners.get(key) ?? new Set();
+    this.versionListeners.set(key, listeners.add(listener));
+    return () => {
+      listeners.delete(listener);
+      if (listeners.size === 0) this.versionListeners.delete(key);
+    };
+  }
+
   /**
    * Lists the streams of this host that callers may take up again.
    *
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -330,6 +330,10 @@
   targets.onChange(() => versionHistory.update(targets.list()));
   drainingTargets.onAdded(() => exchange.scheduleReport());
   crashGuard.onEvidence(() => exchange.scheduleReport());
+  // Callers may take a stream up elsewhere right after its first event. While only one version serves, it has begun every stream.
+  streamVersions.onChange(() => {
+    if (versionHistory.isMixed()) exchange.scheduleReport();
+  });
   view.onChange(({ configuration }) => {
     rates.configure(configuration);
     retention.configure(configuration);
--- a/packages/serving/test/features/streams.feature
+++ b/packages/serving/test/features/streams.feature
@@ -32,6 +32,13 @@
       | rows of the store                                 | h-2  |
       | rows of the store, after the host starts again    | h-1  |
 
+  # Guards against continuations that wait longer than needed for a version that another host is about to report.
+  Scenario: A host that looks for a version takes it from the next report
+    Given hosts "h-1" and "h-2" that know versions "v1" and "v2"
+    When 1 streams of "v2" begin at "h-1", whose store is down
+    And "h-2" looks for them, and "h-1" reports them after a first read of the store
+    Then "h-2" has found version "v2" with 1 reads of the targets
+
   # Guards against versions that are lost with all hosts.
   Scenario: Hosts that start after a loss of all hosts find the versions in the store
     Given hosts "h-1" and "h-2" that know versions "v1" and "v2"
--- a/packages/serving/test/steps/streams.steps.ts
+++ b/packages/serving/test/steps/streams.steps.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import { setTimeout as sleep } from 'node:timers/promises';
+import { setImmediate, setTimeout as sleep } from 'node:timers/promises';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import type { ServerResponse } from 'node:http';
 import { silentJournal } from '@jacinthlug/catalog/Journal';
@@ -43,6 +43,8 @@
   versionsAtWrites: (string | undefined)[];
   /** Streams of the reports so far, the latest first. */
   reports: StreamVersion[][];
+  targetReads: number;
+  found: string | undefined;
 }
 
 const createTargets = (versions: readonly string[]): Target[] =>
@@ -79,6 +81,7 @@
     streamRecords,
     versionHistory,
     refreshTargets: () => {
+      Object.assign(world, { targetReads: world.targetReads + 1 });
       if (!world.areTargetsReadable) return Promise.resolve(false);
       if (world.registered) versionHistory.update(createTargets(world.registered));
       return Promise.resolve(!world.store.down);
@@ -105,6 +108,7 @@
     response: undefined,
     versionsAtWrites: [],
     reports: [],
+    targetReads: 0,
   });
   for (const name of ['h-1', 'h-2']) await startHost(world, name, versions);
 };
@@ -127,13 +131,18 @@
   },
 );
 
+const beginStreams = (world: StreamsWorld, count: number, version: string, name: string): void => {
+  const keys = Array.from({ length: count }, (_, index) =>
+    computeStreamKey('account', `r-${index}`),
+  );
+  Object.assign(world, { keys });
+  keys.forEach((key) => world.hosts.get(name)!.streamVersions.begin(key, version));
+};
+
 When(
   '{int} streams of {string} begin at {string}',
   function (this: StreamsWorld, count: number, version: string, name: string) {
-    this.keys = Array.from({ length: count }, (_, index) =>
-      computeStreamKey('account', `r-${index}`),
-    );
-    this.keys.forEach((key) => this.hosts.get(name)!.streamVersions.begin(key, version));
+    beginStreams(this, count, version, name);
   },
 );
 
@@ -193,6 +202,37 @@
   await sources[source]!(this);
 });
 
+When(
+  '{int} streams of {string} begin at {string}, whose store is down',
+  function (this: StreamsWorld, count: number, version: string, name: string) {
+    this.store.down = true;
+    beginStreams(this, count, version, name);
+  },
+);
+
+When(
+  '{string} looks for them, and {string} reports them after a first read of the store',
+  async function (this: StreamsWorld, to: string, from: string) {
+    const { resumption, streamRecords, streamVersions } = this.hosts.get(to)!;
+    const search = resumption.findVersion(this.keys[0]!, SERVICE);
+    // Joins the read of the search.
+    await streamRecords.refresh();
+    await setImmediate();
+    streamVersions.applyReport({
+      streams: this.hosts.get(from)!.streamVersions.selectForReport(),
+    });
+    this.found = await search;
+  },
+);
+
+Then(
+  '{string} has found version {string} with {int} reads of the targets',
+  function (this: StreamsWorld, _name: string, version: string, reads: number) {
+    assert.equal(this.found, version);
+    assert.equal(this.targetReads, reads);
+  },
+);
+
 When('the streams complete', function (this: StreamsWorld) {
   this.keys.forEach((key) => this.hosts.get('h-1')!.streamVersions.end(key, true));
 });
