--- a/packages/serving/src/streams/StreamVersions.ts
+++ b/packages/serving/src/streams/StreamVersions.ts
@@ -54,6 +54,9 @@
 
   private readonly listeners: (() => void)[] = [];
 
+  /** Requests that look for the version of a stream, by key. */
+  private readonly versionListeners = new Map<string, Set<(version: string) => void>>();
+
   constructor(private readonly retention: Pick<StreamRetention, 'ms'>) {}
 
   /**
@@ -66,13 +69,19 @@
   }
 
   /**
-   * Records that a target begins a stream, or continues one of its version.
+   * Records the version of a stream in progress. Other hosts rely on it from now on, so that it must be that of the events
+   * which the caller gets.
    *
    * @param key - key of the stream
-   * @param version - version of the target
+   * @param version - version of the targets that began it
    */
   begin(key: string, version: string): void {
     const until = Number.POSITIVE_INFINITY;
+    const known = this.ownStreams.get(key);
+    if (known?.isOpen && known.version === version) {
+      known.until = until;
+      return;
+    }
     this.ownStreams.set(key, { version, until, isOpen: true, reportCount: 0 });
     this.notifyListeners();
   }
@@ -118,6 +127,7 @@
     streams.forEach(([key, version]) => {
       this.learnedStreams.delete(key);
       this.learnedStreams.set(key, { version, until: now + this.retention.ms });
+      this.versionListeners.get(key)?.forEach((listener) => listener(version));
     });
     for (const [key, { until }] of this.learnedStreams) {
       if (until > now && this.learnedStreams.size <= MAX_LEARNED) break;
@@ -146,6 +156,22 @@
     return stream && stream.until > now ? stream.version : undefined;
   }
 
+  /**
+   * Registers a listener for the version of a stream that this host doesn't know yet.
+   *
+   * @param key - key of the stream
+   * @param listener - called with the version when another host tells it
+   * @returns removes the listener
+   */
+  onLearned(key: string, listener: (version: string) => void): () => void {
+    const listeners = this.versionListeners.get(key) ?? new Set();
+    this.versionListeners.set(key, listeners.add(listener));
+    return () => {
+      listeners.delete(listener);
+      if (listeners.size === 0) this.versionListeners.delete(key);
+    };
+  }
+
   /**
    * Lists the streams of this host that callers may take up again.
    *
--- a/packages/serving/test/steps/streams.steps.ts
+++ b/packages/serving/test/steps/streams.steps.ts
@@ -1,13 +1,19 @@
 import assert from 'node:assert/strict';
-import { setTimeout as sleep } from 'node:timers/promises';
+import { setImmediate, setTimeout as sleep } from 'node:timers/promises';
 import { After, Given, Then, When } from '@cucumber/cucumber';
+import type { ServerResponse } from 'node:http';
 import { silentJournal } from '@jacinthlug/catalog/Journal';
 import type { Route } from '@jacinthlug/serving/configuration/ServingConfiguration';
 import type { Target } from '@jacinthlug/serving/fleet/Target';
+import { CallerResponse } from '@jacinthlug/serving/online/CallerResponse';
 import { StreamRecords } from '@jacinthlug/serving/streams/StreamRecords';
 import { StreamResumption } from '@jacinthlug/serving/streams/StreamResumption';
 import { StreamRetention } from '@jacinthlug/serving/streams/StreamRetention';
-import { computeStreamKey, StreamVersions } from '@jacinthlug/serving/streams/StreamVersions';
+import {
+  computeStreamKey,
+  StreamVersions,
+  type StreamVersion,
+} from '@jacinthlug/serving/streams/StreamVersions';
 import { VersionHistory } from '@jacinthlug/serving/streams/VersionHistory';
 import { MemoryRecordStore } from '../fakes/MemoryRecordStore.js';
 
@@ -31,6 +37,14 @@
   /** Versions that hosts find when they read the registered targets; undefined for those that each host knows. */
   registered: string[] | undefined;
   areTargetsReadable: boolean;
+  /** Response to the caller of the stream. */
+  response: CallerResponse | undefined;
+  /** Versions of the stream that its host knew when it wrote to the caller. */
+  versionsAtWrites: (string | undefined)[];
+  /** Streams of the reports so far, the latest first. */
+  reports: StreamVersion[][];
+  targetReads: number;
+  found: string | undefined;
 }
 
 const createTargets = (versions: readonly string[]): Target[] =>
@@ -67,6 +81,7 @@
     streamRecords,
     versionHistory,
     refreshTargets: () => {
+      Object.assign(world, { targetReads: world.targetReads + 1 });
       if (!world.areTargetsReadable) return Promise.resolve(false);
       if (world.registered) versionHistory.update(createTargets(world.registered));
       return Promise.resolve(!world.store.down);
@@ -90,6 +105,10 @@
     keys: [],
     registered: undefined,
     areTargetsReadable: true,
+    response: undefined,
+    versionsAtWrites: [],
+    reports: [],
+    targetReads: 0,
   });
   for (const name of ['h-1', 'h-2']) await startHost(world, name, versions);
 };
@@ -112,13 +131,105 @@
   },
 );
 
+const beginStreams = (world: StreamsWorld, count: number, version: string, name: string): void => {
+  const keys = Array.from({ length: count }, (_, index) =>
+    computeStreamKey('account', `r-${index}`),
+  );
+  Object.assign(world, { keys });
+  keys.forEach((key) => world.hosts.get(name)!.streamVersions.begin(key, version));
+};
+
 When(
   '{int} streams of {string} begin at {string}',
   function (this: StreamsWorld, count: number, version: string, name: string) {
-    this.keys = Array.from({ length: count }, (_, index) =>
-      computeStreamKey('account', `r-${index}`),
-    );
-    this.keys.forEach((key) => this.hosts.get(name)!.streamVersions.begin(key, version));
+    beginStreams(this, count, version, name);
+  },
+);
+
+const createResponse = (world: StreamsWorld, name: string, key: string): CallerResponse => {
+  const { streamVersions } = world.hosts.get(name)!;
+  const response = {
+    headersSent: false,
+    writeHead: () => Object.assign(response, { headersSent: true }),
+    write: () => world.versionsAtWrites.push(streamVersions.find(key)) > 0,
+  };
+  return new CallerResponse(
+    response as unknown as ServerResponse,
+    true,
+    true,
+    undefined,
+    (version) => streamVersions.begin(key, version),
+  );
+};
+
+When(
+  /^a target of "([^"]+)" sends a head( and an event)? at "([^"]+)"$/,
+  function (this: StreamsWorld, version: string, event: string | null, name: string) {
+    const key = computeStreamKey('account', 'r-0');
+    this.keys = [key];
+    this.response ??= createResponse(this, name, key);
+    this.response.begin(200, {}, false, version);
+    if (event) this.response.write(Buffer.from('id: 1\ndata: text\n\n'));
+  },
+);
+
+Then('the version was known when the event was passed on', function (this: StreamsWorld) {
+  assert.deepEqual(this.versionsAtWrites, ['v2']);
+});
+
+/** Passes on what "h-1" knows. */
+const sources: Readonly<Record<string, (world: StreamsWorld) => unknown>> = {
+  reports: ({ hosts }) => {
+    const streams = hosts.get('h-1')!.streamVersions.selectForReport();
+    hosts.get('h-2')!.streamVersions.applyReport({ streams });
+  },
+  'reports, the first ones last': ({ hosts, reports }) => {
+    reports.unshift(hosts.get('h-1')!.streamVersions.selectForReport());
+    reports.forEach((streams) => hosts.get('h-2')!.streamVersions.learn(streams));
+  },
+  'rows of the store': () => sleep(SAVE_TIME_MS),
+  'rows of the store, after the host starts again': async (world) => {
+    await sleep(SAVE_TIME_MS);
+    // A process that was killed has not ended its streams.
+    world.hosts.get('h-1')!.streamRecords.stop();
+    const { response } = world;
+    await startHost(world, 'h-1', ['v1', 'v2']);
+    Object.assign(world, { response: response?.started ? response : undefined });
+  },
+};
+
+When(/^(.+) reach the other host$/, async function (this: StreamsWorld, source: string) {
+  await sources[source]!(this);
+});
+
+When(
+  '{int} streams of {string} begin at {string}, whose store is down',
+  function (this: StreamsWorld, count: number, version: string, name: string) {
+    this.store.down = true;
+    beginStreams(this, count, version, name);
+  },
+);
+
+When(
+  '{string} looks for them, and {string} reports them after a first read of the store',
+  async function (this: StreamsWorld, to: string, from: string) {
+    const { resumption, streamRecords, streamVersions } = this.hosts.get(to)!;
+    const search = resumption.findVersion(this.keys[0]!, SERVICE);
+    // Joins the read of the search.
+    await streamRecords.refresh();
+    await setImmediate();
+    streamVersions.applyReport({
+      streams: this.hosts.get(from)!.streamVersions.selectForReport(),
+    });
+    this.found = await search;
+  },
+);
+
+Then(
+  '{string} has found version {string} with {int} reads of the targets',
+  function (this: StreamsWorld, _name: string, version: string, reads: number) {
+    assert.equal(this.found, version);
+    assert.equal(this.targetReads, reads);
   },
 );
 
