Close connections with line breaks between requests in a stop

Callers that send a spare line break behind a request or a chunked body, as some clients do, kept their connection open until the end of a planned stop. A request that they sent on it meanwhile crossed the end of the process.

Cause: a connection counted as idle only while the number of received bytes was that at the end of the last request. Line breaks that arrived later counted as a part of a request.

The HTTP parser skips line breaks before a request, and so does the check for idle connections now: it looks at what has arrived instead of counting it.

Ruled out: closeIdleConnections of Node.js, which also closes connections whose last response is not sent completely, and no unused ones.

--- a/packages/serving/src/http/CallerConnection.ts
+++ b/packages/serving/src/http/CallerConnection.ts
@@ -11,24 +11,35 @@
   '',
 ].join('\r\n');
 
+const CARRIAGE_RETURN = 0x0d;
+const LINE_FEED = 0x0a;
+
+/** Callers may send line breaks before a request, which are no part of it. */
+const hasOnlyLineBreaks = (bytes: Buffer): boolean =>
+  bytes.every((byte) => byte === CARRIAGE_RETURN || byte === LINE_FEED);
+
 /** Tracks the requests on one connection. */
 export class CallerConnection {
   /** Responses in progress, in the order of their requests. */
   readonly responses = new Set<ServerResponse>();
 
-  /** Bytes received up to the end of the last request. */
-  private handledBytes = 0;
+  /** Whether a part of a request has been received since the last one was handled. */
+  private hasUnhandledPart = false;
 
   private isClosing = false;
 
   constructor(
     private readonly socket: Socket,
     private readonly onIdle: () => void,
-  ) {}
+  ) {
+    socket.on('data', (bytes: Buffer) => {
+      this.hasUnhandledPart ||= !hasOnlyLineBreaks(bytes);
+    });
+  }
 
   /** Whether no part of a request or response is on its way. Node.js doesn't count unused connections as idle. */
   get isIdle(): boolean {
-    return this.responses.size === 0 && this.socket.bytesRead === this.handledBytes;
+    return this.responses.size === 0 && !this.hasUnhandledPart;
   }
 
   /**
@@ -45,7 +56,7 @@
     this.responses.add(response);
     const update = (): void => {
       if (!message.complete || !response.closed) return;
-      this.handledBytes = this.socket.bytesRead;
+      this.hasUnhandledPart = false;
       if (this.isIdle) this.onIdle();
     };
     response.once('close', () => {
--- a/packages/serving/test/steps/stopping.steps.ts
+++ b/packages/serving/test/steps/stopping.steps.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
+import type { ServerResponse } from 'node:http';
 import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { After, Given, Then, When } from '@cucumber/cucumber';
@@ -17,8 +18,20 @@
   shutdown: Shutdown;
   port: number;
   caller: Socket | undefined;
+  /** Whether the connection has closed before unfinished requests were ended. */
+  hasClosedEarly: boolean;
 }
 
+/** What a caller may send in parts. */
+const parts: Readonly<Record<string, string>> = {
+  nothing: '',
+  'a request': 'GET / HTTP/1.1\r\nhost: x.example\r\n\r\n',
+  'a request in chunks':
+    'POST / HTTP/1.1\r\nhost: x.example\r\ntransfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n',
+  'a line break': '\r\n',
+  'many line feeds': '\n'.repeat(9),
+};
+
 const pickPort = async (): Promise<number> => {
   const server = createServer().listen(0, '127.0.0.1');
   await once(server, 'listening');
@@ -28,18 +41,28 @@
   return port;
 };
 
+const startServer = async (
+  world: StoppingWorld,
+  respond: (response: ServerResponse) => void,
+): Promise<void> => {
+  const shutdown = new Shutdown();
+  const port = await pickPort();
+  const server = new CallerServer((_, response) => {
+    respond(response);
+    return Promise.resolve();
+  }, shutdown);
+  Object.assign(world, { shutdown, port, server });
+  await server.listen({ host: '127.0.0.1', port });
+};
+
 Given(
   'a server whose response of 32 MB has ended, and a caller that has read nothing',
   async function (this: StoppingWorld) {
-    this.shutdown = new Shutdown();
-    this.port = await pickPort();
     let hasEnded = false;
-    this.server = new CallerServer((_, response) => {
+    await startServer(this, (response) => {
       response.end(Buffer.alloc(RESPONSE_BYTES));
       hasEnded = true;
-      return Promise.resolve();
-    }, this.shutdown);
-    await this.server.listen({ host: '127.0.0.1', port: this.port });
+    });
     this.caller = connect(this.port, '127.0.0.1');
     this.caller.on('error', () => undefined);
     this.caller.write('GET / HTTP/1.1\r\nhost: x.example\r\n\r\n');
@@ -63,6 +86,35 @@
   assert.ok(this.caller!.bytesRead > RESPONSE_BYTES);
 });
 
+Given(
+  /^a server, and a caller that has sent (.+) and then (.+)$/,
+  async function (this: StoppingWorld, first: string, then: string) {
+    await startServer(this, (response) => response.end());
+    this.caller = connect(this.port, '127.0.0.1').resume();
+    await once(this.caller, 'connect');
+    if (parts[first]) {
+      this.caller.write(parts[first]);
+      await once(this.caller, 'data');
+    }
+    this.caller.write(parts[then]!);
+  },
+);
+
+When('the server stops', async function (this: StoppingWorld) {
+  let isOver = false;
+  this.shutdown.onAnswersDue(() => {
+    isOver = true;
+  });
+  this.caller!.once('close', () => {
+    this.hasClosedEarly = !isOver;
+  });
+  await Promise.all([this.server.stop(performance.now() + STOP_MS), once(this.caller!, 'close')]);
+});
+
+Then('the connection has closed before the end of the stop', function (this: StoppingWorld) {
+  assert.ok(this.hasClosedEarly);
+});
+
 After(function (this: StoppingWorld) {
   this.caller?.destroy();
 });
