Abort pipelined requests whose connection is lost

A caller that sent several requests at once and disconnected left all but the first one running at their targets until their deadline.

Cause: Node.js closes only the response whose turn it is when a connection is lost. The others never emit 'close', from which the host learns that a caller is gone. Now the connection closes the responses that wait for their turn, so that whatever depends on 'close' needs no further source.

Ruled out: a listener for the connection in each request; online requests and calls about batch jobs would each need one, up to one for each pipelined request on the same socket.

Evidence: unanswered.feature, a caller that disconnects with 3 queries at its targets: one of three ended as 'caller-gone' before, the other two at the route's timeout; all three now. The feature is green (13 scenarios).

--- a/packages/serving/src/http/CallerConnection.ts
+++ b/packages/serving/src/http/CallerConnection.ts
@@ -35,6 +35,7 @@
     socket.on('data', (bytes: Buffer) => {
       this.hasUnhandledPart ||= !hasOnlyLineBreaks(bytes);
     });
+    socket.once('close', () => this.closeWaitingResponses());
   }
 
   /** Whether no part of a request or response is on its way. Node.js doesn't count unused connections as idle. */
@@ -90,4 +91,15 @@
     this.socket.write(PARTIAL_REQUEST_RESPONSE);
     this.socket.destroySoon();
   }
+
+  /** Closes the responses whose turn has not come: Node.js reports a lost connection only to the one before them. */
+  private closeWaitingResponses(): void {
+    const waiting = [...this.responses].filter(
+      ({ socket, writableFinished }) => !socket && !writableFinished,
+    );
+    waiting.forEach((response) => {
+      response.destroy();
+      response.emit('close');
+    });
+  }
 }
