Respond with 400 to requests with an invalid head

A request with a space in a field's name, a field without a name or two hosts got 503 (no target), which tells callers to try it again elsewhere. Behind a pipelined request without a host, further requests reached a target although their responses were never sent.

Cause: the parser of Node.js accepts such names and several hosts; the HTTP client for targets rejects them, so that the request could be sent to no target. Node.js responds itself to a request without a host, beside the responses that the host tracks, and closes the connection behind it.

Now the head is checked before the request is handled, and a missing host too; the response has a length, the connection stays open, as for 413 and 417, and later requests on it are served. While the host stops, such a request is refused like any other. The statuses of all rejections are in one table.

Found by sending each of the 256 bytes in a name and in a value to a bare server: besides the bytes of tokens, only a space passes in a name (and a colon, which ends it); no control character passes in a value.

The scenario 'A request that the HTTP client rejects is no failure of the targets' can't be played by a caller any more, as its two requests are refused before. It is replaced by one in connections.feature of serving, with the same two heads given to an attempt: not run, and no failure of the target, which is what a pause needs.

--- a/packages/serving/src/http/CallerConnection.ts
+++ b/packages/serving/src/http/CallerConnection.ts
@@ -1,15 +1,7 @@
 /** One connection of a caller, and the requests in progress on it. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-
-/** Response to a request of which a part was received; the request has not run. */
-const PARTIAL_REQUEST_RESPONSE = [
-  'HTTP/1.1 503 Service Unavailable',
-  'Connection: close',
-  'Content-Length: 0',
-  '',
-  '',
-].join('\r\n');
+import { formatRejection } from './formatRejection.js';
 
 const CARRIAGE_RETURN = 0x0d;
 const LINE_FEED = 0x0a;
@@ -88,7 +80,7 @@
   /** Refuses a request whose head has not been received completely. */
   refusePartialHead(): void {
     if (this.responses.size > 0) return;
-    this.socket.write(PARTIAL_REQUEST_RESPONSE);
+    this.socket.write(formatRejection('partial request'));
     this.socket.destroySoon();
   }
 
--- a/packages/serving/src/http/CallerServer.ts
+++ b/packages/serving/src/http/CallerServer.ts
@@ -6,7 +6,9 @@
 import { systemClock } from '@jacinthlug/control/time/Clock';
 import type { CallerLimits } from '../configuration/ServingConfiguration.js';
 import { CallerConnection } from './CallerConnection.js';
-import { rejectConnection, statusByError } from './rejectConnection.js';
+import { rejectionStatuses, type Rejection } from './formatRejection.js';
+import { hasValidHead } from './hasValidHead.js';
+import { findRejection, rejectConnection } from './rejectConnection.js';
 import { RESET_DELAY_MS, resetConnection } from './resetConnection.js';
 import type { Shutdown } from './Shutdown.js';
 
@@ -71,27 +73,25 @@
   private readonly connections = new Map<Duplex, CallerConnection>();
 
   constructor(
-    handler: CallerHandler,
+    private readonly handler: CallerHandler,
     private readonly shutdown: Shutdown,
   ) {
     this.server = createServer(
-      { maxHeaderSize: INITIAL_LIMITS.headerBytes },
-      (message, response) => {
-        if (this.connections.get(message.socket)?.begin(message, response))
-          void handler(message, response);
-      },
+      // Node.js would respond to a request without a host itself, and have later ones run whose responses are not sent.
+      { maxHeaderSize: INITIAL_LIMITS.headerBytes, requireHostHeader: false },
+      (message, response) => this.handleRequest(message, response),
     );
     this.server.on('connection', (socket) => this.addConnection(socket));
     // Without these listeners, Node.js closes the connection, even within the response to an earlier request of it.
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       if (error.code === CALLER_GONE_WITHIN_REQUEST) socket.destroy();
-      else this.reject(socket, statusByError(error));
+      else this.reject(socket, findRejection(error));
     });
     this.server.on('checkExpectation', (message, response) => {
       if (this.connections.get(message.socket)?.begin(message, response))
-        response.writeHead(417).end();
+        response.writeHead(rejectionStatuses['unknown expectation']).end();
     });
-    this.server.on('connect', (_, socket) => this.reject(socket, '501 Not Implemented'));
+    this.server.on('connect', (_, socket) => this.reject(socket, 'request to connect'));
     this.server.on('timeout', closeUnlessReadable);
     this.applyLimits(INITIAL_LIMITS);
   }
@@ -145,10 +145,17 @@
     await this.endUnfinished();
   }
 
-  private reject(socket: Duplex, status: string): void {
+  private handleRequest(message: IncomingMessage, response: ServerResponse): void {
+    if (!this.connections.get(message.socket)?.begin(message, response)) return;
+    // A stopping host refuses what it still reads, so that callers try another host.
+    if (hasValidHead(message) || this.shutdown.isIntakeOver) void this.handler(message, response);
+    else response.writeHead(rejectionStatuses['invalid request']).end();
+  }
+
+  private reject(socket: Duplex, rejection: Rejection): void {
     if (this.rejected.has(socket)) return;
     this.rejected.add(socket);
-    rejectConnection(socket, status, this.connections.get(socket)?.responses ?? new Set());
+    rejectConnection(socket, rejection, this.connections.get(socket)?.responses ?? new Set());
   }
 
   private addConnection(socket: Socket): void {
--- /dev/null
+++ b/packages/serving/src/http/hasValidHead.ts
@@ -0,0 +1,22 @@
+/** Checks of the heads of callers' requests that the HTTP parser doesn't make. */
+import type { IncomingMessage } from 'node:http';
+
+const FIELD_NAME = /^[\w!#$%&'*+.^`|~-]+$/;
+
+const HTTP_1_0 = '1.0';
+
+/**
+ * Checks whether the head of a request is valid: all names of fields are tokens, and it has one host. Node.js accepts spaces in
+ * names, and several hosts, of which a target may take another one than the host that chose it.
+ *
+ * @param message - the request
+ * @returns whether the request can be passed on
+ */
+export const hasValidHead = ({ rawHeaders, httpVersion }: IncomingMessage): boolean => {
+  const names = rawHeaders.filter((_, index) => index % 2 === 0);
+  const hosts = names.filter((name) => name.toLowerCase() === 'host').length;
+  return (
+    names.every((name) => FIELD_NAME.test(name)) &&
+    (hosts === 1 || (hosts === 0 && httpVersion === HTTP_1_0))
+  );
+};
--- a/packages/serving/src/http/rejectConnection.ts
+++ b/packages/serving/src/http/rejectConnection.ts
@@ -1,23 +1,22 @@
 /** Rejects what a caller sends on a connection in place of a valid request. */
 import type { ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
+import { formatRejection, type Rejection } from './formatRejection.js';
 
-const BAD_REQUEST = '400 Bad Request';
-
-const statusesByCode: ReadonlyMap<string, string> = new Map([
-  ['ERR_HTTP_REQUEST_TIMEOUT', '408 Request Timeout'],
-  ['HPE_CHUNK_EXTENSIONS_OVERFLOW', '413 Payload Too Large'],
-  ['HPE_HEADER_OVERFLOW', '431 Request Header Fields Too Large'],
+const rejectionsByCode: ReadonlyMap<string, Rejection> = new Map([
+  ['ERR_HTTP_REQUEST_TIMEOUT', 'late request'],
+  ['HPE_CHUNK_EXTENSIONS_OVERFLOW', 'oversized chunk extensions'],
+  ['HPE_HEADER_OVERFLOW', 'oversized head'],
 ]);
 
 /**
- * Returns the status for an error of the HTTP parser, or for a request that isn't received in time.
+ * Returns what is rejected after an error of the HTTP parser, or if a request isn't received in time.
  *
  * @param error - the error
- * @returns status code and reason
+ * @returns what is rejected
  */
-export const statusByError = ({ code = '' }: NodeJS.ErrnoException): string =>
-  statusesByCode.get(code) ?? BAD_REQUEST;
+export const findRejection = ({ code = '' }: NodeJS.ErrnoException): Rejection =>
+  rejectionsByCode.get(code) ?? 'invalid request';
 
 const ignore = (): void => undefined;
 
@@ -25,22 +24,22 @@
  * Closes a connection with a status, once the complete requests that were received on it before have their responses.
  *
  * @param socket - the connection
- * @param status - status code and reason
+ * @param rejection - what is rejected
  * @param responses - responses in progress on the connection
  */
 export const rejectConnection = (
   socket: Duplex,
-  status: string,
+  rejection: Rejection,
   responses: ReadonlySet<ServerResponse>,
 ): void => {
   socket.on('error', ignore);
   const running = [...responses];
   const last = running.findLast(({ req }) => req.complete);
   if (last && !socket.destroyed) {
-    last.once('close', () => rejectConnection(socket, status, responses));
+    last.once('close', () => rejectConnection(socket, rejection, responses));
     return;
   }
   if (socket.writable && running.every(({ headersSent }) => !headersSent))
-    socket.write(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
+    socket.write(formatRejection(rejection));
   socket.destroy();
 };
--- a/packages/serving/test/features/connections.feature
+++ b/packages/serving/test/features/connections.feature
@@ -15,3 +15,13 @@
       | ....:1          |
       | 1.2.3.4:80:90   |
       |                 |
+
+  # Guards against targets that get no requests for a while, as a request can't be sent to any target.
+  Scenario Outline: A request with <request> is rejected by the HTTP client, which is no failure of the target
+    When a request with <request> is sent to a target
+    Then the attempt ends as not run, and the target does not count as failing
+
+    Examples:
+      | request            |
+      | a malformed header |
+      | two hosts          |
