Keep connections for as long as their last response announced

A caller that used a connection again within four fifths of the time in Keep-Alive found it closed, if the idle limit had been lowered while that response was in progress: its next request was not read.

Cause: Node.js announces the limit at the arrival of a request, and applies the one at the end of its response. Now the connection applies the larger of the two.

Evidence: idleConnections.feature, limit lowered from 2 s to 200 ms. Before, three of six states were not served: within a response that had or had not begun, and within two pipelined ones. Served before and now: unused, idle, within a request; and all six with a limit that grows to 3 s.

--- a/packages/serving/src/http/CallerConnection.ts
+++ b/packages/serving/src/http/CallerConnection.ts
@@ -10,6 +10,11 @@
 const hasOnlyLineBreaks = (bytes: Buffer): boolean =>
   bytes.every((byte) => byte === CARRIAGE_RETURN || byte === LINE_FEED);
 
+/** Current limit on the time for which connections are idle. Unit: ms. */
+interface IdleLimit {
+  readonly keepAliveTimeout: number;
+}
+
 /** Tracks the requests on one connection. */
 export class CallerConnection {
   /** Responses in progress, in the order of their requests. */
@@ -22,6 +27,7 @@
 
   constructor(
     private readonly socket: Socket,
+    private readonly limits: IdleLimit,
     private readonly onIdle: () => void,
   ) {
     socket.on('data', (bytes: Buffer) => {
@@ -47,6 +53,7 @@
       ({ headersSent, shouldKeepAlive }) => !headersSent || shouldKeepAlive,
     );
     this.responses.add(response);
+    this.keepAnnouncedLimit(response);
     const update = (): void => {
       if (!message.complete || !response.closed) return;
       this.hasUnhandledPart = false;
@@ -62,6 +69,16 @@
     return isAnswerable;
   }
 
+  /** Keeps the connection for as long as a response has announced, though a later limit may be shorter. */
+  private keepAnnouncedLimit(response: ServerResponse): void {
+    // Node.js announces the limit at the arrival of the request, and applies that at the end of the response.
+    const { keepAliveTimeout: announcedMs } = this.limits;
+    response.once('finish', () => {
+      const isLast = this.responses.size === 1 && response.shouldKeepAlive;
+      if (isLast) this.socket.setTimeout(Math.max(announcedMs, this.limits.keepAliveTimeout));
+    });
+  }
+
   /** Announces in the response to the last request, and in no earlier one, that the connection closes. */
   announceClose(): void {
     const unsent = [...this.responses].filter(({ headersSent }) => !headersSent);
--- a/packages/serving/src/http/CallerServer.ts
+++ b/packages/serving/src/http/CallerServer.ts
@@ -27,6 +27,9 @@
 /** Maximum time in which the final responses of a stop are sent. Unit: ms. */
 const FLUSH_TIMEOUT_MS = 150;
 
+/** Interval of the checks for late requests. Unit: ms. */
+const TIMEOUT_CHECK_MS = 30_000;
+
 /** Code of the parser's error when a caller disconnects within a request. */
 const CALLER_GONE_WITHIN_REQUEST = 'HPE_INVALID_EOF_STATE';
 
@@ -75,10 +78,15 @@
   constructor(
     private readonly handler: CallerHandler,
     private readonly shutdown: Shutdown,
+    timeoutCheckMs = TIMEOUT_CHECK_MS,
   ) {
     this.server = createServer(
       // Node.js would respond to a request without a host itself, and have later ones run whose responses are not sent.
-      { maxHeaderSize: INITIAL_LIMITS.headerBytes, requireHostHeader: false },
+      {
+        maxHeaderSize: INITIAL_LIMITS.headerBytes,
+        requireHostHeader: false,
+        connectionsCheckingInterval: timeoutCheckMs,
+      },
       (message, response) => this.handleRequest(message, response),
     );
     this.server.on('connection', (socket) => this.addConnection(socket));
@@ -159,7 +167,7 @@
   }
 
   private addConnection(socket: Socket): void {
-    const connection: CallerConnection = new CallerConnection(socket, () => {
+    const connection: CallerConnection = new CallerConnection(socket, this.server, () => {
       if (this.shutdown.isIntakeOver) connection.closeIfIdle();
     });
     if (this.isStopping) connection.announceClose();
--- a/packages/serving/test/steps/stopping.steps.ts
+++ b/packages/serving/test/steps/stopping.steps.ts
@@ -1,11 +1,9 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
-import type { ServerResponse } from 'node:http';
-import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
+import { connect, type Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { After, Given, Then, When } from '@cucumber/cucumber';
-import { CallerServer } from '@jacinthlug/serving/http/CallerServer';
-import { Shutdown } from '@jacinthlug/serving/http/Shutdown';
+import { startCallerServer, type StartedServer } from '../fakes/startCallerServer.js';
 
 /** Size of a response that exceeds the buffers of the operating system. Unit: bytes. */
 const RESPONSE_BYTES = 32_000_000;
@@ -13,10 +11,7 @@
 /** Time of the stop. Unit: ms. */
 const STOP_MS = 2000;
 
-interface StoppingWorld {
-  server: CallerServer;
-  shutdown: Shutdown;
-  port: number;
+interface StoppingWorld extends StartedServer {
   caller: Socket | undefined;
   /** Whether the connection has closed before unfinished requests were ended. */
   hasClosedEarly: boolean;
@@ -32,37 +27,15 @@
   'many line feeds': '\n'.repeat(9),
 };
 
-const pickPort = async (): Promise<number> => {
-  const server = createServer().listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const { port } = server.address() as AddressInfo;
-  server.close();
-  await once(server, 'close');
-  return port;
-};
-
-const startServer = async (
-  world: StoppingWorld,
-  respond: (response: ServerResponse) => void,
-): Promise<void> => {
-  const shutdown = new Shutdown();
-  const port = await pickPort();
-  const server = new CallerServer((_, response) => {
-    respond(response);
-    return Promise.resolve();
-  }, shutdown);
-  Object.assign(world, { shutdown, port, server });
-  await server.listen({ host: '127.0.0.1', port });
-};
-
 Given(
   'a server whose response of 32 MB has ended, and a caller that has read nothing',
   async function (this: StoppingWorld) {
     let hasEnded = false;
-    await startServer(this, (response) => {
+    const started = await startCallerServer((_, response) => {
       response.end(Buffer.alloc(RESPONSE_BYTES));
       hasEnded = true;
     });
+    Object.assign(this, started);
     this.caller = connect(this.port, '127.0.0.1');
     this.caller.on('error', () => undefined);
     this.caller.write('GET / HTTP/1.1\r\nhost: x.example\r\n\r\n');
@@ -89,7 +62,7 @@
 Given(
   /^a server, and a caller that has sent (.+) and then (.+)$/,
   async function (this: StoppingWorld, first: string, then: string) {
-    await startServer(this, (response) => response.end());
+    Object.assign(this, await startCallerServer((_, response) => response.end()));
     this.caller = connect(this.port, '127.0.0.1').resume();
     await once(this.caller, 'connect');
     if (parts[first]) {
