Keep unused connections for the idle limit

A caller that opened a connection and sent its first request later than the time for a head (5 s) found it closed with 408, though it had sent nothing.

Cause: Node.js counts the time for the first head from the opening of the connection, and checks it every 30 s. It limits idle time only after a response, so that other unused connections were kept until that check.

Now the timeout of a head is ignored while no part of one has arrived; Node.js starts anew with the first byte. Unused connections have the idle limit of their opening. A part of a head ends it, as for Node.js.

Evidence: idleConnections.feature, a first request after four fifths of a limit of 2 s, with checks every 50 ms for heads that take longer than 100 ms: 408 before, 200 now; a head of which only a part arrives still gets 408. The interval of the checks is a parameter for this test; its value is unchanged.

--- a/packages/serving/src/http/CallerConnection.ts
+++ b/packages/serving/src/http/CallerConnection.ts
@@ -30,8 +30,12 @@
     private readonly limits: IdleLimit,
     private readonly onIdle: () => void,
   ) {
+    // Node.js limits only the time after a response.
+    socket.setTimeout(limits.keepAliveTimeout);
     socket.on('data', (bytes: Buffer) => {
-      this.hasUnhandledPart ||= !hasOnlyLineBreaks(bytes);
+      if (this.hasUnhandledPart || hasOnlyLineBreaks(bytes)) return;
+      this.hasUnhandledPart = true;
+      socket.setTimeout(0);
     });
     socket.once('close', () => this.closeWaitingResponses());
   }
--- a/packages/serving/src/http/CallerServer.ts
+++ b/packages/serving/src/http/CallerServer.ts
@@ -33,6 +33,9 @@
 /** Code of the parser's error when a caller disconnects within a request. */
 const CALLER_GONE_WITHIN_REQUEST = 'HPE_INVALID_EOF_STATE';
 
+/** Code of the error when a request isn't received in time. */
+const LATE_REQUEST = 'ERR_HTTP_REQUEST_TIMEOUT';
+
 /** Limits until the configuration is loaded. */
 const INITIAL_LIMITS: CallerLimits = {
   headerBytes: 16_384,
@@ -93,7 +96,9 @@
     // Without these listeners, Node.js closes the connection, even within the response to an earlier request of it.
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       if (error.code === CALLER_GONE_WITHIN_REQUEST) socket.destroy();
-      else this.reject(socket, findRejection(error));
+      // Node.js checks a connection without a request as if its first one had begun when it was opened.
+      else if (error.code !== LATE_REQUEST || !this.connections.get(socket)?.isIdle)
+        this.reject(socket, findRejection(error));
     });
     this.server.on('checkExpectation', (message, response) => {
       if (this.connections.get(message.socket)?.begin(message, response))
--- a/packages/serving/test/features/idleConnections.feature
+++ b/packages/serving/test/features/idleConnections.feature
@@ -17,3 +17,9 @@
       | limit |
       | 200   |
       | 3000  |
+
+  # Guards against connections that are closed as if their first request were late, although none has begun.
+  Scenario: Only connections on which a request has begun are checked for late requests
+    Given a server with an idle limit of 2000 ms that checks every 50 ms whether a head takes longer than 100 ms
+    When a caller sends a request after four fifths of the idle limit, and another one a part of a request
+    Then the first one gets status 200, and the other one gets status 408
