--- a/packages/serving/src/http/CallerConnection.ts
+++ b/packages/serving/src/http/CallerConnection.ts
@@ -1,34 +1,48 @@
 /** One connection of a caller, and the requests in progress on it. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { formatRejection } from './formatRejection.js';
 
-/** Response to a request of which a part was received; the request has not run. */
-const PARTIAL_REQUEST_RESPONSE = [
-  'HTTP/1.1 503 Service Unavailable',
-  'Connection: close',
-  'Content-Length: 0',
-  '',
-  '',
-].join('\r\n');
+const CARRIAGE_RETURN = 0x0d;
+const LINE_FEED = 0x0a;
+
+/** Callers may send line breaks before a request, which are no part of it. */
+const hasOnlyLineBreaks = (bytes: Buffer): boolean =>
+  bytes.every((byte) => byte === CARRIAGE_RETURN || byte === LINE_FEED);
+
+/** Current limit on the time for which connections are idle. Unit: ms. */
+interface IdleLimit {
+  readonly keepAliveTimeout: number;
+}
 
 /** Tracks the requests on one connection. */
 export class CallerConnection {
   /** Responses in progress, in the order of their requests. */
   readonly responses = new Set<ServerResponse>();
 
-  /** Bytes received up to the end of the last request. */
-  private handledBytes = 0;
+  /** Whether a part of a request has been received since the last one was handled. */
+  private hasUnhandledPart = false;
 
   private isClosing = false;
 
   constructor(
     private readonly socket: Socket,
+    private readonly limits: IdleLimit,
     private readonly onIdle: () => void,
-  ) {}
+  ) {
+    // Node.js limits only the time after a response.
+    socket.setTimeout(limits.keepAliveTimeout);
+    socket.on('data', (bytes: Buffer) => {
+      if (this.hasUnhandledPart || hasOnlyLineBreaks(bytes)) return;
+      this.hasUnhandledPart = true;
+      socket.setTimeout(0);
+    });
+    socket.once('close', () => this.closeWaitingResponses());
+  }
 
   /** Whether no part of a request or response is on its way. Node.js doesn't count unused connections as idle. */
   get isIdle(): boolean {
-    return this.responses.size === 0 && this.socket.bytesRead === this.handledBytes;
+    return this.responses.size === 0 && !this.hasUnhandledPart;
   }
 
   /**
@@ -43,9 +57,10 @@
       ({ headersSent, shouldKeepAlive }) => !headersSent || shouldKeepAlive,
     );
     this.responses.add(response);
+    this.keepAnnouncedLimit(response);
     const update = (): void => {
       if (!message.complete || !response.closed) return;
-      this.handledBytes = this.socket.bytesRead;
+      this.hasUnhandledPart = false;
       if (this.isIdle) this.onIdle();
     };
     response.once('close', () => {
@@ -58,6 +73,16 @@
     return isAnswerable;
   }
 
+  /** Keeps the connection for as long as a response has announced, though a later limit may be shorter. */
+  private keepAnnouncedLimit(response: ServerResponse): void {
+    // Node.js announces the limit at the arrival of the request, and applies that at the end of the response.
+    const { keepAliveTimeout: announcedMs } = this.limits;
+    response.once('finish', () => {
+      const isLast = this.responses.size === 1 && response.shouldKeepAlive;
+      if (isLast) this.socket.setTimeout(Math.max(announcedMs, this.limits.keepAliveTimeout));
+    });
+  }
+
   /** Announces in the response to the last request, and in no earlier one, that the connection closes. */
   announceClose(): void {
     const unsent = [...this.responses].filter(({ headersSent }) => !headersSent);
@@ -76,7 +101,18 @@
   /** Refuses a request whose head has not been received completely. */
   refusePartialHead(): void {
     if (this.responses.size > 0) return;
-    this.socket.write(PARTIAL_REQUEST_RESPONSE);
+    this.socket.write(formatRejection('partial request'));
     this.socket.destroySoon();
   }
+
+  /** Closes the responses whose turn has not come: Node.js reports a lost connection only to the one before them. */
+  private closeWaitingResponses(): void {
+    const waiting = [...this.responses].filter(
+      ({ socket, writableFinished }) => !socket && !writableFinished,
+    );
+    waiting.forEach((response) => {
+      response.destroy();
+      response.emit('close');
+    });
+  }
 }
