Log who told a host the version of a stream that goes on there

The event stream-version-found (833) names the source, its host, and how long the version was known; there is one for each request that continues a stream. The first teller of a version is kept, as later reports repeat it.

Two scenarios of streams.feature.

--- a/packages/catalog/src/logEvents.ts
+++ b/packages/catalog/src/logEvents.ts
@@ -410,6 +410,12 @@
     message: 'A batch item starts again, as no target has the version that began it',
     hint: 'Expected during a release of targets.',
   },
+  'stream-version-found': {
+    number: 833,
+    severity: 'info',
+    message: 'A stream that its caller takes up again goes on at this version',
+    hint: 'If events of two versions are joined, "source" and "host" name who told the version, and "knownMs" how long before.',
+  },
   'streams-unsaved': {
     number: 831,
     severity: 'warn',
--- a/packages/serving/src/online/OnlineRequestHandler.ts
+++ b/packages/serving/src/online/OnlineRequestHandler.ts
@@ -229,9 +229,26 @@
       return { kind: 'refused', refusal: refuse('stream-version-unknown') };
     }
     progress.beginStream(version);
+    this.recordVersion(head, streamKey, version);
     return undefined;
   }
 
+  /** Records at which version a stream goes on, and who told this host. */
+  private recordVersion(head: OnlineRequest['head'], stream: string, version: string): void {
+    const { journal, streamVersions } = this.dependencies;
+    const known = streamVersions.describeSource(stream);
+    journal.record('stream-version-found', {
+      request: head.id,
+      resumedRequest: head.resumedRequest,
+      stream,
+      version,
+      // Without a source, it is the only version that can have begun a stream.
+      source: known?.source.kind ?? 'only-version',
+      host: known?.source.host,
+      knownMs: known?.knownMs,
+    });
+  }
+
   private async tryTargets(
     request: OnlineRequest,
     progress: RequestProgress,
--- a/packages/serving/src/streams/StreamRecords.ts
+++ b/packages/serving/src/streams/StreamRecords.ts
@@ -146,7 +146,7 @@
       ),
     );
     if (this.isLoaded && now - writtenAt > this.dependencies.retention.ms) return;
-    if (key !== identity.name) streamVersions.learn(row.streams, now);
+    if (key !== identity.name) streamVersions.learn(row.streams, { kind: 'row', host: key }, now);
     else if (!this.isLoaded) streamVersions.adopt(row.streams, now);
   }
 
--- a/packages/serving/src/streams/StreamVersions.ts
+++ b/packages/serving/src/streams/StreamVersions.ts
@@ -12,6 +12,14 @@
 /** Length of a key in base64 characters. */
 const KEY_LENGTH = 11;
 
+/** How this host came to know the version of a stream. */
+export interface StreamSource {
+  /** Began on this host, saved by an earlier process of it, reported by another host, or in the row of another host. */
+  readonly kind: 'own' | 'own-row' | 'report' | 'row';
+  /** Name of the other host. */
+  readonly host?: string;
+}
+
 /** A stream that began on this host. */
 interface OwnStream {
   readonly version: string;
@@ -20,6 +28,9 @@
   /** Whether callers may take it up again, as its response is in progress or has broken off. */
   isOpen: boolean;
   reportCount: number;
+  readonly source: StreamSource;
+  /** Monotonic time at which it began, or was read. Unit: ms. */
+  readonly knownSince: number;
 }
 
 /** A stream that began on another host. */
@@ -27,6 +38,9 @@
   readonly version: string;
   /** Monotonic time until which it is remembered. Unit: ms. */
   readonly until: number;
+  readonly source: StreamSource;
+  /** Monotonic time at which this host first learned this version of it. Unit: ms. */
+  readonly knownSince: number;
 }
 
 /** A stream and the version that began it, as exchanged between hosts. */
@@ -73,7 +87,14 @@
    */
   begin(key: string, version: string): void {
     const until = Number.POSITIVE_INFINITY;
-    this.ownStreams.set(key, { version, until, isOpen: true, reportCount: 0 });
+    this.ownStreams.set(key, {
+      version,
+      until,
+      isOpen: true,
+      reportCount: 0,
+      source: { kind: 'own' },
+      knownSince: performance.now(),
+    });
     this.notifyListeners();
   }
 
@@ -104,7 +125,14 @@
       .filter(([key]) => !this.ownStreams.has(key))
       .forEach(([key, version]) => {
         const until = now + this.retention.ms;
-        this.ownStreams.set(key, { version, until, isOpen: true, reportCount: 0 });
+        this.ownStreams.set(key, {
+          version,
+          until,
+          isOpen: true,
+          reportCount: 0,
+          source: { kind: 'own-row' },
+          knownSince: now,
+        });
       });
   }
 
@@ -112,12 +140,15 @@
    * Records streams of other hosts.
    *
    * @param streams - open streams
+   * @param source - who told of them
    * @param now - monotonic time. Unit: ms
    */
-  learn(streams: readonly StreamVersion[], now = performance.now()): void {
+  learn(streams: readonly StreamVersion[], source: StreamSource, now = performance.now()): void {
     streams.forEach(([key, version]) => {
+      const known = this.learnedStreams.get(key);
+      const first = known?.version === version ? known : { source, knownSince: now };
       this.learnedStreams.delete(key);
-      this.learnedStreams.set(key, { version, until: now + this.retention.ms });
+      this.learnedStreams.set(key, { ...first, version, until: now + this.retention.ms });
     });
     for (const [key, { until }] of this.learnedStreams) {
       if (until > now && this.learnedStreams.size <= MAX_LEARNED) break;
@@ -130,8 +161,8 @@
    *
    * @param report - its latest report
    */
-  applyReport({ streams }: Pick<LoadReport, 'streams'>): void {
-    if (streams.length > 0) this.learn(streams);
+  applyReport({ host, streams }: Pick<LoadReport, 'host' | 'streams'>): void {
+    if (streams.length > 0) this.learn(streams, { kind: 'report', host });
   }
 
   /**
@@ -146,6 +177,22 @@
     return stream && stream.until > now ? stream.version : undefined;
   }
 
+  /**
+   * Tells how this host came to know the version of a stream.
+   *
+   * @param key - key of the stream
+   * @param now - monotonic time. Unit: ms
+   * @returns who told it first, and how long ago; undefined if this host doesn't know the version. Unit: ms
+   */
+  describeSource(
+    key: string,
+    now = performance.now(),
+  ): { readonly source: StreamSource; readonly knownMs: number } | undefined {
+    const stream = this.ownStreams.get(key) ?? this.learnedStreams.get(key);
+    if (!stream || stream.until <= now) return undefined;
+    return { source: stream.source, knownMs: Math.round(now - stream.knownSince) };
+  }
+
   /**
    * Lists the streams of this host that callers may take up again.
    *
--- a/packages/serving/test/features/streams.feature
+++ b/packages/serving/test/features/streams.feature
@@ -102,3 +102,22 @@
     And the hosts have saved them
     And host "h-2" is killed, starts again with versions "v2" and saves its row
     Then "h-2" finds no version for a stream that no host has seen
+
+  # Guards against joined streams of which no log tells where a host has the version from.
+  Scenario: A host states who told it the version of a stream first
+    Given hosts "h-1" and "h-2" that know versions "v1" and "v2"
+    When 10 streams of "v1" begin at "h-1"
+    Then "h-1" states that "h-1" told the versions by "own"
+    When the hosts have saved them
+    And "h-2" reads the rows of all hosts
+    And "h-1" sends 1 reports of at most 12 streams to "h-2"
+    Then "h-2" states that "h-1" told the versions by "row"
+    When all hosts are killed and start again with versions "v2"
+    Then "h-1" states that "h-1" told the versions by "own-row"
+
+  # Guards against the same, where a report comes before the row.
+  Scenario: A host states that a report told it the version of a stream
+    Given hosts "h-1" and "h-2" that know versions "v1" and "v2"
+    When 10 streams of "v1" begin at "h-1"
+    And "h-1" sends 1 reports of at most 12 streams to "h-2"
+    Then "h-2" states that "h-1" told the versions by "report"
--- a/packages/serving/test/steps/streams.steps.ts
+++ b/packages/serving/test/steps/streams.steps.ts
@@ -132,7 +132,7 @@
     for (let report = 0; report < count; report += 1) {
       const streams = this.hosts.get(from)!.streamVersions.selectForReport();
       assert.ok(streams.length <= max);
-      this.hosts.get(to)!.streamVersions.applyReport({ streams });
+      this.hosts.get(to)!.streamVersions.applyReport({ host: from, streams });
     }
   },
 );
@@ -283,3 +283,18 @@
 Then('the store has had {int} writes', function (this: StreamsWorld, writes: number) {
   assert.equal(this.store.commitCount, writes);
 });
+
+Then(
+  '{string} states that {string} told the versions by {string}',
+  function (this: StreamsWorld, name: string, teller: string, kind: string) {
+    const { streamVersions } = this.hosts.get(name)!;
+    const host = teller === name ? {} : { host: teller };
+    this.keys.forEach((key) =>
+      assert.deepEqual(streamVersions.describeSource(key)?.source, { kind, ...host }),
+    );
+  },
+);
+
+When('{string} reads the rows of all hosts', async function (this: StreamsWorld, name: string) {
+  assert.ok(await this.hosts.get(name)!.streamRecords.refresh());
+});
