Remove rows of members only after a silence in which they could be heard

Callers got configuration-unconfirmed. The logs have 49,917 calls that removed rows of members, up to 850 a second from 60 hosts, 464 of them with effect; the fleet did not recover.

Cause: hosts send reports to those whose rows they have read. A host that can't write its row, as the store responds late, hears nobody. After 10 s it took all others for unresponsive and removed their rows, so that they were not sent reports either, and did the same. Besides, a row that a live member had written again was removed at once by hosts whose last report of it was old, and each round of maintenance began new removals while those of earlier rounds waited for the store.

Silence now counts from the latest of the last report, the time at which this host's own row was read, and that at which the member's row was read; without its own row a host removes none. One removal at a time.

--- a/packages/serving/src/fleet/Members.ts
+++ b/packages/serving/src/fleet/Members.ts
@@ -70,6 +70,12 @@
   readonly isSuccessor: boolean;
 }
 
+interface RowRead {
+  readonly revision: number;
+  /** Monotonic time. Unit: ms. */
+  readonly readAt: number;
+}
+
 interface ReportedState {
   readonly incarnation: number;
   /** Monotonic time at which the process started, according to its reports. Unit: ms. */
@@ -111,8 +117,14 @@
   /** Hosts of other failure domains, sorted by name. */
   private remoteMembers: Member[] = [];
 
+  /** When this host read the present row of each host. */
+  private readonly rowReads = new Map<string, RowRead>();
+
   private isRegistering = false;
 
+  /** Whether rows of unresponsive hosts are being removed. */
+  private isRemoving = false;
+
   /** Revision of this host's own row, valid or not; 0 if there is none. */
   private ownRevision = 0;
 
@@ -303,19 +315,19 @@
   }
 
   /**
-   * Removes the rows of hosts that have been unresponsive for too long.
+   * Removes the rows of hosts that have been unresponsive for too long. Hosts send reports to those whose rows they have
+   * read, so that without its own row this host hears nobody, and can't tell whether others are responsive.
    *
    * @param now - monotonic time. Unit: ms
    * @returns names of all unresponsive hosts that have reported before, so that the caller can remove their loads
    */
   async removeUnresponsive(now = performance.now()): Promise<string[]> {
-    const unresponsive = this.peers.filter(({ name }) => !this.isResponsive(name, now));
-    for (const member of unresponsive) {
-      const since =
-        this.reportedStates.get(member.name)?.reportedAt ??
-        this.registeredProcesses.get(member.name)?.registeredAt ??
-        now;
-      if (now - since > REMOVAL_TIMEOUT_MS) await this.removeRow(member);
+    // Calls come at an interval, which may be shorter than the removals take.
+    if (!this.isRemoving) {
+      this.isRemoving = true;
+      const silent = this.peers.filter(({ name }) => this.isSilent(name, now));
+      for (const member of silent) await this.removeRow(member);
+      this.isRemoving = false;
     }
     // Includes hosts that have left the fleet and have no row.
     return [...this.reportedStates.keys()].filter((name) => !this.isResponsive(name, now));
@@ -377,6 +389,18 @@
     );
   }
 
+  /** Checks whether a host has sent no report for a long time, though it could have sent one to this host. */
+  private isSilent(name: string, now: number): boolean {
+    const { identity } = this.dependencies;
+    if (this.members.get(identity.name)?.incarnation !== identity.incarnation) return false;
+    const since = Math.max(
+      this.reportedStates.get(name)?.reportedAt ?? Number.NEGATIVE_INFINITY,
+      this.rowReads.get(identity.name)?.readAt ?? now,
+      this.rowReads.get(name)?.readAt ?? now,
+    );
+    return now - since > REMOVAL_TIMEOUT_MS;
+  }
+
   private removeMember(name: string): void {
     this.members.delete(name);
     if (name === this.dependencies.identity.name) this.ownRevision = 0;
@@ -393,6 +417,9 @@
       });
       return;
     }
+    // The table is read anew after an outage; rows that are still the same keep their time.
+    if (this.rowReads.get(record.key)?.revision !== record.revision)
+      this.rowReads.set(record.key, { revision: record.revision, readAt: now });
     const { incarnation } = row.data;
     const before = this.registeredProcesses.get(record.key);
     if (before?.incarnation !== incarnation) {
--- a/packages/serving/test/features/members.feature
+++ b/packages/serving/test/features/members.feature
@@ -153,3 +153,20 @@
     Given a host that receives reports
     When the row of "h-1" has "port": null
     Then the host writes its own row
+
+  # Guards against hosts that nobody sends reports to, as they have no row yet, and that remove the rows of all others for it.
+  Scenario Outline: A host removes rows of others only if it could have heard them, own process <own>, rows read <own row> and <row> ms ago
+    Given a host that receives reports
+    And process <own> of "h-1" has written its row, and the host has read it <own row> ms ago
+    And process 7 of "h-2" has written its row, and the host has read it <row> ms ago
+    And the last report of process 7 of "h-2" came <report> ms ago
+    Then the host <removes or keeps> the row of "h-2"
+
+    Examples:
+      | own | own row | row   | report | removes or keeps |
+      | 500 | 60000   | 60000 | 11000  | removes          |
+      | 500 | 11000   | 11000 | 60000  | removes          |
+      | 500 | 60000   | 60000 | 5000   | keeps            |
+      | 499 | 60000   | 60000 | 11000  | keeps            |
+      | 500 | 3000    | 60000 | 60000  | keeps            |
+      | 500 | 60000   | 200   | 60000  | keeps            |
--- a/packages/serving/test/steps/members.steps.ts
+++ b/packages/serving/test/steps/members.steps.ts
@@ -214,3 +214,34 @@
 Then('work can be taken over by {string}', function (this: MembersWorld, names: string) {
   assert.deepEqual(this.members.listWorkers(this.now), names.split(', '));
 });
+
+Given(
+  /^process (\d+) of "([^"]+)" has written its row, and the host has read it (\d+) ms ago$/,
+  async function (this: MembersWorld, incarnation: string, name: string, ms: string) {
+    const row = { address: '127.0.0.1', port: 2, incarnation: Number(incarnation) };
+    const value = Buffer.from(JSON.stringify({ ...row, failureDomain: 'a' }));
+    const key = { table: MEMBERS_TABLE, partition: '', key: name };
+    const written = await this.store.commit({ conditions: [], writes: [{ ...key, value }] });
+    const record = { ...key, value, revision: written.unwrapOr(0) };
+    this.members.apply([{ kind: 'written', record }], this.now - Number(ms));
+  },
+);
+
+Given(
+  'the last report of process {int} of {string} came {int} ms ago',
+  function (this: MembersWorld, incarnation: number, name: string, ms: number) {
+    const report = createReport(name, 1, { incarnation, upMs: 1000 });
+    this.members.applyReport(report, this.now - ms);
+  },
+);
+
+Then(
+  /^the host (removes|keeps) the row of "([^"]+)"$/,
+  async function (this: MembersWorld, action: string, name: string) {
+    await this.members.removeUnresponsive(this.now);
+    const page = await this.store.read({ table: MEMBERS_TABLE, partition: '' });
+    const records = page.map((read) => read.records).unwrapOr([]);
+    const hasRow = records.some(({ key }) => key === name);
+    assert.equal(hasRow, action === 'keeps');
+  },
+);
