--- a/packages/serving/src/online/OnlineRequestHandler.ts
+++ b/packages/serving/src/online/OnlineRequestHandler.ts
@@ -231,6 +231,7 @@
       return { kind: 'refused', refusal: refuse('stream-version-unknown') };
     }
     progress.beginStream(version);
+    this.logVersion(head, streamKey, version);
     this.recordVersion(streamKey, version);
     return undefined;
   }
@@ -243,6 +244,22 @@
     if (streamKey !== undefined) this.dependencies.streamVersions.begin(streamKey, version);
   }
 
+  /** Logs at which version a stream goes on, and who told this host. */
+  private logVersion(head: OnlineRequest['head'], stream: string, version: string): void {
+    const { journal, streamVersions } = this.dependencies;
+    const known = streamVersions.describeSource(stream);
+    journal.record('stream-version-found', {
+      request: head.id,
+      resumedRequest: head.resumedRequest,
+      stream,
+      version,
+      // Without a source, it is the only version that can have begun a stream.
+      source: known?.source.kind ?? 'only-version',
+      host: known?.source.host,
+      knownMs: known?.knownMs,
+    });
+  }
+
   private async tryTargets(
     request: OnlineRequest,
     progress: RequestProgress,
--- a/packages/serving/test/steps/streams.steps.ts
+++ b/packages/serving/test/steps/streams.steps.ts
@@ -181,11 +181,12 @@
 const sources: Readonly<Record<string, (world: StreamsWorld) => unknown>> = {
   reports: ({ hosts }) => {
     const streams = hosts.get('h-1')!.streamVersions.selectForReport();
-    hosts.get('h-2')!.streamVersions.applyReport({ streams });
+    hosts.get('h-2')!.streamVersions.applyReport({ host: 'h-1', streams });
   },
   'reports, the first ones last': ({ hosts, reports }) => {
     reports.unshift(hosts.get('h-1')!.streamVersions.selectForReport());
-    reports.forEach((streams) => hosts.get('h-2')!.streamVersions.learn(streams));
+    const { streamVersions } = hosts.get('h-2')!;
+    reports.forEach((streams) => streamVersions.learn(streams, { kind: 'report', host: 'h-1' }));
   },
   'rows of the store': () => sleep(SAVE_TIME_MS),
   'rows of the store, after the host starts again': async (world) => {
@@ -219,6 +220,7 @@
     await streamRecords.refresh();
     await setImmediate();
     streamVersions.applyReport({
+      host: from,
       streams: this.hosts.get(from)!.streamVersions.selectForReport(),
     });
     this.found = await search;
@@ -243,7 +245,7 @@
     for (let report = 0; report < count; report += 1) {
       const streams = this.hosts.get(from)!.streamVersions.selectForReport();
       assert.ok(streams.length <= max);
-      this.hosts.get(to)!.streamVersions.applyReport({ streams });
+      this.hosts.get(to)!.streamVersions.applyReport({ host: from, streams });
     }
   },
 );
@@ -394,3 +396,18 @@
 Then('the store has had {int} writes', function (this: StreamsWorld, writes: number) {
   assert.equal(this.store.commitCount, writes);
 });
+
+Then(
+  '{string} states that {string} told the versions by {string}',
+  function (this: StreamsWorld, name: string, teller: string, kind: string) {
+    const { streamVersions } = this.hosts.get(name)!;
+    const host = teller === name ? {} : { host: teller };
+    this.keys.forEach((key) =>
+      assert.deepEqual(streamVersions.describeSource(key)?.source, { kind, ...host }),
+    );
+  },
+);
+
+When('{string} reads the rows of all hosts', async function (this: StreamsWorld, name: string) {
+  assert.ok(await this.hosts.get(name)!.streamRecords.refresh());
+});
