--- a/packages/serving/test/steps/idleConnections.steps.ts
+++ b/packages/serving/test/steps/idleConnections.steps.ts
@@ -189,6 +189,8 @@
   },
 );
 
-After(function (this: Partial<IdleWorld>) {
-  this.callers?.forEach(({ socket }) => socket.destroy());
+After(async function (this: Partial<IdleWorld>) {
+  if (!this.callers) return;
+  this.callers.forEach(({ socket }) => socket.destroy());
+  await this.server?.stop(performance.now());
 });
