Write the content of a job's items in the transaction that accepts the job

Callers: with a store that takes 50 times as long, nearly every submission ended without a status. Callers of submissions wait a quarter of their time (1 s of 4 s), and the acceptance took 1.3 s for the object with the content and 0.3 s for the transaction.

Cause: two calls one after the other, of which the one for objects is five times as slow; the content mostly has some 9 KB.

Ruled out: shorter timeouts of the store's calls, which only end the acceptance earlier.

The content is now written in rows of 49,000 bytes together with the job, up to eight of them. Larger content stays an object. The name of the content tells which, so that jobs of earlier versions are read, and processes of earlier versions keep the name when they write the job's row. No content is left of a submission that is not accepted, and it is removed with its job.

Evidence: jobInputs.feature; with all content as objects, as before, 5 of its 9 scenarios fail.

--- a/packages/serving/src/batch/HeldJobs.ts
+++ b/packages/serving/src/batch/HeldJobs.ts
@@ -134,7 +134,7 @@
 
   private async openJob(job: VersionedJob): Promise<void> {
     const { jobs, progress, identity, journal } = this.dependencies;
-    const { id, input, route: routeName, account } = job.record;
+    const { id, route: routeName, account } = job.record;
     const policy = this.policyOf(routeName);
     if (this.pendingStoreCalls.has(id) || !policy) return;
     this.pendingStoreCalls.add(id);
@@ -144,7 +144,7 @@
       this.pendingStoreCalls.delete(id);
       return;
     }
-    const items = await jobs.loadInput(input);
+    const items = await jobs.loadInput(job.record);
     // A job that was not taken over has only run in this process, so no other host has saved output.
     const outputs = this.takenOver.has(id)
       ? await progress.load(job.record)
--- a/packages/serving/src/batch/JobRecord.ts
+++ b/packages/serving/src/batch/JobRecord.ts
@@ -19,7 +19,7 @@
   submittedAt: z.number(),
   /** Id and tokens of each item, in the order of submission. */
   items: z.array(z.tuple([z.string(), z.number()])),
-  /** Name of the object that holds the content of the items. */
+  /** Name of the content of the items, which is in rows or an object; see `JobInputs`. */
   input: z.string(),
   /** Name and incarnation of the host that runs the items; null if there is none. */
   holder: z.tuple([z.string(), z.number()]).nullable(),
@@ -32,7 +32,7 @@
 /** A batch job as stored. */
 export type JobRecord = z.infer<typeof jobRecord>;
 
-/** Schema of the object that holds the content of the items. */
+/** Schema of the content of a job's items. */
 export const jobInput = z.array(
   z.object({
     id: z.string(),
--- a/packages/serving/src/batch/JobStore.ts
+++ b/packages/serving/src/batch/JobStore.ts
@@ -7,6 +7,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import type { RecordKey, RecordStore, StoreFailure, StoredRecord } from '../store/RecordStore.js';
 import type { JobCache, VersionedJob } from './JobCache.js';
+import { JobInputs, listInputRows, prepareInput } from './JobInputs.js';
 import {
   admissionKey,
   JOBS_TABLE,
@@ -18,7 +19,6 @@
   resultRange,
 } from './jobKeys.js';
 import {
-  jobInput,
   resultRecord,
   type ItemResult,
   type JobInput,
@@ -47,9 +47,6 @@
 /** Maximum number of rows removed by one transaction, which holds at most 100 entries. */
 const MAX_REMOVALS_PER_TRANSACTION = 90;
 
-/** Maximum number of job inputs that are cached in memory. */
-const MAX_CACHED_INPUTS = 16;
-
 /** A batch job as a caller submits it. */
 export interface Submission {
   readonly id: string;
@@ -92,12 +89,13 @@
    */
   private readonly admissionRevisions = new Map<string, number>();
 
-  private readonly inputCache = new Map<string, JobInput>();
+  private readonly inputs: JobInputs;
 
   private readonly clock: Clock;
 
   constructor(private readonly dependencies: JobStoreDependencies) {
     this.clock = dependencies.clock ?? systemClock;
+    this.inputs = new JobInputs(dependencies);
   }
 
   /**
@@ -118,7 +116,7 @@
       return err(refuse('platform-unavailable', { retryAfterSeconds: 0.5 }));
     }
     const deadline = this.clock.now() + COMMIT_RETRY_TIMEOUT_MS;
-    const input = `${JOBS_TABLE}-${id}-${randomUUID()}`;
+    const input = prepareInput(account, id, items);
     const record: JobRecord = {
       id,
       account,
@@ -126,7 +124,7 @@
       host,
       submittedAt,
       items: items.map((item) => [item.id, item.tokens]),
-      input,
+      input: input.name,
       holder: holder && [...holder],
       listed: [],
       endedAt: null,
@@ -141,11 +139,10 @@
         // A write without a response may still be applied, so the refusal must not promise that nothing runs.
         return err(isOutcomeUnknown ? refuse('deadline-passed') : refuse('job-over-limit'));
       }
-      if (!isInputStored) {
-        const put = await objects.put(input, encode(items));
+      if (input.object && !isInputStored) {
+        const put = await objects.put(input.name, input.object);
         if (put.isErr()) return err(refuse('platform-unavailable', { retryAfterSeconds: 0.5 }));
         isInputStored = true;
-        this.cacheInput(input, items);
       }
       const written = await store.commit({
         conditions: [
@@ -155,9 +152,11 @@
         writes: [
           { ...key, value: encode(record) },
           { ...admission, value: encode({ job: id }) },
+          ...input.writes,
         ],
       });
       if (written.isOk()) {
+        this.inputs.keep(input.name, items);
         this.admissionRevisions.set(admission.key, written.value);
         jobCache.put({ record, revision: written.value });
         return ok(undefined);
@@ -358,21 +357,15 @@
   /**
    * Loads the content of a job's items.
    *
-   * @param name - name of the object
+   * @param record - the job
    * @returns the items, or a refusal if they can't be loaded
    */
-  async loadInput(name: string): Promise<Result<JobInput, Refusal>> {
-    const cached = this.inputCache.get(name);
-    if (cached) return ok(cached);
-    const object = await this.dependencies.objects.get(name);
-    if (object.isErr()) return err(refuse('platform-unavailable', { retryAfterSeconds: 0.5 }));
-    const input = jobInput.parse(JSON.parse(object.value.toString()));
-    this.cacheInput(name, input);
-    return ok(input);
+  loadInput(record: JobRecord): Promise<Result<JobInput, Refusal>> {
+    return this.inputs.load(record);
   }
 
   /**
-   * Removes the rows of a job, of its results and of its saved outputs, and the object with its input. Outputs that
+   * Removes the rows of a job, of its results, of its saved outputs and of its input, or the object with its input. Outputs that
    * are stored as objects are not removed.
    *
    * @param job - a job whose retention time has passed
@@ -386,14 +379,15 @@
     // Saved outputs remain for items that were never finished, and where a delayed write came after the removal.
     const progress = await store.read(progressRange(record.account, record.id));
     if (progress.isErr()) return;
-    const keys: RecordKey[] = [...results, ...progress.value.records];
+    const inputRows = listInputRows(record);
+    const keys: RecordKey[] = [...results, ...progress.value.records, ...inputRows];
     // The job's row is removed last, so that an incomplete removal is found and repeated.
     for (let start = 0; start < keys.length; start += MAX_REMOVALS_PER_TRANSACTION) {
       const removals = keys.slice(start, start + MAX_REMOVALS_PER_TRANSACTION);
       const part = await store.commit({ conditions: [], writes: [], removals });
       if (part.isErr()) return;
     }
-    await objects.remove(record.input);
+    if (inputRows.length === 0) await objects.remove(record.input);
     const removed = await store.commit({
       conditions: [{ ...key, revision }],
       writes: [],
@@ -458,11 +452,4 @@
     const content = await this.dependencies.objects.get(object);
     return content.isOk() ? content.value.toString() : undefined;
   }
-
-  private cacheInput(name: string, input: JobInput): void {
-    this.inputCache.set(name, input);
-    const [oldest] = this.inputCache.keys();
-    if (this.inputCache.size > MAX_CACHED_INPUTS && oldest !== undefined)
-      this.inputCache.delete(oldest);
-  }
 }
--- a/packages/serving/src/batch/jobKeys.ts
+++ b/packages/serving/src/batch/jobKeys.ts
@@ -11,6 +11,9 @@
 
 const ADMISSIONS_TABLE = 'admissions';
 
+/** Table of the content of jobs' items. */
+export const INPUTS_TABLE = 'inputs';
+
 /** Number of partitions of each table. A partition handles 200 transactions a second. */
 const PARTITION_COUNT = 16;
 
@@ -99,6 +102,34 @@
   to: `${account}/${job}0`,
 });
 
+/**
+ * Returns the key of a part of the content of a job's items.
+ *
+ * @param account - name of the account
+ * @param job - id of the job
+ * @param part - index of the part
+ * @returns the key
+ */
+export const inputKey = (account: string, job: string, part: number): RecordKey => ({
+  table: INPUTS_TABLE,
+  partition: partitionOf(account),
+  key: `${account}/${job}/${padIndex(part)}`,
+});
+
+/**
+ * Returns the key range of the content of a job's items.
+ *
+ * @param account - name of the account
+ * @param job - id of the job
+ * @returns the range
+ */
+export const inputRange = (account: string, job: string): RecordRange => ({
+  table: INPUTS_TABLE,
+  partition: partitionOf(account),
+  from: `${account}/${job}/`,
+  to: `${account}/${job}0`,
+});
+
 /**
  * Parses the index of an item from the key of its saved output.
  *
