Give calls about batch jobs a status before their callers stop waiting

Callers that stated X-Deadline-Ms 1000 got the status of a submission or a read after 2.0 s and of an end after 4.1 s while the store was silent: a whole request had neither a response nor a refusal while its caller waited. A submission whose body stalled had no status at all.

Cause: only online requests had a lifetime. Calls about jobs were bounded by the store client's timeout of 2 s for each call and by 2.5 s for repeated writes, whatever their callers stated, and these add up. An end whose write may have been applied was told 503 if the repeat was rejected. Ruled out: the event loop was free, online requests beside them took 20 to 80 ms.

Each call now has a RequestLifetime, which ends at X-Deadline-Ms, the timeout of the job's route, or 1.5 s after the wait for results, less 100 ms for the network. Its signal takes the place of the store client's timeout, so a slow store may use all of the time. JobAcceptance sends no write once the signal is aborted: 503 if none was sent, 504 if one was. A lost response is learnt from the table that the host follows, a silent write is repeated after 2 s while the first one goes on, and the input of a refused job is removed and logged (833). The revision of the admission row is read while the input is stored, and other jobs are reloaded only if the account has a limit, as submissions to a slow store took four calls in a row.

--- a/packages/backing/src/ObjectStore.ts
+++ b/packages/backing/src/ObjectStore.ts
@@ -21,17 +21,23 @@
    *
    * @param name - name of the object
    * @param body - content
+   * @param signal - ends the call when it is aborted, in place of the timeout of a call
    */
-  put(name: string, body: Uint8Array | string): ResultAsync<void, ObjectFailure>;
+  put(
+    name: string,
+    body: Uint8Array | string,
+    signal?: AbortSignal,
+  ): ResultAsync<void, ObjectFailure>;
 
   /**
    * Reads an object into memory.
    *
    * @param name - name of the object
    * @param range - bytes to read; the complete object when absent
+   * @param signal - ends the call when it is aborted, in place of the timeout of a call
    * @returns the content
    */
-  get(name: string, range?: ByteRange): ResultAsync<Buffer, ObjectFailure>;
+  get(name: string, range?: ByteRange, signal?: AbortSignal): ResultAsync<Buffer, ObjectFailure>;
 
   /**
    * Opens an object for reading as a stream.
--- a/packages/backing/src/S3ObjectStore.ts
+++ b/packages/backing/src/S3ObjectStore.ts
@@ -64,27 +64,31 @@
     });
   }
 
-  put(name: string, body: Uint8Array | string): ResultAsync<void, ObjectFailure> {
+  put(
+    name: string,
+    body: Uint8Array | string,
+    signal?: AbortSignal,
+  ): ResultAsync<void, ObjectFailure> {
     const content = typeof body === 'string' ? Buffer.from(body) : body;
     const command = new PutObjectCommand({ Bucket: this.bucket, Key: name, Body: content });
     const timeoutMs = this.callLimitMs + content.length / MIN_TRANSFER_BYTES_PER_MS;
     return this.call(
       'object.put',
-      async ({ signal }) => {
-        await this.client.send(command, { abortSignal: signal });
+      async (timeout) => {
+        await this.client.send(command, { abortSignal: signal ?? timeout.signal });
       },
       timeoutMs,
     );
   }
 
-  get(name: string, range?: ByteRange): ResultAsync<Buffer, ObjectFailure> {
+  get(name: string, range?: ByteRange, signal?: AbortSignal): ResultAsync<Buffer, ObjectFailure> {
     const command = new GetObjectCommand({
       Bucket: this.bucket,
       Key: name,
       ...(range ? { Range: `bytes=${range.first}-${range.last}` } : {}),
     });
     return this.call('object.get', async (timeout) => {
-      const response = await this.client.send(command, { abortSignal: timeout.signal });
+      const response = await this.client.send(command, { abortSignal: signal ?? timeout.signal });
       timeout.restart(this.callLimitMs + (response.ContentLength ?? 0) / MIN_TRANSFER_BYTES_PER_MS);
       return buffer(getBodyStream(response));
     });
--- a/packages/catalog/src/logEvents.ts
+++ b/packages/catalog/src/logEvents.ts
@@ -338,6 +338,12 @@
     message: 'Batch job removed after its retention time',
     hint: 'Nothing to do.',
   },
+  'input-discarded': {
+    number: 833,
+    severity: 'info',
+    message: 'Input of a batch job that was not accepted is removed from the object store',
+    hint: 'If the outcome is not "removed", the object may remain; remove it by its name.',
+  },
   'item-run-ended': {
     number: 820,
     severity: 'info',
--- a/packages/serving/src/batch/JobStore.ts
+++ b/packages/serving/src/batch/JobStore.ts
@@ -2,31 +2,26 @@
 import { randomUUID } from 'node:crypto';
 import type { ObjectStore } from '@jacinthlug/backing/ObjectStore';
 import type { Journal } from '@jacinthlug/catalog/Journal';
-import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
+import type { Refusal } from '@jacinthlug/catalog/resultCodes';
 import { systemClock, type Clock } from '@jacinthlug/control/time/Clock';
 import { err, ok, type Result } from 'neverthrow';
-import type { RecordKey, RecordStore, StoreFailure, StoredRecord } from '../store/RecordStore.js';
+import { findRecord, rangeOf } from '../store/recordKeys.js';
+import type { RecordKey, RecordStore, StoreFailure, Transaction } from '../store/RecordStore.js';
+import { JobAcceptance, type Submission } from './JobAcceptance.js';
 import type { JobCache, VersionedJob } from './JobCache.js';
+import { JobInputs } from './JobInputs.js';
+import { jobKey, progressKey, progressRange, resultKey, resultRange } from './jobKeys.js';
 import {
-  admissionKey,
-  JOBS_TABLE,
-  jobKey,
-  partitionOf,
-  progressKey,
-  progressRange,
-  resultKey,
-  resultRange,
-} from './jobKeys.js';
-import {
-  jobInput,
   resultRecord,
   type ItemResult,
   type JobInput,
   type JobRecord,
   type ResultRecord,
 } from './JobRecord.js';
+import { JobWriter } from './JobWriter.js';
+import { refuseUnavailable, refuseUnconfirmed } from './storeRefusals.js';
 
-/** Time limit for repeating a failed write, before an error is returned. Unit: ms. */
+/** Time limit for repeating a failed write that belongs to no caller, before an error is returned. Unit: ms. */
 const COMMIT_RETRY_TIMEOUT_MS = 2500;
 
 /** Delay before a write is repeated. Unit: ms. */
@@ -47,20 +42,6 @@
 /** Maximum number of rows removed by one transaction, which holds at most 100 entries. */
 const MAX_REMOVALS_PER_TRANSACTION = 90;
 
-/** Maximum number of job inputs that are cached in memory. */
-const MAX_CACHED_INPUTS = 16;
-
-/** A batch job as a caller submits it. */
-export interface Submission {
-  readonly id: string;
-  readonly account: string;
-  readonly route: string;
-  readonly host: string;
-  readonly items: JobInput;
-  /** Maximum tokens that the account may have waiting on the route; 0 means no limit. */
-  readonly waitingTokens: number;
-}
-
 /** Dependencies of {@link JobStore}. */
 export interface JobStoreDependencies {
   readonly store: RecordStore;
@@ -77,110 +58,46 @@
   readonly hasProgress: boolean;
 };
 
-const encode = (content: unknown): Buffer => Buffer.from(JSON.stringify(content));
-
-const sameKey = (a: RecordKey, b: RecordKey): boolean =>
-  a.table === b.table && a.partition === b.partition && a.key === b.key;
+/** Failure of a call before it has sent a write. */
+const NOTHING_WRITTEN: StoreFailure = { kind: 'unavailable', message: 'nothing was written' };
 
-const findRecord = (records: readonly StoredRecord[], key: RecordKey): StoredRecord | undefined =>
-  records.find((record) => sameKey(record, key));
+const encode = (content: unknown): Buffer => Buffer.from(JSON.stringify(content));
 
 export class JobStore {
-  /**
-   * Last known revisions of the admission rows, by their keys. Every acceptance for an account and route writes their
-   * row, so that of two concurrent acceptances one fails and checks the token limit again.
-   */
-  private readonly admissionRevisions = new Map<string, number>();
+  private readonly inputs: JobInputs;
 
-  private readonly inputCache = new Map<string, JobInput>();
+  private readonly writer: JobWriter;
+
+  private readonly acceptance: JobAcceptance;
 
   private readonly clock: Clock;
 
   constructor(private readonly dependencies: JobStoreDependencies) {
     this.clock = dependencies.clock ?? systemClock;
+    this.inputs = new JobInputs(dependencies);
+    this.writer = new JobWriter(dependencies);
+    this.acceptance = new JobAcceptance({
+      ...dependencies,
+      clock: this.clock,
+      inputs: this.inputs,
+      writer: this.writer,
+    });
   }
 
   /**
-   * Accepts a batch job. Repeated submissions of the same job are accepted only once.
+   * Accepts a batch job; see {@link JobAcceptance.accept}.
    *
    * @param submission - the job
    * @param holder - name and incarnation of the host that will run its items; null if any host may take it over
+   * @param signal - aborted when the caller must get a status
    * @returns nothing if the store holds the complete job, or a refusal
    */
-  async accept(
+  accept(
     submission: Submission,
     holder: readonly [string, number] | null,
+    signal: AbortSignal,
   ): Promise<Result<void, Refusal>> {
-    const { jobCache, objects, store } = this.dependencies;
-    const { id, account, route, host, items } = submission;
-    const submittedAt = store.now();
-    if (submittedAt === undefined) {
-      return err(refuse('platform-unavailable', { retryAfterSeconds: 0.5 }));
-    }
-    const deadline = this.clock.now() + COMMIT_RETRY_TIMEOUT_MS;
-    const input = `${JOBS_TABLE}-${id}-${randomUUID()}`;
-    const record: JobRecord = {
-      id,
-      account,
-      route,
-      host,
-      submittedAt,
-      items: items.map((item) => [item.id, item.tokens]),
-      input,
-      holder: holder && [...holder],
-      listed: [],
-      endedAt: null,
-    };
-    const key = jobKey(account, id);
-    const admission = admissionKey(account, route);
-    let isInputStored = false;
-    let isOutcomeUnknown = false;
-    for (;;) {
-      if (jobCache.find(account, id)) return ok(undefined);
-      if (this.exceedsTokenLimit(submission)) {
-        // A write without a response may still be applied, so the refusal must not promise that nothing runs.
-        return err(isOutcomeUnknown ? refuse('deadline-passed') : refuse('job-over-limit'));
-      }
-      if (!isInputStored) {
-        const put = await objects.put(input, encode(items));
-        if (put.isErr()) return err(refuse('platform-unavailable', { retryAfterSeconds: 0.5 }));
-        isInputStored = true;
-        this.cacheInput(input, items);
-      }
-      const written = await store.commit({
-        conditions: [
-          { ...key, revision: 0 },
-          { ...admission, revision: this.admissionRevisions.get(admission.key) ?? 0 },
-        ],
-        writes: [
-          { ...key, value: encode(record) },
-          { ...admission, value: encode({ job: id }) },
-        ],
-      });
-      if (written.isOk()) {
-        this.admissionRevisions.set(admission.key, written.value);
-        jobCache.put({ record, revision: written.value });
-        return ok(undefined);
-      }
-      const failure = written.error;
-      isOutcomeUnknown ||= failure.kind === 'unknown';
-      if (failure.kind === 'conflict') {
-        const existing = findRecord(failure.records, key);
-        if (existing && jobCache.applyRecord(existing)) return ok(undefined);
-        this.admissionRevisions.set(
-          admission.key,
-          findRecord(failure.records, admission)?.revision ?? 0,
-        );
-        await this.reloadAccount(account);
-      } else if (!isOutcomeUnknown) {
-        return err(refuse('platform-unavailable', { retryAfterSeconds: 0.5 }));
-      } else {
-        await this.clock.sleep(RETRY_DELAY_MS);
-      }
-      if (this.clock.now() > deadline) {
-        return err(isOutcomeUnknown ? refuse('deadline-passed') : refuse('platform-unavailable'));
-      }
-    }
+    return this.acceptance.accept(submission, holder, signal);
   }
 
   /**
@@ -199,19 +116,20 @@
    * @param account - name of the account
    * @param id - id of the job
    * @param trustCache - whether the cache is recent enough to be used without reading the store
+   * @param signal - aborted when the caller must get a status
    * @returns the job; nothing if there is none; a refusal if the store can't be read
    */
   async find(
     account: string,
     id: string,
     trustCache: boolean,
+    signal: AbortSignal,
   ): Promise<Result<VersionedJob | undefined, Refusal>> {
     const { jobCache } = this.dependencies;
     const known = jobCache.find(account, id);
     if (known && trustCache) return ok(known);
-    const refreshed = await this.readJob(account, id);
-    if (refreshed.isOk()) return ok(refreshed.value);
-    return err(refuse('platform-unavailable', { retryAfterSeconds: 0.5 }));
+    const refreshed = await this.readJob(account, id, signal);
+    return refreshed.mapErr(refuseUnavailable);
   }
 
   /**
@@ -219,22 +137,22 @@
    *
    * @param account - name of the account
    * @param id - id of the job
+   * @param signal - aborted when the caller must get a status
    * @returns whether there is such a job, or a refusal
    */
-  async end(account: string, id: string): Promise<Result<boolean, Refusal>> {
-    const changed = await this.update(account, id, (record) =>
-      record.endedAt === null
-        ? { ...record, endedAt: record.submittedAt + this.ageOf(record) }
-        : undefined,
+  async end(account: string, id: string, signal: AbortSignal): Promise<Result<boolean, Refusal>> {
+    const changed = await this.update(
+      account,
+      id,
+      (record) =>
+        record.endedAt === null
+          ? { ...record, endedAt: record.submittedAt + this.ageOf(record) }
+          : undefined,
+      signal,
     );
-    if (changed.isErr()) {
-      return err(
-        changed.error.kind === 'unknown'
-          ? refuse('deadline-passed')
-          : refuse('platform-unavailable'),
-      );
-    }
-    return ok(changed.value !== undefined);
+    return changed
+      .map((job) => job !== undefined)
+      .mapErr(({ kind }) => refuseUnconfirmed(kind === 'unknown'));
   }
 
   /**
@@ -244,40 +162,51 @@
    * @param account - name of the account
    * @param id - id of the job
    * @param edit - returns the new state, or nothing if no change is needed
-   * @returns the current state; nothing if there is no such job
+   * @param signal - aborted when a caller must get a status, in place of the time limit
+   * @returns the current state; nothing if there is no such job; a failure, for callers of kind `unknown` if a write may
+   *   have been applied or may be yet
    */
   async update(
     account: string,
     id: string,
     edit: (record: JobRecord) => JobRecord | undefined,
+    signal?: AbortSignal,
   ): Promise<Result<VersionedJob | undefined, StoreFailure>> {
-    const { jobCache, store } = this.dependencies;
+    const { jobCache } = this.dependencies;
     const key = jobKey(account, id);
     const deadline = this.clock.now() + COMMIT_RETRY_TIMEOUT_MS;
     let known = jobCache.find(account, id);
     if (!known) {
-      const read = await this.readJob(account, id);
-      if (read.isErr()) return err(read.error);
+      const read = await this.readJob(account, id, signal);
+      if (read.isErr()) return err(NOTHING_WRITTEN);
       known = read.value;
     }
+    // Reset when the revision has changed, as earlier writes can't be applied any more.
+    let unconfirmed: StoreFailure = NOTHING_WRITTEN;
     for (;;) {
       if (!known) return ok(undefined);
       const next = edit(known.record);
       if (!next) return ok(known);
-      const written = await store.commit({
+      if (signal?.aborted) return err(unconfirmed);
+      const transaction: Transaction = {
         conditions: [{ ...key, revision: known.revision }],
         writes: [{ ...key, value: encode(next) }],
-      });
-      if (written.isOk()) return ok(jobCache.put({ record: next, revision: written.value }));
+      };
+      const written = await this.writer.write(next, transaction, signal);
+      if (written.isOk()) return written;
       const failure = written.error;
       if (failure.kind === 'conflict') {
         const current = findRecord(failure.records, key);
         known = current && jobCache.applyRecord(current);
-      } else if (this.clock.now() > deadline) {
-        return err(failure);
-      } else {
-        await this.clock.sleep(RETRY_DELAY_MS);
+        unconfirmed = NOTHING_WRITTEN;
+        continue;
       }
+      if (failure.kind === 'unknown') unconfirmed = failure;
+      if (!signal && this.clock.now() > deadline) return err(failure);
+      const { revision } = known;
+      known = jobCache.find(account, id) ?? known;
+      if (known.revision === revision) await this.clock.sleep(RETRY_DELAY_MS, signal);
+      else unconfirmed = NOTHING_WRITTEN;
     }
   }
 
@@ -335,19 +264,24 @@
    *
    * @param job - the job
    * @param start - position of the first result
+   * @param signal - aborted when the caller must get a status
    * @returns results in order; not empty if there is a result at this position
    */
-  async readResults(job: JobRecord, start: number): Promise<Result<ItemResult[], Refusal>> {
+  async readResults(
+    job: JobRecord,
+    start: number,
+    signal: AbortSignal,
+  ): Promise<Result<ItemResult[], Refusal>> {
     if (start >= job.listed.length) return ok([]);
     const range = resultRange(job.account, job.id, start, job.listed.length);
-    const page = await this.dependencies.store.read(range);
-    if (page.isErr()) return err(refuse('platform-unavailable', { retryAfterSeconds: 0.5 }));
+    const page = await this.dependencies.store.read(range, signal);
+    if (page.isErr()) return err(refuseUnavailable());
     const results: ItemResult[] = [];
     let size = 0;
     for (const { value } of page.value.records) {
       const { item, state, text, object } = resultRecord.parse(JSON.parse(value.toString()));
-      const content = text ?? (await this.loadText(object));
-      if (content === undefined) return err(refuse('platform-unavailable'));
+      const content = text ?? (await this.loadText(object, signal));
+      if (content === undefined) return results.length > 0 ? ok(results) : err(refuseUnavailable());
       size += Buffer.byteLength(content);
       if (results.length > 0 && size > MAX_RESPONSE_BYTES) break;
       results.push({ item, state, text: content });
@@ -359,16 +293,12 @@
    * Loads the content of a job's items.
    *
    * @param name - name of the object
+   * @param signal - aborted when a caller must get a status
    * @returns the items, or a refusal if they can't be loaded
    */
-  async loadInput(name: string): Promise<Result<JobInput, Refusal>> {
-    const cached = this.inputCache.get(name);
-    if (cached) return ok(cached);
-    const object = await this.dependencies.objects.get(name);
-    if (object.isErr()) return err(refuse('platform-unavailable', { retryAfterSeconds: 0.5 }));
-    const input = jobInput.parse(JSON.parse(object.value.toString()));
-    this.cacheInput(name, input);
-    return ok(input);
+  async loadInput(name: string, signal?: AbortSignal): Promise<Result<JobInput, Refusal>> {
+    const input = await this.inputs.load(name, signal);
+    return input.mapErr(refuseUnavailable);
   }
 
   /**
@@ -378,7 +308,7 @@
    * @param job - a job whose retention time has passed
    */
   async remove({ record, revision }: VersionedJob): Promise<void> {
-    const { store, objects, jobCache } = this.dependencies;
+    const { store, jobCache } = this.dependencies;
     const key = jobKey(record.account, record.id);
     const results = record.listed.map((_, position) =>
       resultKey(record.account, record.id, position),
@@ -393,7 +323,7 @@
       const part = await store.commit({ conditions: [], writes: [], removals });
       if (part.isErr()) return;
     }
-    await objects.remove(record.input);
+    await this.inputs.remove(record.input);
     const removed = await store.commit({
       conditions: [{ ...key, revision }],
       writes: [],
@@ -406,37 +336,12 @@
     });
   }
 
-  private exceedsTokenLimit({ account, route, items, waitingTokens: limit }: Submission): boolean {
-    if (limit === 0) return false;
-    const tokens = items.reduce((sum, item) => sum + item.tokens, 0);
-    return this.dependencies.jobCache.countWaitingTokens(account, route) + tokens > limit;
-  }
-
-  /** Reloads an account's jobs, after another host has accepted one. */
-  private async reloadAccount(account: string): Promise<void> {
-    const page = await this.dependencies.store.read({
-      table: JOBS_TABLE,
-      partition: partitionOf(account),
-      // All keys that begin with `account/`, as 0 is the character after the slash.
-      from: `${account}/`,
-      to: `${account}0`,
-    });
-    if (page.isOk())
-      page.value.records.forEach((record) => this.dependencies.jobCache.applyRecord(record));
-  }
-
   private async readJob(
     account: string,
     id: string,
+    signal?: AbortSignal,
   ): Promise<Result<VersionedJob | undefined, StoreFailure>> {
-    const { table, partition, key } = jobKey(account, id);
-    const page = await this.dependencies.store.read({
-      table,
-      partition,
-      // A range that contains only this key.
-      from: key,
-      to: `${key}\u0001`,
-    });
+    const page = await this.dependencies.store.read(rangeOf(jobKey(account, id)), signal);
     return page.map(
       ({ records }) => records[0] && this.dependencies.jobCache.applyRecord(records[0]),
     );
@@ -453,16 +358,12 @@
     return ok({ object });
   }
 
-  private async loadText(object: string | undefined): Promise<string | undefined> {
+  private async loadText(
+    object: string | undefined,
+    signal: AbortSignal,
+  ): Promise<string | undefined> {
     if (object === undefined) return undefined;
-    const content = await this.dependencies.objects.get(object);
+    const content = await this.dependencies.objects.get(object, undefined, signal);
     return content.isOk() ? content.value.toString() : undefined;
   }
-
-  private cacheInput(name: string, input: JobInput): void {
-    this.inputCache.set(name, input);
-    const [oldest] = this.inputCache.keys();
-    if (this.inputCache.size > MAX_CACHED_INPUTS && oldest !== undefined)
-      this.inputCache.delete(oldest);
-  }
 }
--- a/packages/serving/src/http/Dialect.ts
+++ b/packages/serving/src/http/Dialect.ts
@@ -12,6 +12,8 @@
   readonly path: string;
   /** API key; undefined when the request has none. */
   readonly key: string | undefined;
+  /** Monotonic time of the request's arrival. Unit: ms. */
+  readonly arrivedAt: number;
   /** How long the caller waits, from the request's arrival; undefined when not stated. Unit: ms. */
   readonly waitMs: number | undefined;
   /** Id of the last event that the caller has, when it takes a stream up again; undefined otherwise. */
--- a/packages/serving/src/online/OnlineRequestHandler.ts
+++ b/packages/serving/src/online/OnlineRequestHandler.ts
@@ -141,7 +141,7 @@
     head: CallerHead,
   ): Promise<void> {
     const { view, shutdown } = this.dependencies;
-    const arrivedAt = performance.now();
+    const { arrivedAt } = head;
     const admitted = admitCaller(view, head);
     if (admitted.isErr()) {
       this.refuse(response, head, admitted.error);
--- a/packages/serving/src/online/RequestLifetime.ts
+++ b/packages/serving/src/online/RequestLifetime.ts
@@ -12,21 +12,25 @@
 export class RequestLifetime {
   private readonly controller = new AbortController();
 
-  private readonly timer: NodeJS.Timeout;
+  private timer: NodeJS.Timeout | undefined;
 
   private readonly removeListener: () => void;
 
   /** Why the request was aborted; undefined until then. */
   abortReason: AbortReason | undefined;
 
-  constructor(
-    response: ServerResponse,
-    /** Monotonic time. Unit: ms. */
-    readonly deadline: number,
-    shutdown: Shutdown,
-  ) {
-    this.timer = setTimeout(() => this.abort('deadline'), this.remainingMs);
-    if (this.remainingMs <= 0) this.abort('deadline');
+  private deadlineTime: number;
+
+  /**
+   * Begins a lifetime.
+   *
+   * @param response - response of the request
+   * @param deadline - monotonic time. Unit: ms
+   * @param shutdown - stop of the host
+   */
+  constructor(response: ServerResponse, deadline: number, shutdown: Shutdown) {
+    this.deadlineTime = deadline;
+    this.moveDeadline(deadline);
     response.once('close', () => {
       if (!response.writableFinished) this.abort('caller-gone');
     });
@@ -44,6 +48,24 @@
     return this.controller.signal;
   }
 
+  /** Deadline as monotonic time. Unit: ms. */
+  get deadline(): number {
+    return this.deadlineTime;
+  }
+
+  /**
+   * Sets another deadline, unless the request was aborted.
+   *
+   * @param deadline - monotonic time. Unit: ms
+   */
+  moveDeadline(deadline: number): void {
+    if (this.abortReason) return;
+    this.deadlineTime = deadline;
+    clearTimeout(this.timer);
+    if (this.remainingMs <= 0) this.abort('deadline');
+    else this.timer = setTimeout(() => this.abort('deadline'), this.remainingMs);
+  }
+
   /**
    * Returns the time left until the deadline.
    *
@@ -59,6 +81,12 @@
     clearTimeout(this.timer);
   }
 
+  /** Ends the lifetime, and aborts the calls that still go on for the request. */
+  cancel(): void {
+    this.end();
+    this.controller.abort();
+  }
+
   private abort(reason: AbortReason): void {
     this.abortReason ??= reason;
     this.controller.abort();
--- a/packages/serving/src/store/RecordStore.ts
+++ b/packages/serving/src/store/RecordStore.ts
@@ -77,9 +77,10 @@
    * Reads all pages of a range in one partition.
    *
    * @param range - table, partition and keys
+   * @param signal - ends the call when it is aborted, in place of the timeout of a call
    * @returns records in key order
    */
-  read(range: RecordRange): ResultAsync<RecordPage, StoreFailure>;
+  read(range: RecordRange, signal?: AbortSignal): ResultAsync<RecordPage, StoreFailure>;
 
   /**
    * Reads a complete table.
@@ -103,7 +104,8 @@
    * Applies a transaction.
    *
    * @param transaction - conditions and writes, at most 100 together
+   * @param signal - ends the call when it is aborted, in place of the timeout of a call; the outcome is unknown then
    * @returns revision of the written records
    */
-  commit(transaction: Transaction): ResultAsync<number, StoreFailure>;
+  commit(transaction: Transaction, signal?: AbortSignal): ResultAsync<number, StoreFailure>;
 }
--- a/packages/serving/test/fakes/MemoryRecordStore.ts
+++ b/packages/serving/test/fakes/MemoryRecordStore.ts
@@ -20,7 +20,11 @@
   /** The commit is applied, but its response is lost. */
   | 'lost-answer'
   /** There is no response, and the commit is applied by {@link MemoryRecordStore.applyDelayedCommits}. */
-  | 'late';
+  | 'late'
+  /** The commit is not applied. */
+  | 'rejected'
+  /** The commit is not applied, and its call does not end. */
+  | 'silent';
 
 export class MemoryRecordStore implements RecordStore {
   readonly rows = new Map<string, StoredRecord>();
@@ -88,6 +92,8 @@
       this.delayedCommits.push(transaction);
       return errAsync({ kind: 'unknown', message: 'no response' });
     }
+    if (fault === 'silent') return new ResultAsync(Promise.race([]));
+    if (fault === 'rejected') return errAsync({ kind: 'unavailable', message: 'rejected' });
     const result = this.apply(transaction);
     if (fault === 'lost-answer') return errAsync({ kind: 'unknown', message: 'no response' });
     return typeof result === 'number' ? okAsync(result) : errAsync(result);
--- a/packages/serving/test/features/jobs.feature
+++ b/packages/serving/test/features/jobs.feature
@@ -17,6 +17,14 @@
     Then the caller is told that it is accepted
     And the store holds 1 job, held by "h-1"
 
+  # Guards against a caller that waits until its deadline although a repeated write would get through.
+  Scenario: A job is accepted although the store never responds to the first commit
+    Given hosts "h-1" and "h-2" with a store
+    And the store is silent about the next commit
+    When job "j-1" with 3 items is submitted to "h-1"
+    Then the caller is told that it is accepted
+    And the store holds 1 job, held by "h-1"
+
   Scenario: A refusal does not claim that nothing runs while the store may still apply the acceptance
     Given hosts "h-1" and "h-2" with a store
     And the store does not respond to the next 100 commits and applies them later
@@ -129,6 +137,15 @@
       | saved to event 3; nothing; to event 3; to event 3   | completed with events 1 to 3 |
       | saved to event 3; to event 5; to event 5            | completed with events 1 to 5 |
 
+  # Guards against the end of a job that is told to have done nothing, as only its repeated write is rejected.
+  Scenario: The refusal of an end does not claim that nothing was done while the store may still apply the write
+    Given hosts "h-1" and "h-2" with a store
+    When job "j-1" with 3 items is submitted to "h-1"
+    And the store does not respond to the next 1 commits and applies them later
+    And the store rejects the 100 commits after these
+    And a caller tries to end the job at "h-1"
+    Then the caller is refused with "deadline-passed"
+
   Scenario: An ended job gets no further results
     Given hosts "h-1" and "h-2" with a store
     When job "j-1" with 3 items is submitted to "h-1"
--- a/packages/serving/test/steps/jobs.steps.ts
+++ b/packages/serving/test/steps/jobs.steps.ts
@@ -12,7 +12,7 @@
 import { JOBS_TABLE, PROGRESS_TABLE } from '@jacinthlug/serving/batch/jobKeys';
 import { JobStore } from '@jacinthlug/serving/batch/JobStore';
 import { ProgressStore } from '@jacinthlug/serving/batch/ProgressStore';
-import type { Result } from 'neverthrow';
+import { ok, type Result } from 'neverthrow';
 import { MemoryRecordStore } from '../fakes/MemoryRecordStore.js';
 
 const TOKENS_PER_ITEM = 100;
@@ -21,6 +21,7 @@
   readonly jobCache: JobCache;
   readonly jobs: JobStore;
   readonly progress: ProgressStore;
+  readonly clock: ReturnType<typeof createSkippingClock>;
 }
 
 interface JobsWorld {
@@ -51,17 +52,29 @@
 /** A clock that skips waits: each sleep advances it immediately. */
 const createSkippingClock = () => {
   let time = 0;
+  const timeouts: { readonly at: number; readonly controller: AbortController }[] = [];
   return {
     now: () => time,
     async sleep(ms: number) {
       time += ms;
+      timeouts.filter(({ at }) => at <= time).forEach(({ controller }) => controller.abort());
+    },
+    /** Creates a signal that is aborted after a time. Unit: ms. */
+    abortAfter(ms: number): AbortSignal {
+      const controller = new AbortController();
+      timeouts.push({ at: time + ms, controller });
+      return controller.signal;
     },
   };
 };
 
+/** How long callers wait. Unit: ms. */
+const CALLER_WAIT_MS = 2500;
+
 const submit = async (world: JobsWorld, id: string, items: number, host: string): Promise<void> => {
   Object.assign(world, { job: id });
-  const response = await world.hosts.get(host)!.jobs.accept(
+  const { jobs, clock } = world.hosts.get(host)!;
+  const response = await jobs.accept(
     {
       id,
       account: ACCOUNT,
@@ -71,6 +84,7 @@
       waitingTokens: world.limit,
     },
     [host, 1],
+    clock.abortAfter(CALLER_WAIT_MS),
   );
   world.responses.push(response);
 };
@@ -220,15 +234,10 @@
       [first, second].map((name) => {
         const jobCache = new JobCache(silentJournal);
         const { store } = this;
-        const dependencies = {
-          store,
-          objects,
-          jobCache,
-          journal: silentJournal,
-          clock: createSkippingClock(),
-        };
+        const clock = createSkippingClock();
+        const dependencies = { store, objects, jobCache, journal: silentJournal, clock };
         const progress = new ProgressStore(dependencies);
-        return [name, { jobCache, jobs: new JobStore(dependencies), progress }];
+        return [name, { jobCache, jobs: new JobStore(dependencies), progress, clock }];
       }),
     );
   },
@@ -249,6 +258,14 @@
   },
 );
 
+Given('the store is silent about the next commit', function (this: JobsWorld) {
+  this.store.faults.push('silent');
+});
+
+Given('the store rejects the {int} commits after these', function (this: JobsWorld, count: number) {
+  for (let index = 0; index < count; index += 1) this.store.faults.push('rejected');
+});
+
 Given('the store is down', function (this: JobsWorld) {
   this.store.down = true;
 });
@@ -336,9 +353,18 @@
     .jobs.update(ACCOUNT, this.job, (record) => ({ ...record, holder: [host, 1] }));
 });
 
+const endJob = (world: JobsWorld, host: string): Promise<Result<boolean, Refusal>> => {
+  const { jobs, clock } = world.hosts.get(host)!;
+  return jobs.end(ACCOUNT, world.job, clock.abortAfter(CALLER_WAIT_MS));
+};
+
 When('the caller ends the job at {string}', async function (this: JobsWorld, host: string) {
-  const ended = await this.hosts.get(host)!.jobs.end(ACCOUNT, this.job);
-  assert.ok(ended.isOk() && ended.value);
+  assert.deepEqual(await endJob(this, host), ok(true));
+});
+
+When('a caller tries to end the job at {string}', async function (this: JobsWorld, host: string) {
+  const ended = await endJob(this, host);
+  this.responses.push(ended.map(() => undefined));
 });
 
 When(
@@ -393,7 +419,8 @@
 const readResults = async (world: JobsWorld, host: string) => {
   applyStoreChanges(world, host);
   const { jobCache, jobs } = world.hosts.get(host)!;
-  const results = await jobs.readResults(jobCache.find(ACCOUNT, world.job)!.record, 0);
+  const { record } = jobCache.find(ACCOUNT, world.job)!;
+  const results = await jobs.readResults(record, 0, new AbortController().signal);
   assert.ok(results.isOk());
   return results.value;
 };
