Wait for the first configuration no longer than callers do

A host that had just started kept requests for 250 ms while it had no configuration, also those whose callers wait for 150 ms: they had no status when they stopped waiting.

--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -101,8 +101,8 @@
   readonly jobsAge: () => number;
   /** Checks whether load balancers should send callers to this host. */
   readonly isReady: () => boolean;
-  /** Waits until configuration and targets are loaded, up to a limit in ms. */
-  waitUntilLoaded(limitMs: number): Promise<void>;
+  /** Waits until configuration and targets are loaded, at most until a monotonic deadline in ms. */
+  waitUntilLoaded(deadline: number): Promise<void>;
   start(): Promise<void>;
   /** Hands batch jobs over to other hosts until a monotonic deadline in ms. Callers' requests may still be running. */
   handOverJobs(deadline: number): Promise<void>;
@@ -357,11 +357,11 @@
     holderOf: (job) => members.assignHolder(job),
     jobsAge: () => jobsFollower.age,
     isReady: () => !members.isStopping && view.index !== undefined && view.age < MAX_READY_AGE_MS,
-    async waitUntilLoaded(limitMs) {
+    async waitUntilLoaded(deadline) {
       const loaded = [configurationFollower, targetsFollower, blockedContentFollower].map(
         ({ whenLoaded }) => whenLoaded,
       );
-      await Promise.race([Promise.all(loaded), systemClock.sleep(limitMs)]);
+      await Promise.race([Promise.all(loaded), systemClock.sleep(deadline - performance.now())]);
     },
     async start() {
       await exchange.start();
