Don't take a job whose row can't be read for an absent one

Reads and ends of a job whose row another version had written in a form that a host can't read got 404, as if the store had no such job. A submission of the job was sent to the store again and again without a pause, as each write was rejected because of a row that looked absent.

Cause: the cache returns nothing for a row that it can't apply, and this was taken for no row.

Tests: jobs.feature, three examples red before (told that the job is absent), and a repeated submission, which did not end within 20 s before.

--- a/packages/serving/src/batch/JobAcceptance.ts
+++ b/packages/serving/src/batch/JobAcceptance.ts
@@ -130,8 +130,9 @@
       }
       const failure = written.error;
       isOutcomeUnknown ||= failure.kind === 'unknown';
-      if (failure.kind === 'conflict') await this.applyConflict(attempt, failure);
-      else if (!isOutcomeUnknown) return err(refuseUnavailable());
+      if (failure.kind === 'conflict') {
+        if (await this.applyConflict(attempt, failure)) return ok(undefined);
+      } else if (!isOutcomeUnknown) return err(refuseUnavailable());
       else if (!jobCache.find(account, id)) await clock.sleep(RETRY_DELAY_MS, signal);
     }
   }
@@ -150,24 +151,28 @@
     };
   }
 
-  /** Learns of what another host has accepted: this job, or another one of the account. */
+  /** Learns of what another host has accepted: this job, or another one of the account. Returns whether it is this job. */
   private async applyConflict(
     { submission, record, admission, signal }: Attempt,
     { records }: Extract<StoreFailure, { kind: 'conflict' }>,
-  ): Promise<void> {
+  ): Promise<boolean> {
     const existing = findRecord(records, jobKey(record.account, record.id));
-    if (existing && this.dependencies.jobCache.applyRecord(existing)) return;
+    if (existing) {
+      this.dependencies.jobCache.applyRecord(existing);
+      return true;
+    }
     if (await this.reloadOtherJobs(submission, signal)) {
       const revision = findRecord(records, admission)?.revision ?? 0;
       this.admissionRevisions.set(admission.key, revision);
     } else await this.dependencies.clock.sleep(RETRY_DELAY_MS, signal);
+    return false;
   }
 
   /** Checks whether the job in the store has the input of this attempt, or may get it. */
   private mayUseInput({ account, id, input }: JobRecord, result: Result<void, Refusal>): boolean {
     const known = this.dependencies.jobCache.find(account, id);
     if (known) return known.record.input === input;
-    return result.isOk() || result.error.code === 'deadline-passed';
+    return result.isErr() && result.error.code === 'deadline-passed';
   }
 
   private exceedsTokenLimit({ account, route, items, waitingTokens: limit }: Submission): boolean {
--- a/packages/serving/src/batch/JobStore.ts
+++ b/packages/serving/src/batch/JobStore.ts
@@ -6,7 +6,13 @@
 import { systemClock, type Clock } from '@jacinthlug/control/time/Clock';
 import { err, ok, type Result } from 'neverthrow';
 import { findRecord, rangeOf } from '../store/recordKeys.js';
-import type { RecordKey, RecordStore, StoreFailure, Transaction } from '../store/RecordStore.js';
+import type {
+  RecordKey,
+  RecordStore,
+  StoredRecord,
+  StoreFailure,
+  Transaction,
+} from '../store/RecordStore.js';
 import { JobAcceptance, type Submission } from './JobAcceptance.js';
 import type { JobCache, VersionedJob } from './JobCache.js';
 import { JobInputs } from './JobInputs.js';
@@ -61,6 +67,8 @@
 /** Failure of a call before it has sent a write. */
 const NOTHING_WRITTEN: StoreFailure = { kind: 'unavailable', message: 'nothing was written' };
 
+const ROW_UNREADABLE: StoreFailure = { kind: 'unavailable', message: 'row is not valid' };
+
 const encode = (content: unknown): Buffer => Buffer.from(JSON.stringify(content));
 
 export class JobStore {
@@ -196,8 +204,9 @@
       if (written.isOk()) return written;
       const failure = written.error;
       if (failure.kind === 'conflict') {
-        const current = findRecord(failure.records, key);
-        known = current && jobCache.applyRecord(current);
+        const current = this.applyRow(findRecord(failure.records, key));
+        if (current.isErr()) return err(current.error);
+        known = current.value;
         unconfirmed = NOTHING_WRITTEN;
         continue;
       }
@@ -342,9 +351,16 @@
     signal?: AbortSignal,
   ): Promise<Result<VersionedJob | undefined, StoreFailure>> {
     const page = await this.dependencies.store.read(rangeOf(jobKey(account, id)), signal);
-    return page.map(
-      ({ records }) => records[0] && this.dependencies.jobCache.applyRecord(records[0]),
-    );
+    return page.andThen(({ records: [record] }) => this.applyRow(record));
+  }
+
+  /** Applies the row of a job, if there is one. One that can't be read is no sign that the job is absent. */
+  private applyRow(
+    record: StoredRecord | undefined,
+  ): Result<VersionedJob | undefined, StoreFailure> {
+    if (!record) return ok(undefined);
+    const known = this.dependencies.jobCache.applyRecord(record);
+    return known ? ok(known) : err(ROW_UNREADABLE);
   }
 
   private async storeText(
--- a/packages/serving/test/features/jobs.feature
+++ b/packages/serving/test/features/jobs.feature
@@ -137,6 +137,28 @@
       | saved to event 3; nothing; to event 3; to event 3   | completed with events 1 to 3 |
       | saved to event 3; to event 5; to event 5            | completed with events 1 to 5 |
 
+  # Guards against a caller that gives its job up, as a row that a host can't read counts as absent.
+  Scenario Outline: A caller that <call> at "<host>" is not told that it is absent although its row can't be read
+    Given hosts "h-1" and "h-2" with a store
+    When job "j-1" with 3 items is submitted to "h-1"
+    And the row of the job becomes unreadable
+    And a caller <call> at "<host>"
+    Then the caller is refused with "platform-unavailable"
+
+    Examples:
+      | call                 | host |
+      | reads the job        | h-2  |
+      | tries to end the job | h-2  |
+      | tries to end the job | h-1  |
+
+  # Guards against a submission that is sent to the store again and again, as the row of its job can't be read.
+  Scenario: A repeated submission is accepted although the row of the job can't be read
+    Given hosts "h-1" and "h-2" with a store
+    When job "j-1" with 3 items is submitted to "h-1"
+    And the row of the job becomes unreadable
+    And job "j-1" with 3 items is submitted to "h-2", which does not know the other job
+    Then both are told that it is accepted
+
   # Guards against the end of a job that is told to have done nothing, as only its repeated write is rejected.
   Scenario: The refusal of an end does not claim that nothing was done while the store may still apply the write
     Given hosts "h-1" and "h-2" with a store
--- a/packages/serving/test/steps/jobs.steps.ts
+++ b/packages/serving/test/steps/jobs.steps.ts
@@ -9,7 +9,7 @@
 import type { ItemState } from '@jacinthlug/serving/batch/JobRecord';
 import { ItemTask } from '@jacinthlug/serving/batch/ItemTask';
 import { JobCache } from '@jacinthlug/serving/batch/JobCache';
-import { JOBS_TABLE, PROGRESS_TABLE } from '@jacinthlug/serving/batch/jobKeys';
+import { jobKey, JOBS_TABLE, PROGRESS_TABLE } from '@jacinthlug/serving/batch/jobKeys';
 import { JobStore } from '@jacinthlug/serving/batch/JobStore';
 import { ProgressStore } from '@jacinthlug/serving/batch/ProgressStore';
 import { ok, type Result } from 'neverthrow';
@@ -258,6 +258,21 @@
   },
 );
 
+When('the row of the job becomes unreadable', async function (this: JobsWorld) {
+  const key = jobKey(ACCOUNT, this.job);
+  const written = await this.store.commit({
+    conditions: [],
+    writes: [{ ...key, value: Buffer.from('{}') }],
+  });
+  assert.ok(written.isOk());
+});
+
+When('a caller reads the job at {string}', async function (this: JobsWorld, host: string) {
+  const { jobs, clock } = this.hosts.get(host)!;
+  const found = await jobs.find(ACCOUNT, this.job, false, clock.abortAfter(CALLER_WAIT_MS));
+  this.responses.push(found.map(() => undefined));
+});
+
 Given('the store is silent about the next commit', function (this: JobsWorld) {
   this.store.faults.push('silent');
 });
