--- a/packages/serving/src/batch/JobInputs.ts
+++ b/packages/serving/src/batch/JobInputs.ts
@@ -1,7 +1,7 @@
 /** Stores the content of the items of batch jobs: in rows that are written together with the job, or as an object. */
 import { randomUUID } from 'node:crypto';
 import type { ObjectStore } from '@jacinthlug/backing/ObjectStore';
-import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
+import type { Journal } from '@jacinthlug/catalog/Journal';
 import { err, ok, type Result } from 'neverthrow';
 import type { RecordKey, RecordStore, Transaction } from '../store/RecordStore.js';
 import { inputKey, inputRange, JOBS_TABLE } from './jobKeys.js';
@@ -16,16 +16,14 @@
 /** Maximum number of inputs that are cached in memory. */
 const MAX_CACHED_INPUTS = 16;
 
-/** Retry delay while the store can't be read. Unit: seconds. */
-const RETRY_SECONDS = 0.5;
-
 /** Names of inputs in rows; the others are names of objects. */
 const ROWS_NAME = /^rows-(\d+)-/;
 
-/** An input that is to be stored. */
+/** The input of a job that is to be accepted. */
 export interface NewInput {
   /** Identifies the input in the job's row. */
   readonly name: string;
+  readonly items: JobInput;
   /** Rows that have to be written together with the job; none if the input is an object. */
   readonly writes: Transaction['writes'];
   /** Content of the object that has to be stored before the job; undefined if the input is in rows. */
@@ -45,16 +43,16 @@
  * @param items - items with their content
  * @returns the input, whose name is unique
  */
-export const prepareInput = (account: string, job: string, items: JobInput): NewInput => {
+export const createInput = (account: string, job: string, items: JobInput): NewInput => {
   const content = Buffer.from(JSON.stringify(items));
   const rowCount = Math.ceil(content.length / ROW_BYTES);
   const name = `${JOBS_TABLE}-${job}-${randomUUID()}`;
-  if (rowCount > MAX_ROWS) return { name, writes: [], object: content };
+  if (rowCount > MAX_ROWS) return { name, items, writes: [], object: content };
   const writes = Array.from({ length: rowCount }, (_, index) => ({
     ...inputKey(account, job, index),
     value: content.subarray(index * ROW_BYTES, (index + 1) * ROW_BYTES),
   }));
-  return { name: `rows-${rowCount}-${name}`, writes, object: undefined };
+  return { name: `rows-${rowCount}-${name}`, items, writes, object: undefined };
 };
 
 /**
@@ -69,51 +67,99 @@
 /** Dependencies of {@link JobInputs}. */
 export interface JobInputsDependencies {
   readonly store: Pick<RecordStore, 'read'>;
-  readonly objects: Pick<ObjectStore, 'get'>;
+  readonly objects: Pick<ObjectStore, 'put' | 'get' | 'remove'>;
+  readonly journal: Pick<Journal, 'record'>;
+}
+
+/** A failure to read or store an input. */
+interface InputFailure {
+  readonly kind: string;
 }
 
-/** Loads inputs, of which the latest are kept in memory. */
+/** Stores and loads inputs, of which the latest are kept in memory. */
 export class JobInputs {
   private readonly cache = new Map<string, JobInput>();
 
   constructor(private readonly dependencies: JobInputsDependencies) {}
 
   /**
-   * Keeps an input in memory.
+   * Keeps an input in memory, and stores its object if it has one.
    *
-   * @param name - its name
-   * @param items - items with their content
+   * @param input - the input
+   * @param signal - aborted when the caller must get a status
+   * @returns nothing, or a failure after which the store may hold the object nevertheless
    */
-  keep(name: string, items: JobInput): void {
-    this.cache.set(name, items);
-    const [oldest] = this.cache.keys();
-    if (this.cache.size > MAX_CACHED_INPUTS && oldest !== undefined) this.cache.delete(oldest);
+  async store(
+    { name, items, object }: NewInput,
+    signal: AbortSignal,
+  ): Promise<Result<void, InputFailure>> {
+    if (object) {
+      const put = await this.dependencies.objects.put(name, object, signal);
+      if (put.isErr()) return err(put.error);
+    }
+    this.keep(name, items);
+    return ok(undefined);
   }
 
   /**
    * Loads the input of a job.
    *
    * @param job - the job
-   * @returns the items, or a refusal if they can't be loaded
+   * @param signal - aborted when a caller must get a status
+   * @returns the items, or a failure
    */
-  async load(job: StoredJob): Promise<Result<JobInput, Refusal>> {
+  async load(job: StoredJob, signal?: AbortSignal): Promise<Result<JobInput, InputFailure>> {
     const cached = this.cache.get(job.input);
     if (cached) return ok(cached);
-    const content = await this.read(job);
-    if (!content) {
-      return err(refuse('platform-unavailable', { retryAfterSeconds: RETRY_SECONDS }));
-    }
-    const input = jobInput.parse(JSON.parse(content.toString()));
-    this.keep(job.input, input);
-    return ok(input);
+    const content = await this.read(job, signal);
+    return content.map((bytes) => {
+      const input = jobInput.parse(JSON.parse(bytes.toString()));
+      this.keep(job.input, input);
+      return input;
+    });
+  }
+
+  /**
+   * Removes the object of an input.
+   *
+   * @param name - name of the input
+   */
+  async removeObject(name: string): Promise<void> {
+    if (countRows(name) === 0) await this.dependencies.objects.remove(name);
+  }
+
+  /**
+   * Forgets the input of a job that was not accepted, removes its object, and logs whether that is gone.
+   *
+   * @param input - the input
+   */
+  async discard({ name, object }: NewInput): Promise<void> {
+    this.cache.delete(name);
+    if (!object) return;
+    const removed = await this.dependencies.objects.remove(name);
+    this.dependencies.journal.record('input-discarded', {
+      object: name,
+      outcome: removed.isOk() ? 'removed' : removed.error.kind,
+    });
+  }
+
+  private keep(name: string, items: JobInput): void {
+    this.cache.set(name, items);
+    const [oldest] = this.cache.keys();
+    if (this.cache.size > MAX_CACHED_INPUTS && oldest !== undefined) this.cache.delete(oldest);
   }
 
-  private async read({ account, id, input }: StoredJob): Promise<Buffer | undefined> {
+  private async read(
+    { account, id, input }: StoredJob,
+    signal?: AbortSignal,
+  ): Promise<Result<Buffer, InputFailure>> {
     const { store, objects } = this.dependencies;
     const rowCount = countRows(input);
-    if (rowCount === 0) return (await objects.get(input)).unwrapOr(undefined);
-    const page = await store.read(inputRange(account, id));
-    if (page.isErr() || page.value.records.length < rowCount) return undefined;
-    return Buffer.concat(page.value.records.slice(0, rowCount).map(({ value }) => value));
+    if (rowCount === 0) return objects.get(input, undefined, signal);
+    const page = await store.read(inputRange(account, id), signal);
+    if (page.isErr()) return err(page.error);
+    const rows = page.value.records.slice(0, rowCount);
+    if (rows.length < rowCount) return err({ kind: 'absent' });
+    return ok(Buffer.concat(rows.map(({ value }) => value)));
   }
 }
--- a/packages/serving/src/batch/jobKeys.ts
+++ b/packages/serving/src/batch/jobKeys.ts
@@ -47,6 +47,20 @@
   key: `${account}/${job}`,
 });
 
+/**
+ * Returns the key range of an account's jobs.
+ *
+ * @param account - name of the account
+ * @returns the range
+ */
+export const jobRange = (account: string): RecordRange => ({
+  table: JOBS_TABLE,
+  partition: partitionOf(account),
+  from: `${account}/`,
+  // The character after the slash.
+  to: `${account}0`,
+});
+
 /**
  * Returns the key of the row that is written with each acceptance of an account's job on a route.
  *
--- a/packages/serving/test/steps/jobInputs.steps.ts
+++ b/packages/serving/test/steps/jobInputs.steps.ts
@@ -60,7 +60,9 @@
       items: this.items,
       waitingTokens: 0,
     };
-    this.isAccepted = (await createStore(this).jobs.accept(submission, ['h-1', 1])).isOk();
+    const { signal } = new AbortController();
+    const accepted = await createStore(this).jobs.accept(submission, ['h-1', 1], signal);
+    this.isAccepted = accepted.isOk();
   },
 );
 
