--- a/packages/serving/src/http/statusDeadline.ts
+++ b/packages/serving/src/http/computeStatusDeadline.ts
@@ -13,5 +13,5 @@
  * @param waitMs - how long the caller waits. Unit: ms
  * @returns monotonic time. Unit: ms
  */
-export const statusDeadline = (arrivedAt: number, waitMs: number): number =>
+export const computeStatusDeadline = (arrivedAt: number, waitMs: number): number =>
   arrivedAt + waitMs - Math.min(NETWORK_MARGIN_MS, Math.max(0, waitMs) * MAX_MARGIN_RATIO);
--- a/packages/serving/src/store/RecordStore.ts
+++ b/packages/serving/src/store/RecordStore.ts
@@ -77,7 +77,7 @@
    * Reads all pages of a range in one partition.
    *
    * @param range - table, partition and keys
-   * @param signal - ends the call when it is aborted, in place of the timeout of a call
+   * @param signal - ends the call when it is aborted, in place of the timeout of a call, after which the call is sent again
    * @returns records in key order
    */
   read(range: RecordRange, signal?: AbortSignal): ResultAsync<RecordPage, StoreFailure>;
