--- a/packages/serving/src/batch/jobKeys.ts
+++ b/packages/serving/src/batch/jobKeys.ts
@@ -11,6 +11,9 @@
 
 const ADMISSIONS_TABLE = 'admissions';
 
+/** Table of the content of jobs' items. */
+export const INPUTS_TABLE = 'inputs';
+
 /** Number of partitions of each table. A partition handles 200 transactions a second. */
 const PARTITION_COUNT = 16;
 
@@ -44,6 +47,20 @@
   key: `${account}/${job}`,
 });
 
+/**
+ * Returns the key range of an account's jobs.
+ *
+ * @param account - name of the account
+ * @returns the range
+ */
+export const jobRange = (account: string): RecordRange => ({
+  table: JOBS_TABLE,
+  partition: partitionOf(account),
+  from: `${account}/`,
+  // The character after the slash.
+  to: `${account}0`,
+});
+
 /**
  * Returns the key of the row that is written with each acceptance of an account's job on a route.
  *
@@ -99,6 +116,34 @@
   to: `${account}/${job}0`,
 });
 
+/**
+ * Returns the key of a part of the content of a job's items.
+ *
+ * @param account - name of the account
+ * @param job - id of the job
+ * @param part - index of the part
+ * @returns the key
+ */
+export const inputKey = (account: string, job: string, part: number): RecordKey => ({
+  table: INPUTS_TABLE,
+  partition: partitionOf(account),
+  key: `${account}/${job}/${padIndex(part)}`,
+});
+
+/**
+ * Returns the key range of the content of a job's items.
+ *
+ * @param account - name of the account
+ * @param job - id of the job
+ * @returns the range
+ */
+export const inputRange = (account: string, job: string): RecordRange => ({
+  table: INPUTS_TABLE,
+  partition: partitionOf(account),
+  from: `${account}/${job}/`,
+  to: `${account}/${job}0`,
+});
+
 /**
  * Parses the index of an item from the key of its saved output.
  *
