Move the attempts of one request out of OnlineRequestHandler

OnlineRequestHandler admits a request and ends it; RequestAttempts tries targets in between. The code is moved without a change of behaviour; 263 scenarios of serving and the linter pass.

--- a/packages/serving/src/online/OnlineRequestHandler.ts
+++ b/packages/serving/src/online/OnlineRequestHandler.ts
@@ -1,79 +1,31 @@
 /** Serves online requests. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { Journal } from '@jacinthlug/catalog/Journal';
-import type { Metrics } from '@jacinthlug/catalog/Metrics';
 import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
 import { systemClock } from '@jacinthlug/control/time/Clock';
 import type { ConfigurationView } from '../configuration/ConfigurationView.js';
 import type { Route } from '../configuration/ServingConfiguration.js';
 import { computeContentKeys } from '../crashes/contentKeys.js';
-import type { CrashGuard } from '../crashes/CrashGuard.js';
-import type { DrainingTargets } from '../fleet/DrainingTargets.js';
-import type { Target } from '../fleet/Target.js';
-import type { CallerHead, Dialect } from '../http/Dialect.js';
-import { refuseStopping, type Shutdown } from '../http/Shutdown.js';
+import type { CallerHead } from '../http/Dialect.js';
 import { takeBody } from '../http/takeBody.js';
-import type { TargetClient } from '../http/TargetClient.js';
 import { writeRefusal } from '../http/writeRefusal.js';
 import type { AccountRateLimiter } from '../rates/AccountRateLimiter.js';
-import type { LoadTable } from '../routing/LoadTable.js';
-import type { TargetHealth } from '../routing/TargetHealth.js';
-import type { TargetChoice } from '../routing/chooseTarget.js';
-import type { ReturnTarget, TargetRouter } from '../routing/TargetRouter.js';
 import type { StreamResumption } from '../streams/StreamResumption.js';
-import { computeStreamKey, type StreamVersions } from '../streams/StreamVersions.js';
+import { computeStreamKey } from '../streams/StreamVersions.js';
 import { admitCaller } from './admitCaller.js';
-import { getBodyIdleTimeoutMs, getHeadTimeoutMs } from './attemptTimeouts.js';
 import { CallerResponse } from './CallerResponse.js';
-import { mayLeaveFailedTarget, mayLeaveSilentTarget, type RunningAttempt } from './leaveTarget.js';
-import { RequestProgress, type CompletedAttempt } from './RequestProgress.js';
+import { RequestAttempts, type RequestAttemptsDependencies } from './RequestAttempts.js';
+import { RequestProgress } from './RequestProgress.js';
 import { RequestLifetime } from './RequestLifetime.js';
 import type { OnlineRequest } from './OnlineRequest.js';
-import {
-  endAborted,
-  endComplete,
-  endWithoutTarget,
-  refuseAfterFailures,
-  refuseUnsent,
-  type RequestOutcome,
-} from './requestOutcomes.js';
-import { isTargetFault, runAttempt, STREAM_STATUS, type AttemptOutcome } from './runAttempt.js';
-
-/** Number of attempts after which a request is not retried, even if the last attempt provably did not run it. */
-const MAX_ATTEMPTS_NOT_RUN = 4;
-
-/** Status with which a target reports its own failure; 504 only reports that the deadline passed. */
-const FAILED_STATUS = 500;
-
-/**
- * Time after which a stream that can go on nowhere else is sent again to targets that failed it. About as long as one of eight
- * slots takes to become free. Unit: ms.
- */
-const SAME_TARGET_RETRY_DELAY_MS = 100;
-
-/** Maximum size of the response body of one target; also ends an endless stream of valid events. Unit: bytes. */
-const MAX_RESPONSE_BYTES = 16_777_216;
+import { refuseUnsent, type RequestOutcome } from './requestOutcomes.js';
 
 /** Dependencies of {@link OnlineRequestHandler}. */
-export interface OnlineRequestHandlerDependencies {
+export interface OnlineRequestHandlerDependencies extends RequestAttemptsDependencies {
   readonly view: ConfigurationView;
-  readonly router: TargetRouter;
-  readonly loadTable: LoadTable;
-  readonly crashGuard: CrashGuard;
-  readonly health: TargetHealth;
   readonly rates: AccountRateLimiter;
-  readonly client: TargetClient;
-  readonly dialect: Dialect;
-  readonly journal: Journal;
-  readonly metrics: Metrics;
   /** Called when an account's use of its rate must be reported to other hosts at once. */
   readonly onLowRate: () => void;
-  /** Called when a request is about to be sent to a target. */
-  readonly onAttemptStart: (target: Target) => void;
-  readonly drainingTargets: DrainingTargets;
-  readonly streamVersions: StreamVersions;
   readonly streamResumption: StreamResumption;
-  readonly shutdown: Shutdown;
 }
 
 const pickService = (route: Route): string => {
@@ -89,35 +41,16 @@
 const isRepeatable = ({ kind, resumable }: Route): boolean =>
   kind === 'idempotent' || (kind === 'streaming' && resumable);
 
-/**
- * Checks whether another target may continue the response. A response that exceeded the size limit is invalid, so once
- * part of it has been passed on it isn't continued.
- */
-const canContinue = (callerResponse: CallerResponse, { kind }: AttemptOutcome): boolean =>
-  callerResponse.canContinue && !(callerResponse.started && kind === 'overlong');
-
-/**
- * Checks whether a target may serve a request a moment after it failed it: it rejected the request, or lost the connection
- * before a part of its response was passed on. A response that has started isn't continued there, as its caller may take it up again.
- */
-const mayServeLater = ({ started }: CallerResponse, outcome: AttemptOutcome): boolean =>
-  outcome.kind === 'not-run'
-    ? !outcome.unreachable
-    : outcome.kind === 'broken' && outcome.connectionLost && !started;
-
-/** Checks whether a target has rejected a request that returned to it; it may still be busy with the run that was ended. */
-const isRejectedReturn = (
-  { id }: Target,
-  outcome: AttemptOutcome,
-  progress: RequestProgress,
-): boolean => outcome.kind === 'not-run' && !outcome.unreachable && progress.hasReturnedTo(id);
-
 /** Serves online requests. */
 export class OnlineRequestHandler {
   /** Number of requests in progress. */
   running = 0;
 
-  constructor(private readonly dependencies: OnlineRequestHandlerDependencies) {}
+  private readonly attempts: RequestAttempts;
+
+  constructor(private readonly dependencies: OnlineRequestHandlerDependencies) {
+    this.attempts = new RequestAttempts(dependencies);
+  }
 
   /**
    * Serves a request.
@@ -201,7 +134,7 @@
     }
   }
 
-  /** Tries targets until one has sent a complete response or no further attempt is allowed. */
+  /** Runs a request, unless its content, its account's rate or the version of its stream forbids it. */
   private async run(request: OnlineRequest, progress: RequestProgress): Promise<RequestOutcome> {
     const blocked = this.refuseBlockedContent(request);
     if (blocked) return { kind: 'refused', refusal: blocked };
@@ -209,7 +142,7 @@
     if (overRate) return { kind: 'refused', refusal: overRate };
     const outcome =
       (await this.refuseUnknownVersion(request, progress)) ??
-      (await this.tryTargets(request, progress));
+      (await this.attempts.run(request, progress));
     if (progress.possibleRuns === 0 && request.account)
       this.dependencies.rates.refund(request.account);
     return outcome;
@@ -232,248 +165,6 @@
     return undefined;
   }
 
-  private async tryTargets(
-    request: OnlineRequest,
-    progress: RequestProgress,
-  ): Promise<RequestOutcome> {
-    for (;;) {
-      if (request.lifetime.abortReason) return endAborted(request, progress);
-      if (this.isTooLateToRun(request, progress))
-        return { kind: 'refused', refusal: refuseStopping() };
-      const chosen = this.chooseTarget(request, progress);
-      if (chosen?.kind === 'target') {
-        const ended = await this.tryTarget(request, chosen.target, progress);
-        if (ended) return ended;
-      } else if (progress.unconfirmedEnd) {
-        return endComplete(progress.unconfirmedEnd, false, request);
-      } else if (chosen && progress.version !== undefined && progress.readmitRecovering()) {
-        await systemClock.sleep(SAME_TARGET_RETRY_DELAY_MS, request.lifetime.signal);
-      } else {
-        if (chosen) progress.recordNoTarget(chosen.counts);
-        return endWithoutTarget(chosen?.kind ?? 'none', request, progress);
-      }
-    }
-  }
-
-  /** Checks whether the host stops before a target may have begun to respond, and none can have run the request. */
-  private isTooLateToRun(
-    { route, callerResponse }: OnlineRequest,
-    { possibleRuns }: RequestProgress,
-  ): boolean {
-    const { isIntakeOver, answersDueAt } = this.dependencies.shutdown;
-    return (
-      isIntakeOver &&
-      possibleRuns === 0 &&
-      !callerResponse.started &&
-      answersDueAt - performance.now() < getHeadTimeoutMs(route)
-    );
-  }
-
-  /**
-   * Chooses the next target; undefined if no further target may run the request. If the request has left a silent target, it
-   * returns there unless another one that looks healthy can run it.
-   */
-  private chooseTarget(
-    request: OnlineRequest,
-    progress: RequestProgress,
-  ): TargetChoice | undefined {
-    const { router } = this.dependencies;
-    const { service, route } = request;
-    const { excludedTargets, version, unconfirmedEnd } = progress;
-    const left = unconfirmedEnd ? undefined : this.findReturnTarget(request, progress);
-    const mayRunFurther = progress.mayRunFurther(route.attempts);
-    const prefersFurther =
-      mayRunFurther &&
-      progress.attempts < Math.max(MAX_ATTEMPTS_NOT_RUN, route.attempts) &&
-      router.hasAlternative(service, excludedTargets, version);
-    if (!left && !mayRunFurther) return undefined;
-    if (!left || prefersFurther) return router.chooseForOnline(service, excludedTargets, version);
-    progress.recordReturn(left.target.id);
-    return { kind: 'target', target: left.target };
-  }
-
-  /** Finds a target that the request has left while it was silent, and that can still run the request. */
-  private findReturnTarget(
-    { service }: OnlineRequest,
-    { returnableTargets, version }: RequestProgress,
-  ): ReturnTarget | undefined {
-    return this.dependencies.router.findReturnTarget(service, returnableTargets, version);
-  }
-
-  /** Sends a request to a target. Returns the outcome of the request, unless another attempt follows. */
-  private async tryTarget(
-    request: OnlineRequest,
-    target: Target,
-    progress: RequestProgress,
-  ): Promise<RequestOutcome | undefined> {
-    const { callerResponse } = request;
-    const received = callerResponse.progress;
-    progress.countAttempt();
-    const outcome = await this.attempt(request, target, progress);
-    if (callerResponse.started) progress.beginStream(target.version);
-    if (outcome.kind === 'complete') progress.recordPossibleRun(target.id, false);
-    else this.recordFailedAttempt(request, target, outcome, progress);
-    if (progress.unconfirmedEnd) {
-      const hasFurtherEvents = callerResponse.progress > received || callerResponse.hasPartialEvent;
-      if (!hasFurtherEvents && request.lifetime.abortReason !== 'caller-gone')
-        return endComplete(progress.unconfirmedEnd, outcome.kind === 'complete', request);
-      if (hasFurtherEvents) this.recordFalseEnd(request, progress.unconfirmedEnd);
-      progress.recordUnconfirmedEnd(undefined);
-    }
-    if (outcome.kind === 'complete')
-      return this.endOrConfirm(
-        request,
-        { attempt: outcome, target, canEnd: callerResponse.canEnd },
-        progress,
-      );
-    const ended = this.endOrRetry(request, outcome, progress);
-    if (!ended && isRejectedReturn(target, outcome, progress))
-      await systemClock.sleep(SAME_TARGET_RETRY_DELAY_MS, request.lifetime.signal);
-    return ended;
-  }
-
-  /** Ends a response, unless another target has to confirm its end. */
-  private endOrConfirm(
-    request: OnlineRequest,
-    completed: CompletedAttempt,
-    progress: RequestProgress,
-  ): RequestOutcome | undefined {
-    const { callerResponse, route, contentKeys } = request;
-    if (
-      !callerResponse.needsConfirmation ||
-      progress.possibleRuns >= route.attempts ||
-      this.dependencies.crashGuard.findBlock(contentKeys)
-    )
-      return endComplete(completed, false, request);
-    callerResponse.awaitConfirmation();
-    progress.recordUnconfirmedEnd(completed);
-    progress.excludedTargets.add(completed.target.id);
-    return undefined;
-  }
-
-  /** Records that a target has closed its connection within a stream. */
-  private recordFalseEnd({ callerResponse }: OnlineRequest, { target }: CompletedAttempt): void {
-    callerResponse.recordFalseEnd();
-    this.dependencies.health.recordFailure(target.id, 'stream ended before its last event');
-  }
-
-  /** Ends a request after a failed attempt, unless another one may follow. */
-  private endOrRetry(
-    request: OnlineRequest,
-    outcome: Exclude<AttemptOutcome, { kind: 'complete' }>,
-    progress: RequestProgress,
-  ): RequestOutcome | undefined {
-    const { callerResponse, repeatable, route } = request;
-    if (outcome.kind === 'given-up') return endAborted(request, progress);
-    const mayRunAgain =
-      repeatable &&
-      canContinue(callerResponse, outcome) &&
-      !this.dependencies.crashGuard.findBlock(request.contentKeys);
-    const mayReturn = mayRunAgain && this.findReturnTarget(request, progress) !== undefined;
-    const mayRetry =
-      progress.mayRunFurther(route.attempts) &&
-      (outcome.kind === 'not-run' ? progress.attempts < MAX_ATTEMPTS_NOT_RUN : mayRunAgain);
-    if (!mayRetry && !mayReturn) {
-      if (callerResponse.started) return { kind: 'cut', cause: outcome.kind };
-      return { kind: 'refused', refusal: refuseAfterFailures(progress) };
-    }
-    this.dependencies.metrics.count('requests.retried', { reason: outcome.kind });
-    return undefined;
-  }
-
-  private async attempt(
-    request: OnlineRequest,
-    target: Target,
-    progress: RequestProgress,
-  ): Promise<AttemptOutcome> {
-    const { client, dialect, loadTable, health, router, crashGuard } = this.dependencies;
-    const { head, route, account, lifetime, callerResponse, message, body } = request;
-    const { progress: received } = callerResponse;
-    const running: RunningAttempt = { router, request, target, progress, received };
-    const endLoad = loadTable.beginRequest(target.id, 'online');
-    this.dependencies.onAttemptStart(target);
-    const sentAt = performance.now();
-    const outcome = await runAttempt({
-      client,
-      dialect,
-      target,
-      request: {
-        id: head.id,
-        method: message.method ?? 'GET',
-        path: head.path,
-        headers: dialect.buildTargetHeaders(message.rawHeaders, {
-          target,
-          account: account?.name,
-          remainingMs: lifetime.remainingMs,
-          resumeAfter: callerResponse.lastEventId,
-        }),
-        body: body.length > 0 ? body : null,
-      },
-      sink: callerResponse,
-      signal: lifetime.signal,
-      headTimeoutMs: getHeadTimeoutMs(route),
-      bodyIdleTimeoutMs: getBodyIdleTimeoutMs(route),
-      onIdleTimeout: () => {
-        health.recordFailure(target.id, 'silent');
-        return mayLeaveSilentTarget(running);
-      },
-      onResumed: () => health.recordSuccess(target.id),
-      onResponse: (status) => {
-        if (status === FAILED_STATUS) health.recordFailure(target.id, `status ${status}`);
-        else health.recordSuccess(target.id);
-        // Before the first event reaches the caller, who may then take the stream up again at another host.
-        if (status === STREAM_STATUS && request.streamKey !== undefined && !callerResponse.started)
-          this.dependencies.streamVersions.begin(request.streamKey, target.version);
-      },
-      onUnderWay: () => crashGuard.recordServed(request.service, request.contentKeys),
-      onDraining: () => this.dependencies.drainingTargets.add(target),
-      shouldRetryStatus: (status) => status === FAILED_STATUS && mayLeaveFailedTarget(running),
-      maxResponseBytes: MAX_RESPONSE_BYTES,
-    });
-    endLoad();
-    if (outcome.kind === 'broken' && outcome.connectionLost && !outcome.wasUnderWay)
-      crashGuard.recordFailure({
-        target: target.id,
-        service: request.service,
-        contentKeys: request.contentKeys,
-        sentAt,
-      });
-    return outcome;
-  }
-
-  private recordFailedAttempt(
-    request: OnlineRequest,
-    target: Target,
-    outcome: AttemptOutcome,
-    progress: RequestProgress,
-  ): void {
-    const { health, journal } = this.dependencies;
-    const { head, account, callerResponse } = request;
-    progress.excludedTargets.add(target.id);
-    if (outcome.kind !== 'not-run')
-      progress.recordPossibleRun(target.id, outcome.kind !== 'silent');
-    if (
-      outcome.kind === 'silent' ||
-      (isRejectedReturn(target, outcome, progress) && progress.attempts < MAX_ATTEMPTS_NOT_RUN)
-    )
-      progress.recordLeft(target.id);
-    if (mayServeLater(callerResponse, outcome)) progress.recordRecovering(target.id);
-    if (isTargetFault(outcome)) health.recordFailure(target.id, outcome.cause);
-    journal.record('attempt-failed', {
-      request: head.id,
-      account: account?.name,
-      promptParts: head.sharedPromptParts,
-      target: target.id,
-      version: target.version,
-      kind: outcome.kind,
-      ...('cause' in outcome && { cause: outcome.cause }),
-      ...('connectionLost' in outcome && { connectionLost: outcome.connectionLost }),
-      lastEventId: callerResponse.lastEventId,
-      received: callerResponse.progress,
-      sends: progress.attempts,
-    });
-  }
-
   /** Refuses a request whose content crashes targets. */
   private refuseBlockedContent({ contentKeys }: OnlineRequest): Refusal | undefined {
     const now = performance.now();
