Return to a silent target as soon as it responds to a health check

Callers of repeatable requests got 504, or a stream that broke off, when two targets in a row stood still: the request left the first one after 0.9 s, and the silence of the second one lasted until the deadline. The first target went on before that, but nobody asked it.

Cause: a host hears that a target it has left responds again only from other requests there. Without any, the request waits at the next target to the end. Each further silence starts anew, and the end of the first one is missed.

A target that a request has left is now checked with GET on the health path of its service, until the request is under way elsewhere, returns or ends. Once it responds, requests that wait at other silent targets end their attempt and return to it; they no longer wait for the next idle timeout. A target that responds to the first check within 0.2 s is slow, not silent, and nothing follows from it.

Weighed and not done: to keep the first attempt while the next target is asked. A target must not work on a request that another one has taken over. That no byte came from it on any connection does not show that it doesn't work: a slow or cold target with this one request is as silent. Where a check shows that it stands still, returning costs one service time more than waiting there, and no two responses race. Not covered therefore: two targets that respond to checks, but take 3 s and 3.2 s for a head (504, as before).

Ruled out: a shorter timeout for the head, which only moves the lengths of silence that are lost; alternating between silent targets without knowing which one responds, which loses requests that waiting serves (first target gone, second one silent for 2 s).

--- a/packages/serving/src/online/RequestAttempts.ts
+++ b/packages/serving/src/online/RequestAttempts.ts
@@ -25,6 +25,7 @@
   refuseAfterFailures,
   type RequestOutcome,
 } from './requestOutcomes.js';
+import type { SilentTargets } from './SilentTargets.js';
 import { isTargetFault, runAttempt, STREAM_STATUS, type AttemptOutcome } from './runAttempt.js';
 
 /** Number of attempts after which a request is not retried, even if the last attempt provably did not run it. */
@@ -48,6 +49,7 @@
   readonly loadTable: LoadTable;
   readonly crashGuard: CrashGuard;
   readonly health: TargetHealth;
+  readonly silentTargets: SilentTargets;
   readonly client: TargetClient;
   readonly dialect: Dialect;
   readonly journal: Journal;
@@ -94,6 +96,17 @@
    * @returns outcome of the request
    */
   async run(request: OnlineRequest, progress: RequestProgress): Promise<RequestOutcome> {
+    try {
+      return await this.tryTargets(request, progress);
+    } finally {
+      progress.endWatches();
+    }
+  }
+
+  private async tryTargets(
+    request: OnlineRequest,
+    progress: RequestProgress,
+  ): Promise<RequestOutcome> {
     for (;;) {
       if (request.lifetime.abortReason) return endAborted(request, progress);
       if (this.isTooLateToRun(request, progress))
@@ -275,6 +288,8 @@
         health.recordFailure(target.id, 'silent');
         return mayLeaveSilentTarget(running);
       },
+      onAlternative: (listener) => health.onRecovery(listener),
+      mayLeave: () => mayLeaveSilentTarget(running),
       onResumed: () => health.recordSuccess(target.id),
       onResponse: (status) => {
         if (status === FAILED_STATUS) health.recordFailure(target.id, `status ${status}`);
@@ -283,7 +298,10 @@
         if (status === STREAM_STATUS && request.streamKey !== undefined && !callerResponse.started)
           this.dependencies.streamVersions.begin(request.streamKey, target.version);
       },
-      onUnderWay: () => crashGuard.recordServed(request.service, request.contentKeys),
+      onUnderWay: () => {
+        progress.endWatches();
+        crashGuard.recordServed(request.service, request.contentKeys);
+      },
       onDraining: () => this.dependencies.drainingTargets.add(target),
       shouldRetryStatus: (status) => status === FAILED_STATUS && mayLeaveFailedTarget(running),
       maxResponseBytes: MAX_RESPONSE_BYTES,
@@ -305,7 +323,7 @@
     outcome: AttemptOutcome,
     progress: RequestProgress,
   ): void {
-    const { health, journal } = this.dependencies;
+    const { health, silentTargets, journal } = this.dependencies;
     const { head, account, callerResponse } = request;
     progress.excludedTargets.add(target.id);
     if (outcome.kind !== 'not-run')
@@ -315,6 +333,7 @@
       (isRejectedReturn(target, outcome, progress) && progress.attempts < MAX_ATTEMPTS_NOT_RUN)
     )
       progress.recordLeft(target.id);
+    if (outcome.kind === 'silent') progress.recordWatch(target.id, silentTargets.watch(target));
     if (mayServeLater(callerResponse, outcome)) progress.recordRecovering(target.id);
     if (isTargetFault(outcome)) health.recordFailure(target.id, outcome.cause);
     journal.record('attempt-failed', {
