--- a/packages/catalog/src/logEvents.ts
+++ b/packages/catalog/src/logEvents.ts
@@ -339,7 +339,7 @@
     hint: 'Nothing to do.',
   },
   'input-discarded': {
-    number: 833,
+    number: 834,
     severity: 'info',
     message: 'Input of a batch job that was not accepted is removed from the object store',
     hint: 'If the outcome is not "removed", the object may remain; remove it by its name.',
