Revert "Return to a silent target as soon as it responds to a health check"

A review showed that the checks end sound attempts: a route with a timeout of 4 s, a first target that stands still for 2.2 s and then needs 2.2 s, a second one that needs 2.0 s. A health check waits for a slot like a request, so a target that is full looks silent, and recovered once a slot is free; loaded targets are far more frequent than two that stand still one after the other.

The case stays open: without a second attempt beside the first, a host can't tell a target that will respond soon from one that won't.

--- a/packages/serving/src/configuration/ServingConfiguration.ts
+++ b/packages/serving/src/configuration/ServingConfiguration.ts
@@ -55,8 +55,6 @@
   readonly name: string;
   /** Number of requests that one target runs concurrently. */
   readonly slots: number;
-  /** Path of its targets' health checks; undefined if they have none. */
-  readonly healthPath?: string | undefined;
 }
 
 /** Limits for callers' requests. */
--- a/packages/serving/src/http/Dialect.ts
+++ b/packages/serving/src/http/Dialect.ts
@@ -84,15 +84,6 @@
     options: TargetRequestOptions,
   ): string[];
 
-  /**
-   * Builds the headers of a health check of a target.
-   *
-   * @param target - the target
-   * @param remainingMs - time that the target has for the check. Unit: ms
-   * @returns alternating names and values
-   */
-  buildHealthCheckHeaders(target: Target, remainingMs: number): string[];
-
   /**
    * Classifies the head of a response.
    *
--- a/packages/serving/src/online/RequestAttempts.ts
+++ b/packages/serving/src/online/RequestAttempts.ts
@@ -24,7 +24,6 @@
   refuseAfterFailures,
   type RequestOutcome,
 } from './requestOutcomes.js';
-import type { SilentTargets } from './SilentTargets.js';
 import { isTargetFault, runAttempt, type AttemptOutcome } from './runAttempt.js';
 
 /** Number of attempts after which a request is not retried, even if the last attempt provably did not run it. */
@@ -48,7 +47,6 @@
   readonly loadTable: LoadTable;
   readonly crashGuard: CrashGuard;
   readonly health: TargetHealth;
-  readonly silentTargets: SilentTargets;
   readonly client: TargetClient;
   readonly dialect: Dialect;
   readonly journal: Journal;
@@ -94,17 +92,6 @@
    * @returns outcome of the request
    */
   async run(request: OnlineRequest, progress: RequestProgress): Promise<RequestOutcome> {
-    try {
-      return await this.tryTargets(request, progress);
-    } finally {
-      progress.endWatches();
-    }
-  }
-
-  private async tryTargets(
-    request: OnlineRequest,
-    progress: RequestProgress,
-  ): Promise<RequestOutcome> {
     for (;;) {
       if (request.lifetime.abortReason) return endAborted(request, progress);
       if (this.isTooLateToRun(request, progress))
@@ -286,17 +273,12 @@
         health.recordFailure(target.id, 'silent');
         return mayLeaveSilentTarget(running);
       },
-      onAlternative: (listener) => health.onRecovery(listener),
-      mayLeave: () => mayLeaveSilentTarget(running),
       onResumed: () => health.recordSuccess(target.id),
       onResponse: (status) => {
         if (status === FAILED_STATUS) health.recordFailure(target.id, `status ${status}`);
         else health.recordSuccess(target.id);
       },
-      onUnderWay: () => {
-        progress.endWatches();
-        crashGuard.recordServed(request.service, request.contentKeys);
-      },
+      onUnderWay: () => crashGuard.recordServed(request.service, request.contentKeys),
       onDraining: () => this.dependencies.drainingTargets.add(target),
       shouldRetryStatus: (status) => status === FAILED_STATUS && mayLeaveFailedTarget(running),
       maxResponseBytes: MAX_RESPONSE_BYTES,
@@ -318,7 +300,7 @@
     outcome: AttemptOutcome,
     progress: RequestProgress,
   ): void {
-    const { health, silentTargets, journal } = this.dependencies;
+    const { health, journal } = this.dependencies;
     const { head, account, callerResponse } = request;
     progress.excludedTargets.add(target.id);
     if (outcome.kind !== 'not-run')
@@ -328,7 +310,6 @@
       (isRejectedReturn(target, outcome, progress) && progress.attempts < MAX_ATTEMPTS_NOT_RUN)
     )
       progress.recordLeft(target.id);
-    if (outcome.kind === 'silent') progress.recordWatch(target.id, silentTargets.watch(target));
     if (mayServeLater(callerResponse, outcome)) progress.recordRecovering(target.id);
     if (isTargetFault(outcome)) health.recordFailure(target.id, outcome.cause);
     journal.record('attempt-failed', {
--- a/packages/serving/src/online/RequestProgress.ts
+++ b/packages/serving/src/online/RequestProgress.ts
@@ -25,9 +25,6 @@
   /** Ids of targets that were left while they were silent, and to which the request may return. */
   private readonly leftTargets = new Set<string>();
 
-  /** Functions that end the checks of targets that were left, by id. */
-  private readonly endWatchByTarget = new Map<string, () => void>();
-
   /** Ids of targets to which the request has returned. */
   private readonly returnedTargets = new Set<string>();
 
@@ -139,28 +136,6 @@
   recordReturn(target: string): void {
     this.leftTargets.delete(target);
     this.returnedTargets.add(target);
-    this.endWatch(target);
-  }
-
-  /**
-   * Records that a target that was left is checked until the request returns to it or is served by another one.
-   *
-   * @param target - id of the target
-   * @param endWatch - ends the checks
-   */
-  recordWatch(target: string, endWatch: () => void): void {
-    this.endWatch(target);
-    this.endWatchByTarget.set(target, endWatch);
-  }
-
-  /** Ends the checks of all targets that were left. */
-  endWatches(): void {
-    [...this.endWatchByTarget.keys()].forEach((target) => this.endWatch(target));
-  }
-
-  private endWatch(target: string): void {
-    this.endWatchByTarget.get(target)?.();
-    this.endWatchByTarget.delete(target);
   }
 
   /**
--- a/packages/serving/src/online/runAttempt.ts
+++ b/packages/serving/src/online/runAttempt.ts
@@ -74,14 +74,6 @@
    * @returns whether this ends the attempt
    */
   readonly onIdleTimeout: () => boolean;
-  /**
-   * Adds a listener for events after which a silence may end the attempt that has not ended it so far.
-   *
-   * @returns function that removes the listener
-   */
-  readonly onAlternative?: (listener: () => void) => () => void;
-  /** Checks whether such a silence ends the attempt now. */
-  readonly mayLeave?: () => boolean;
   /** Called when the target goes on with its body after a timeout that has not ended the attempt. */
   readonly onResumed?: () => void;
   /** Maximum size of the response body. Unit: bytes. */
@@ -181,8 +173,6 @@
 
   private isCloseDelimited = false;
 
-  private removeAlternativeListener: (() => void) | undefined;
-
   /** Progress of the sink before this attempt. */
   private readonly initialProgress: number;
 
@@ -196,7 +186,6 @@
     this.idleTimeout = new IdleTimeout(() => {
       this.isSilent = true;
       if (options.onIdleTimeout()) this.abortCall({ kind: 'silent' });
-      else this.removeAlternativeListener ??= options.onAlternative?.(() => this.reconsider());
     }, options.timers);
   }
 
@@ -219,14 +208,7 @@
     });
   }
 
-  /** Ends the attempt if the target is still silent and the request can go on elsewhere by now. */
-  private reconsider(): void {
-    if (this.isSilent && !this.hasEnded && this.options.mayLeave?.())
-      this.abortCall({ kind: 'silent' });
-  }
-
   private handleHead(status: number, headers: ResponseHeaders): void {
-    this.isSilent = false;
     const { dialect, target, request, sink, bodyIdleTimeoutMs } = this.options;
     const { onResponse, onDraining, shouldRetryStatus } = this.options;
     const classification = dialect.classifyHead(status, headers, request.id);
@@ -262,6 +244,7 @@
       return;
     }
     this.status = status;
+    this.isSilent = false;
     this.idleTimeout.start(bodyIdleTimeoutMs);
     this.isCloseDelimited =
       framing === 'none' && request.method !== 'HEAD' && !STATUSES_WITHOUT_BODY.has(status);
@@ -355,7 +338,6 @@
     if (this.hasEnded) return;
     this.hasEnded = true;
     this.idleTimeout.stop();
-    this.removeAlternativeListener?.();
     this.options.signal.removeEventListener('abort', this.onAbort);
     this.settle(outcome);
   }
--- a/packages/serving/src/routing/TargetHealth.ts
+++ b/packages/serving/src/routing/TargetHealth.ts
@@ -63,21 +63,8 @@
   /** Targets that have failed. An entry is removed with a response after its failures have decayed. */
   private readonly statisticsByTarget = new Map<string, FailureStatistics>();
 
-  private readonly recoveryListeners = new Set<() => void>();
-
   constructor(private readonly journal: Journal) {}
 
-  /**
-   * Adds a listener for responses of targets that were unresponsive.
-   *
-   * @param listener - called after the response is recorded
-   * @returns function that removes the listener
-   */
-  onRecovery(listener: () => void): () => void {
-    this.recoveryListeners.add(listener);
-    return () => this.recoveryListeners.delete(listener);
-  }
-
   /**
    * Records a failure: a refused or failed connection, a request without a response, or a response that reports a
    * failure of the target.
@@ -128,11 +115,9 @@
     decay(statistics, now);
     statistics.consecutiveFailures = 0;
     statistics.pausedUntil = 0;
-    const hasRecovered = statistics.isUnresponsive;
     statistics.isUnresponsive = false;
     statistics.responses += 1;
     if (statistics.failures < 0.1) this.statisticsByTarget.delete(target);
-    if (hasRecovered) [...this.recoveryListeners].forEach((listener) => listener());
   }
 
   /**
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -21,7 +21,6 @@
 import type { Dialect } from '../http/Dialect.js';
 import { Shutdown } from '../http/Shutdown.js';
 import { TargetClient } from '../http/TargetClient.js';
-import { SilentTargets } from '../online/SilentTargets.js';
 import { OnlineRequestHandler } from '../online/OnlineRequestHandler.js';
 import { AccountRateLimiter } from '../rates/AccountRateLimiter.js';
 import { LoadTable } from '../routing/LoadTable.js';
@@ -311,12 +310,6 @@
     loadTable,
     crashGuard,
     health,
-    silentTargets: new SilentTargets({
-      client,
-      dialect,
-      health,
-      findHealthPath: (service) => view.index?.findService(service)?.healthPath,
-    }),
     rates,
     client,
     dialect,
