Go on with the acceptance of a large job after its caller got a status

Cause: the deadline of the call also ended the write of the object, and each repeat stores the object anew.

The acceptance of a job whose input is an object now goes on for 5 s. Its caller gets 504 at the deadline, which promises nothing, and a submission that comes again finds the job. Jobs in rows need one transaction and end with their call, as before.

Evidence: the scenario of jobInputs.feature fails when the object is written with the caller's signal.

--- a/packages/serving/src/batch/JobAcceptance.ts
+++ b/packages/serving/src/batch/JobAcceptance.ts
@@ -11,6 +11,12 @@
 import type { JobWriter } from './JobWriter.js';
 import { refuseUnavailable, refuseUnconfirmed } from './storeRefusals.js';
 
+/**
+ * Time for the acceptance of a job whose input is an object. It goes on after its caller got a status, as a repeated submission
+ * would have to store the object anew. Unit: ms.
+ */
+const OBJECT_ACCEPTANCE_MS = 5000;
+
 /** Delay before a write is repeated. Unit: ms. */
 const RETRY_DELAY_MS = 100;
 
@@ -50,6 +56,14 @@
 
 const encode = (content: unknown): Buffer => Buffer.from(JSON.stringify(content));
 
+/** Refuses a submission at its deadline, without a promise, as its acceptance goes on. */
+const refuseOnAbort = (signal: AbortSignal): Promise<Result<void, Refusal>> =>
+  new Promise((resolve) => {
+    const refuseUnknown = (): void => resolve(err(refuse('deadline-passed')));
+    if (signal.aborted) refuseUnknown();
+    signal.addEventListener('abort', refuseUnknown, { once: true });
+  });
+
 /**
  * Creates the write of a job with its input.
  *
@@ -80,8 +94,8 @@
   constructor(private readonly dependencies: JobAcceptanceDependencies) {}
 
   /**
-   * Accepts a batch job. Repeated submissions of the same job are accepted only once. No write is sent once the signal is
-   * aborted, so that a refusal which states that nothing runs stays true.
+   * Accepts a batch job. Repeated submissions of the same job are accepted only once. A refusal at the deadline states that
+   * nothing runs only if no write was sent, and then none is sent afterwards.
    *
    * @param submission - the job
    * @param holder - name and incarnation of the host that will run its items; null if any host may take it over
@@ -112,10 +126,14 @@
       listed: [],
       endedAt: null,
     };
-    const admission = admissionKey(account, route);
-    const result = await this.write({ submission, record, input, admission, signal });
-    if (!this.mayUseInput(record, result)) void inputs.discard(input);
-    return result;
+    const attempt = { submission, record, input, admission: admissionKey(account, route) };
+    if (!input.object) return this.write({ ...attempt, signal });
+    const limit = AbortSignal.timeout(OBJECT_ACCEPTANCE_MS);
+    const accepted = this.write({ ...attempt, signal: limit }).then((result) => {
+      if (!this.mayUseInput(record, result)) void inputs.discard(input);
+      return result;
+    });
+    return Promise.race([accepted, refuseOnAbort(signal)]);
   }
 
   /** Stores the input and reads what the token limit depends on, and writes the job. */
--- a/packages/serving/test/features/jobInputs.feature
+++ b/packages/serving/test/features/jobInputs.feature
@@ -24,3 +24,10 @@
   Scenario: A job whose content an earlier version of the host has stored as an object is read
     Given a job whose content of 1000 bytes was stored as an object
     Then another host reads the content as it was submitted
+
+  # Guards against large jobs that are never accepted, as callers leave before a slow object store responds and each repeat begins anew.
+  Scenario: A job whose content takes longer to store than its caller waits is accepted when it comes again
+    Given the object store responds after 100 ms
+    When a job with 392001 bytes of content is submitted, whose caller waits for 20 ms
+    Then its caller is refused with "deadline-passed"
+    And the job is accepted once it is submitted again after the response of the object store
--- a/packages/serving/test/steps/jobInputs.steps.ts
+++ b/packages/serving/test/steps/jobInputs.steps.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { MemoryObjects } from '@jacinthlug/batch/testing/MemoryObjects';
 import { silentJournal } from '@jacinthlug/catalog/Journal';
@@ -6,17 +7,22 @@
 import { INPUTS_TABLE, JOBS_TABLE } from '@jacinthlug/serving/batch/jobKeys';
 import type { JobInput } from '@jacinthlug/serving/batch/JobRecord';
 import { JobStore } from '@jacinthlug/serving/batch/JobStore';
+import { ResultAsync } from 'neverthrow';
 import { MemoryRecordStore } from '../fakes/MemoryRecordStore.js';
 
 const ACCOUNT = 'fitters';
 
 const JOB = 'j-1';
 
+/** Size of content that fits into a row. Unit: bytes. */
+const SMALL_BYTES = 200;
+
 interface JobInputsWorld {
   store: MemoryRecordStore;
   objects: MemoryObjects;
   items: JobInput;
   isAccepted: boolean;
+  refusal: string | undefined;
 }
 
 /** Creates items whose content takes a number of bytes. */
@@ -27,6 +33,38 @@
   return create('é'.repeat(3).padEnd(bytes - JSON.stringify(create('')).length - 3, 'x'));
 };
 
+/** An object store that stores an object some time after the call, unless that is aborted before. */
+class SlowObjects extends MemoryObjects {
+  private readonly stored: Promise<void>[] = [];
+
+  constructor(private readonly delayMs: number) {
+    super();
+  }
+
+  override put(name: string, body: Uint8Array | string, signal?: AbortSignal) {
+    const waiting = sleep(this.delayMs, undefined, { signal });
+    this.stored.push(waiting.catch(() => undefined));
+    return ResultAsync.fromPromise(waiting, () => ({
+      kind: 'unavailable' as const,
+      message: 'aborted',
+    })).andThen(() => super.put(name, body));
+  }
+
+  /** Waits for the responses to all calls. */
+  async waitForResponses(): Promise<void> {
+    await Promise.all(this.stored);
+  }
+}
+
+const createSubmission = (items: JobInput) => ({
+  id: JOB,
+  account: ACCOUNT,
+  route: 'r',
+  host: 'x.example',
+  items,
+  waitingTokens: 0,
+});
+
 const createStore = (world: JobInputsWorld) => {
   const { store, objects } = world;
   const jobCache = new JobCache(silentJournal);
@@ -52,15 +90,8 @@
   async function (this: JobInputsWorld, bytes: string, state: string) {
     openStore(this, Number(bytes));
     this.objects.down = state === 'down';
-    const submission = {
-      id: JOB,
-      account: ACCOUNT,
-      route: 'r',
-      host: 'x.example',
-      items: this.items,
-      waitingTokens: 0,
-    };
     const { signal } = new AbortController();
+    const submission = createSubmission(this.items);
     const accepted = await createStore(this).jobs.accept(submission, ['h-1', 1], signal);
     this.isAccepted = accepted.isOk();
   },
@@ -120,3 +151,40 @@
     assert.equal(this.objects.contents.size, 0);
   },
 );
+
+Given('the object store responds after {int} ms', function (this: JobInputsWorld, delayMs: number) {
+  openStore(this, SMALL_BYTES);
+  this.objects = new SlowObjects(delayMs);
+});
+
+When(
+  'a job with {int} bytes of content is submitted, whose caller waits for {int} ms',
+  async function (this: JobInputsWorld, bytes: number, waitMs: number) {
+    this.items = createItems(bytes);
+    const submission = createSubmission(this.items);
+    const signal = AbortSignal.timeout(waitMs);
+    const accepted = await createStore(this).jobs.accept(submission, ['h-1', 1], signal);
+    this.refusal = accepted.isErr() ? accepted.error.code : undefined;
+  },
+);
+
+Then('its caller is refused with {string}', function (this: JobInputsWorld, code: string) {
+  assert.equal(this.refusal, code);
+});
+
+Then(
+  'the job is accepted once it is submitted again after the response of the object store',
+  async function (this: JobInputsWorld) {
+    await (this.objects as SlowObjects).waitForResponses();
+    // The write of the job follows.
+    await sleep(20);
+    const { signal } = new AbortController();
+    const submission = createSubmission(this.items);
+    const commits = this.store.commitCount;
+    const accepted = await createStore(this).jobs.accept(submission, ['h-2', 1], signal);
+    assert.ok(accepted.isOk());
+    assert.equal(this.store.commitCount, commits);
+    assert.equal(this.store.countRows(JOBS_TABLE), 1);
+    await readContent(this);
+  },
+);
