Add a case of the review: items of a new route that are given up at once

Cause: a machine takes a route that its configuration does not name for a removed one for up to 2.5 s after the last answered poll. A job on a route that was just added reaches it before the configuration if the connection of that poll has gone silent. Done: a script with two processes of the deploy file, a store, engines and a proxy of its own, under review/1 and review/kit. Nothing else is changed.

--- /dev/null
+++ b/review/kit/Engine.mjs
@@ -0,0 +1,124 @@
+/** Stand-in of a model engine: it registers in the store and answers with streams of events. */
+import { createServer } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { readBody } from './readBody.mjs';
+
+const HEARTBEAT_MS = 1200;
+
+/** Time between two events. Unit: ms. */
+const EVENT_MS = 20;
+
+/**
+ * Returns the data of an event, which depends only on the request and the number of the event.
+ *
+ * @param {string} id - id of the request
+ * @param {number} number - number of the event
+ * @returns {string} data
+ */
+export const dataOf = (id, number) => `${id}/${number}`;
+
+/**
+ * @typedef {object} EngineOptions
+ * @property {string} id - its id
+ * @property {import('./Store.mjs').Store} store - the platform's store
+ * @property {import('./Record.mjs').Record} record - record of the case
+ * @property {string} [service] - its service
+ * @property {string} [zone] - its zone
+ * @property {number} [events] - number of events in an answer
+ */
+
+/**
+ * @typedef {object} Run
+ * @property {string} id - id of the request
+ * @property {number} at - time since the start of the record. Unit: s
+ * @property {import('node:http').IncomingHttpHeaders} headers - headers of the request
+ * @property {string} path - path of the request
+ * @property {string} method - method of the request
+ * @property {Buffer} body - body of the request
+ */
+
+export class Engine {
+  /** @type {Run[]} */
+  runs = [];
+
+  sequence = 0;
+
+  address = '';
+
+  born = Date.now();
+
+  server = createServer((message, response) => {
+    this.serve(message, response).catch(() => response.destroy());
+  });
+
+  /** @type {NodeJS.Timeout | undefined} */
+  timer = undefined;
+
+  /** @param {EngineOptions} options - what it needs */
+  constructor(options) {
+    this.options = options;
+  }
+
+  async start() {
+    await new Promise((resolve) => {
+      this.server.listen(0, '127.0.0.1', () => resolve(undefined));
+    });
+    const address = /** @type {import('node:net').AddressInfo} */ (this.server.address());
+    this.address = `127.0.0.1:${address.port}`;
+    this.register();
+    this.timer = setInterval(() => this.register(), HEARTBEAT_MS);
+  }
+
+  stop() {
+    clearInterval(this.timer);
+    this.server.closeAllConnections();
+    this.server.close();
+  }
+
+  register() {
+    const { id, store, service = 'writer', zone = 'sala' } = this.options;
+    this.sequence += 1;
+    store.put('servers', id, {
+      service,
+      address: this.address,
+      zone,
+      version: 'v1',
+      slots: 8,
+      state: 'ready',
+      cold_left_ms: 0,
+      sequence: this.sequence,
+      born: this.born,
+    });
+  }
+
+  /**
+   * @param {import('node:http').IncomingMessage} message - a request
+   * @param {import('node:http').ServerResponse} response - its answer
+   */
+  async serve(message, response) {
+    const { id: name, record, events = 40 } = this.options;
+    const { headers, method = 'GET', url: path = '/' } = message;
+    const body = await readBody(message);
+    const id = String(headers['x-request-id'] ?? '');
+    if (headers['x-expect-instance'] !== undefined && headers['x-expect-instance'] !== name) {
+      response.writeHead(421, { 'x-request-id': id, 'content-length': 0 }).end();
+      return;
+    }
+    const after = Number(headers['last-event-id'] ?? 0);
+    this.runs.push({ id, at: record.now, headers, path, method, body });
+    record.add(`${name}: runs ${id} after event ${after}`);
+    response.writeHead(200, {
+      'x-request-id': id,
+      'x-server-stamp': `${name}.${this.runs.length}`,
+      'content-type': 'text/event-stream',
+      'x-weight-versions': '1',
+    });
+    response.flushHeaders();
+    for (let number = after + 1; number <= events && !response.destroyed; number += 1) {
+      await sleep(EVENT_MS);
+      response.write(`id: ${number}\ndata: ${dataOf(id, number)}\n\n`);
+    }
+    if (!response.destroyed) record.add(`${name}: has finished ${id}`);
+    response.end();
+  }
+}
--- /dev/null
+++ b/review/kit/batch.mjs
@@ -0,0 +1,152 @@
+/** Calls of a client of batch jobs. */
+import { setTimeout as sleep } from 'node:timers/promises';
+import { call } from './call.mjs';
+
+/** Value of the `Host` header of all calls. */
+export const HOST = 'lote.example';
+
+/**
+ * Describes a route for batch jobs with the figures of the users' sheet.
+ *
+ * @param {string} name - its name
+ * @param {string} prefix - its prefix
+ * @param {object} [more] - fields that differ
+ * @returns {object} the route
+ */
+export const createBatchRoute = (name, prefix, more = {}) => ({
+  name,
+  host: HOST,
+  prefix,
+  kind: 'batch',
+  service: 'writer',
+  attempts: 3,
+  timeout_ms: 15_000,
+  goal_ms: 400,
+  completion_target_ms: 18_000,
+  retention_s: 60,
+  max_count: 990_000,
+  priority: 2,
+  ...more,
+});
+
+/**
+ * Describes a configuration.
+ *
+ * @param {number} version - its version
+ * @param {object[]} routes - its routes
+ * @param {Record<string, string>} keys - key of each tenant, by name
+ * @param {string[]} [services] - names of its services
+ * @returns {object} content of `op/config`
+ */
+export const createConfiguration = (version, routes, keys, services = ['writer']) => ({
+  version,
+  routes,
+  services: services.map((name) => ({ name, engine: { slots: 8 } })),
+  limits: {
+    max_header_bytes: 16_384,
+    max_body_bytes: 4_194_304,
+    header_timeout_ms: 3000,
+    idle_timeout_ms: 15_000,
+  },
+  tenants: Object.entries(keys).map(([name, key]) => ({
+    name,
+    api_keys: [key],
+    rate_per_s: 0,
+    burst: 0,
+    priority: 0,
+  })),
+});
+
+/**
+ * A client of batch jobs of one tenant.
+ */
+export class BatchClient {
+  /**
+   * @param {import('./Record.mjs').Record} record - record of the case
+   * @param {string} name - name of the tenant, for the record
+   * @param {string} key - its key
+   */
+  constructor(record, name, key) {
+    this.record = record;
+    this.name = name;
+    this.key = key;
+  }
+
+  /**
+   * Submits a job until it is accepted.
+   *
+   * @param {import('./Machine.mjs').Machine} machine - machine that is called
+   * @param {string} prefix - prefix of the route
+   * @param {string} id - id of the job
+   * @param {string[]} items - ids of its items
+   * @returns {Promise<number>} time of the 202. Unit: s
+   */
+  async submit(machine, prefix, id, items) {
+    const requests = items.map((item) => ({
+      id: item,
+      path: `${prefix}${item}`,
+      headers: { 'X-Model': 'm', 'X-Token-Usage': '350,396' },
+      body: Buffer.from(`input of ${item}`).toString('base64'),
+      token_count: 746,
+    }));
+    for (;;) {
+      const seen = await call({
+        host: machine.ip,
+        port: machine.port,
+        method: 'POST',
+        path: `${prefix}new`,
+        headers: {
+          host: HOST,
+          'x-key': this.key,
+          'x-request-id': id,
+          'x-deadline-ms': '4000',
+          'content-type': 'application/json',
+        },
+        body: JSON.stringify({ requests }),
+      });
+      this.record.add(
+        `${this.name}: POST ${prefix}new with job ${id} answered ${seen.status ?? seen.failure}`,
+      );
+      if (seen.status === 202) return this.record.now;
+      await sleep(300);
+    }
+  }
+
+  /**
+   * Reads the results of a job until all are there, or the time is over.
+   *
+   * @param {import('./Machine.mjs').Machine} machine - machine that is called
+   * @param {string} id - id of the job
+   * @param {number} count - number of its items
+   * @param {number} limitMs - how long to read. Unit: ms
+   * @returns {Promise<{ id: string, state: string, text: string }[]>} results at the end
+   */
+  async read(machine, id, count, limitMs) {
+    const endsAt = performance.now() + limitMs;
+    /** @type {{ id: string, state: string, text: string }[]} */
+    let results = [];
+    while (performance.now() < endsAt && results.length < count) {
+      const seen = await call({
+        host: machine.ip,
+        port: machine.port,
+        path: `/api/lots/${id}?after=0`,
+        headers: { host: HOST, 'x-key': this.key },
+      });
+      if (seen.status === 200 && seen.isComplete) {
+        const page = JSON.parse(seen.body);
+        if (page.results.length > results.length)
+          this.record.add(
+            `${this.name}: job ${id} has ${page.results.length} of ${page.total} results`,
+          );
+        results = page.results;
+      }
+      await sleep(400);
+    }
+    results.forEach(({ id: item, state, text }) =>
+      this.record.add(
+        `${this.name}: result of job ${id}: ${item} is ${state}, ${text.length} characters`,
+      ),
+    );
+    return results;
+  }
+}
