--- a/review/kit/Engine.mjs
+++ b/review/kit/Engine.mjs
@@ -5,7 +5,7 @@
 
 const HEARTBEAT_MS = 1200;
 
-/** Time between two events. Unit: ms. */
+/** Usual time between two events. Unit: ms. */
 const EVENT_MS = 20;
 
 /**
@@ -13,9 +13,10 @@
  *
  * @param {string} id - id of the request
  * @param {number} number - number of the event
+ * @param {number} [bytes] - smallest size of the data. Unit: bytes
  * @returns {string} data
  */
-export const dataOf = (id, number) => `${id}/${number}`;
+export const dataOf = (id, number, bytes = 0) => `${id}/${number}`.padEnd(bytes, '.');
 
 /**
  * @typedef {object} EngineOptions
@@ -25,6 +26,9 @@
  * @property {string} [service] - its service
  * @property {string} [zone] - its zone
  * @property {number} [events] - number of events in an answer
+ * @property {number} [eventBytes] - size of the data of an event. Unit: bytes
+ * @property {number} [eventMs] - time between two writes of events. Unit: ms
+ * @property {number} [eventsPerWrite] - number of events that are written together
  */
 
 /**
@@ -41,8 +45,13 @@
   /** @type {Run[]} */
   runs = [];
 
+  /** @type {Map<string, number>} */
+  finished = new Map();
+
   sequence = 0;
 
+  state = 'ready';
+
   address = '';
 
   born = Date.now();
@@ -75,6 +84,22 @@
     this.server.close();
   }
 
+  /**
+   * Leaves as planned: reports that it is draining, goes on for a while, and exits.
+   *
+   * @param {number} drainMs - how long it goes on. Unit: ms
+   */
+  async leave(drainMs) {
+    const { id, store, record } = this.options;
+    this.state = 'draining';
+    this.register();
+    record.add(`${id}: draining`);
+    await sleep(drainMs);
+    this.stop();
+    store.drop('servers', id);
+    record.add(`${id}: has left`);
+  }
+
   register() {
     const { id, store, service = 'writer', zone = 'sala' } = this.options;
     this.sequence += 1;
@@ -84,7 +109,7 @@
       zone,
       version: 'v1',
       slots: 8,
-      state: 'ready',
+      state: this.state,
       cold_left_ms: 0,
       sequence: this.sequence,
       born: this.born,
@@ -97,6 +122,7 @@
    */
   async serve(message, response) {
     const { id: name, record, events = 40 } = this.options;
+    const { eventBytes = 0, eventMs = EVENT_MS, eventsPerWrite = 1 } = this.options;
     const { headers, method = 'GET', url: path = '/' } = message;
     const body = await readBody(message);
     const id = String(headers['x-request-id'] ?? '');
@@ -114,11 +140,18 @@
       'x-weight-versions': '1',
     });
     response.flushHeaders();
-    for (let number = after + 1; number <= events && !response.destroyed; number += 1) {
-      await sleep(EVENT_MS);
-      response.write(`id: ${number}\ndata: ${dataOf(id, number)}\n\n`);
+    for (let number = after + 1; number <= events && !response.destroyed;) {
+      const last = Math.min(events, number + eventsPerWrite - 1);
+      let text = '';
+      for (; number <= last; number += 1)
+        text += `id: ${number}\ndata: ${dataOf(id, number, eventBytes)}\n\n`;
+      await sleep(eventMs);
+      response.write(text);
+    }
+    if (!response.destroyed) {
+      record.add(`${name}: has finished ${id}`);
+      this.finished.set(id, record.now);
     }
-    if (!response.destroyed) record.add(`${name}: has finished ${id}`);
     response.end();
   }
 }
--- a/review/kit/Store.mjs
+++ b/review/kit/Store.mjs
@@ -6,6 +6,12 @@
 /** Time of a call. Unit: ms. */
 const CALL_MS = 4;
 
+/** Time of a call about an object. Unit: ms. */
+const OBJECT_CALL_MS = 25;
+
+/** Total size of objects from which on writes of objects are refused. Unit: bytes. */
+const MAX_OBJECT_BYTES = 400_000_000;
+
 /** Largest number of rows in a page. */
 const PAGE_ROWS = 500;
 
@@ -26,8 +32,11 @@
   /** @type {Map<string, Row>} */
   rows = new Map();
 
-  /** @type {Row[]} */
-  changes = [];
+  /** Changes of each table, oldest first.
+   *
+   * @type {Map<string, Row[]>}
+   */
+  changes = new Map();
 
   /** @type {Set<() => void>} */
   waiting = new Set();
@@ -37,6 +46,12 @@
 
   version = 1;
 
+  /** Total size of the objects. Unit: bytes. */
+  objectBytes = 0;
+
+  /** Number of objects that were refused, as the store is full. */
+  refusedObjects = 0;
+
   server = createServer((message, response) => {
     this.serve(message, response).catch(() => response.destroy());
   });
@@ -101,15 +116,22 @@
     const ver = this.version;
     written.forEach((row) => {
       this.rows.set(idOf(row), { ...row, ver });
-      this.changes.push({ ...row, ver });
+      this.recordChange({ ...row, ver });
     });
     removed.forEach(({ table, part, key }) => {
       if (!this.rows.delete(idOf({ table, part, key, ver }))) return;
-      this.changes.push({ table, part, key, ver, removed: true });
+      this.recordChange({ table, part, key, ver, removed: true });
     });
     [...this.waiting].forEach((wake) => wake());
   }
 
+  /** @param {Row} change - a change */
+  recordChange(change) {
+    const changes = this.changes.get(change.table);
+    if (changes) changes.push(change);
+    else this.changes.set(change.table, [change]);
+  }
+
   /**
    * @param {import('node:http').ServerResponse} response - a response
    * @param {number} status - its status
@@ -128,19 +150,19 @@
     const url = new URL(message.url ?? '/', 'http://store');
     const body = await readBody(message);
     const [, , call, name = ''] = url.pathname.split('/');
-    await sleep(CALL_MS);
+    await sleep(call?.startsWith('blob') ? OBJECT_CALL_MS : CALL_MS);
     const query = url.searchParams;
     if (call === 'rows-tx') this.commit(JSON.parse(body.toString()), response);
     else if (call === 'rows-get') this.list(query, response);
     else if (call === 'rows-feed') await this.follow(query, response);
     else if (call === 'rows-parts') this.listParts(query, response);
     else if (call === 'blob-put') {
-      this.objects.set(name, body);
-      response.writeHead(200, { 'content-length': 0 }).end();
+      response.writeHead(this.putObject(name, body), { 'content-length': 0 }).end();
     } else if (call === 'blob-get') {
       const object = this.objects.get(name);
       response.writeHead(object ? 200 : 404, { 'content-length': object?.length ?? 0 }).end(object);
     } else if (call === 'blob-drop') {
+      this.objectBytes -= this.objects.get(name)?.length ?? 0;
       this.objects.delete(name);
       response.writeHead(200, { 'content-length': 0 }).end();
     } else response.writeHead(404, { 'content-length': 0 }).end();
@@ -160,6 +182,22 @@
     this.send(response, 200, {});
   }
 
+  /**
+   * @param {string} name - name of an object
+   * @param {Buffer} content - its content
+   * @returns {number} status of the call
+   */
+  putObject(name, content) {
+    const before = this.objects.get(name)?.length ?? 0;
+    if (this.objectBytes >= MAX_OBJECT_BYTES) {
+      this.refusedObjects += 1;
+      return 507;
+    }
+    this.objectBytes += content.length - before;
+    this.objects.set(name, content);
+    return 200;
+  }
+
   /**
    * @param {URLSearchParams} query - query of a call
    * @param {import('node:http').ServerResponse} response - its response
@@ -195,10 +233,14 @@
    */
   async follow(query, response) {
     const after = Number(query.get('after'));
-    const table = query.get('table');
-    const find = () => this.changes.filter((row) => row.table === table && row.ver > after);
+    const table = query.get('table') ?? '';
+    const find = () => {
+      const changes = this.changes.get(table) ?? [];
+      return changes.slice(changes.findLastIndex(({ ver }) => ver <= after) + 1);
+    };
     const endsAt = performance.now() + Number(query.get('wait_ms') ?? 0);
-    while (find().length === 0 && performance.now() < endsAt && !response.destroyed) {
+    let found = find();
+    while (found.length === 0 && performance.now() < endsAt && !response.destroyed) {
       await new Promise((resolve) => {
         const wake = () => {
           this.waiting.delete(wake);
@@ -207,7 +249,8 @@
         this.waiting.add(wake);
         setTimeout(wake, Math.max(0, endsAt - performance.now()));
       });
+      found = find();
     }
-    this.send(response, 200, { rows: find() });
+    this.send(response, 200, { rows: found });
   }
 }
--- a/review/kit/batch.mjs
+++ b/review/kit/batch.mjs
@@ -5,6 +5,11 @@
 /** Value of the `Host` header of all calls. */
 export const HOST = 'lote.example';
 
+/** Number of failures after which a page is not read again. */
+const MAX_READ_FAILURES = 5;
+
+/** @typedef {{ id: string, state: string, text: string }} Result */
+
 /**
  * Describes a route for batch jobs with the figures of the users' sheet.
  *
@@ -113,34 +118,55 @@
   }
 
   /**
-   * Reads the results of a job until all are there, or the time is over.
+   * Reads the results of a job, page after page.
    *
    * @param {import('./Machine.mjs').Machine} machine - machine that is called
    * @param {string} id - id of the job
-   * @param {number} count - number of its items
-   * @param {number} limitMs - how long to read. Unit: ms
-   * @returns {Promise<{ id: string, state: string, text: string }[]>} results at the end
+   * @param {number} [from] - first position
+   * @returns {Promise<Result[]>} results from there on
    */
-  async read(machine, id, count, limitMs) {
-    const endsAt = performance.now() + limitMs;
-    /** @type {{ id: string, state: string, text: string }[]} */
-    let results = [];
-    while (performance.now() < endsAt && results.length < count) {
+  async readOnce(machine, id, from = 0) {
+    /** @type {Result[]} */
+    const results = [];
+    let failures = 0;
+    while (failures < MAX_READ_FAILURES) {
       const seen = await call({
         host: machine.ip,
         port: machine.port,
-        path: `/api/lots/${id}?after=0`,
+        path: `/api/lots/${id}?after=${from + results.length}`,
         headers: { host: HOST, 'x-key': this.key },
       });
       if (seen.status === 200 && seen.isComplete) {
         const page = JSON.parse(seen.body);
-        if (page.results.length > results.length)
-          this.record.add(
-            `${this.name}: job ${id} has ${page.results.length} of ${page.total} results`,
-          );
-        results = page.results;
+        if (page.results.length === 0) break;
+        results.push(...page.results);
+      } else {
+        failures += 1;
+        this.record.add(`${this.name}: GET of job ${id} answered ${seen.status ?? seen.failure}`);
+        await sleep(300);
       }
+    }
+    return results;
+  }
+
+  /**
+   * Reads the results of a job until all are there, or the time is over.
+   *
+   * @param {import('./Machine.mjs').Machine} machine - machine that is called
+   * @param {string} id - id of the job
+   * @param {number} count - number of its items
+   * @param {number} limitMs - how long to read. Unit: ms
+   * @returns {Promise<Result[]>} results at the end
+   */
+  async read(machine, id, count, limitMs) {
+    const endsAt = performance.now() + limitMs;
+    let results = await this.readOnce(machine, id);
+    while (performance.now() < endsAt && results.length < count) {
       await sleep(400);
+      const before = results.length;
+      results = await this.readOnce(machine, id);
+      if (results.length > before)
+        this.record.add(`${this.name}: job ${id} has ${results.length} of ${count} results`);
     }
     results.forEach(({ id: item, state, text }) =>
       this.record.add(
