Add a case of the review: an item that is completed with a part of its output

Cause: an item whose answers have neither a length nor chunks counts as complete once two of them have closed regularly after the same event. An engine that breaks off both leaves a part.

--- a/review/kit/Engine.mjs
+++ b/review/kit/Engine.mjs
@@ -25,9 +25,12 @@
  * @property {import('./Record.mjs').Record} record - record of the case
  * @property {string} [service] - its service
  * @property {string} [zone] - its zone
+ * @property {string} [version] - version of its software
  * @property {number} [events] - number of events in an answer
  * @property {number} [eventBytes] - size of the data of an event. Unit: bytes
  * @property {number} [eventMs] - time between two writes of events. Unit: ms
+ * @property {boolean} [isUnframed] - whether answers have neither a length nor chunks, and end with their connections
+ * @property {(id: string) => number | undefined} [breaksOffAfter] - number of the event after which it breaks off an answer
  * @property {number} [eventsPerWrite] - number of events that are written together
  */
 
@@ -101,13 +104,13 @@
   }
 
   register() {
-    const { id, store, service = 'writer', zone = 'sala' } = this.options;
+    const { id, store, service = 'writer', zone = 'sala', version = 'v1' } = this.options;
     this.sequence += 1;
     store.put('servers', id, {
       service,
       address: this.address,
       zone,
-      version: 'v1',
+      version,
       slots: 8,
       state: this.state,
       cold_left_ms: 0,
@@ -133,25 +136,51 @@
     const after = Number(headers['last-event-id'] ?? 0);
     this.runs.push({ id, at: record.now, headers, path, method, body });
     record.add(`${name}: runs ${id} after event ${after}`);
-    response.writeHead(200, {
+    const end = Math.min(events, this.options.breaksOffAfter?.(id) ?? events);
+    this.writeHead(response, {
       'x-request-id': id,
       'x-server-stamp': `${name}.${this.runs.length}`,
       'content-type': 'text/event-stream',
       'x-weight-versions': '1',
     });
-    response.flushHeaders();
-    for (let number = after + 1; number <= events && !response.destroyed;) {
-      const last = Math.min(events, number + eventsPerWrite - 1);
+    for (let number = after + 1; number <= end && !response.destroyed;) {
+      const last = Math.min(end, number + eventsPerWrite - 1);
       let text = '';
       for (; number <= last; number += 1)
         text += `id: ${number}\ndata: ${dataOf(id, number, eventBytes)}\n\n`;
       await sleep(eventMs);
-      response.write(text);
+      this.write(response, text);
     }
-    if (!response.destroyed) {
+    if (response.destroyed || response.socket?.destroyed) return;
+    if (end < events) record.add(`${name}: breaks ${id} off after event ${end}, closing regularly`);
+    else {
       record.add(`${name}: has finished ${id}`);
       this.finished.set(id, record.now);
     }
-    response.end();
+    if (this.options.isUnframed) response.socket?.end();
+    else response.end();
+  }
+
+  /**
+   * @param {import('node:http').ServerResponse} response - an answer
+   * @param {Record<string, string>} headers - its headers
+   */
+  writeHead(response, headers) {
+    if (this.options.isUnframed) {
+      const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
+      response.socket?.write(`HTTP/1.1 200 OK\r\n${lines.join('')}\r\n`);
+      return;
+    }
+    response.writeHead(200, headers);
+    response.flushHeaders();
+  }
+
+  /**
+   * @param {import('node:http').ServerResponse} response - an answer
+   * @param {string} text - a part of its body
+   */
+  write(response, text) {
+    if (this.options.isUnframed) response.socket?.write(text);
+    else response.write(text);
   }
 }
