Add a case of the review: batch items with a part on which engines crash

Cause: the guard against content that crashes engines knows only online requests. Items of batch jobs are neither checked against it nor reported to it, and run again 100 ms after each crash.

--- a/review/kit/batch.mjs
+++ b/review/kit/batch.mjs
@@ -84,13 +84,18 @@
    * @param {string} prefix - prefix of the route
    * @param {string} id - id of the job
    * @param {string[]} items - ids of its items
+   * @param {string} [part] - shared part of the prompts of its items, with its tokens
    * @returns {Promise<number>} time of the 202. Unit: s
    */
-  async submit(machine, prefix, id, items) {
+  async submit(machine, prefix, id, items, part = '9c2e41:100') {
     const requests = items.map((item) => ({
       id: item,
       path: `${prefix}${item}`,
-      headers: { 'X-Model': 'm', 'X-Token-Usage': '350,396' },
+      headers: {
+        'X-Model': 'm',
+        'X-Token-Usage': '350,396',
+        'X-Prompt-Prefix': `${part},${item}:250`,
+      },
       body: Buffer.from(`input of ${item}`).toString('base64'),
       token_count: 746,
     }));
