--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,4 +1,4 @@
-/** A batch route is split between two services, and the engines of the first one are taken away. */
+/** A batch route is split between two services, and the first of them loses its only engine for good. */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { BatchClient, createBatchRoute, createConfiguration } from '../kit/batch.mjs';
 import { Engine } from '../kit/Engine.mjs';
@@ -6,89 +6,73 @@
 import { RESULTS, runCase } from '../kit/runCase.mjs';
 import { Store } from '../kit/Store.mjs';
 
-const KEYS = { tenant: 'key-of-the-tenant' };
+const KEY = 'i9n73hh2b9wu3fexd9dn';
+const JOB = '7c41e09b52d6a3f8';
+const PREFIX = '/survey/';
 
-const FIRST = 'writer';
-const SECOND = 'writer-new';
+/** Time after which the entry of a silent engine lapses: three intervals of its heartbeat. Unit: ms. */
+const LAPSE_MS = 3600;
 
-/** Engines of each service: two of sixteen are one in eight, and `scale_in` takes up to 0.13. */
-const ENGINES = { [FIRST]: 2, [SECOND]: 14 };
-
-/** `config_apply_ms`, and a second more. Unit: ms. */
-const APPLIED_MS = 3000;
-
-/** How long an engine goes on after it has reported that it is draining: `drain_ms` and a little longer. Unit: ms. */
-const DRAIN_MS = 2500;
-
-/** Time after which all items are listed, `finish_s`. Unit: ms. */
+/** `finish_s`. Unit: ms. */
 const FINISH_MS = 18_000;
 
-/** Time in which nothing may run before the check. Unit: s. */
+/** Time at the end in which no engine may have had an item. Unit: s. */
 const CALM_S = 5;
 
-const listItems = (job) => Array.from({ length: 10 }, (_, index) => `${job}-${index}`);
-
 await runCase(import.meta.url, async ({ folder, record, hasTrouble, use }) => {
   const store = use(new Store());
   const address = await store.start();
-  const machines = ['front-1', 'front-2'].map((name) =>
-    use(new Machine({ name, folder, store: address, record })),
+  const split = createBatchRoute('survey', PREFIX, {
+    service: undefined,
+    backends: [
+      { service: 'writer-next', weight: 10 },
+      { service: 'writer', weight: 90 },
+    ],
+  });
+  store.put(
+    'op',
+    'config',
+    createConfiguration(1, [split], { kaje80: KEY }, ['writer-next', 'writer']),
   );
-  const createEngines = (service) =>
-    Array.from({ length: ENGINES[service] }, (_, index) =>
-      use(new Engine({ id: `${service}-engine-${index + 1}`, store, record, service })),
-    );
-  const first = createEngines(FIRST);
-  const second = createEngines(SECOND);
-  const engines = [...first, ...second];
-  const client = new BatchClient(record, 'client', KEYS.tenant);
-  const put = (version, route) => {
-    const routes = [
-      createBatchRoute('split', '/split/', route),
-      createBatchRoute('plain', '/plain/', { service: SECOND }),
-    ];
-    store.put('op', 'config', createConfiguration(version, routes, KEYS, [FIRST, SECOND]));
-    record.add(
-      `operator: version ${version} is acknowledged, "split" has ${JSON.stringify(route)}`,
-    );
-  };
-
-  put(1, { service: FIRST });
+  const next = use(new Engine({ id: 'i-next', store, record, service: 'writer-next' }));
+  const others = [1, 2, 3, 4, 5].map((number) =>
+    use(new Engine({ id: `i-${number}`, store, record, service: 'writer' })),
+  );
+  const engines = [next, ...others];
   await Promise.all(engines.map((engine) => engine.start()));
-  await Promise.all(machines.map((machine) => machine.start()));
+  const machines = [1, 2, 3].map((number) =>
+    use(
+      new Machine({
+        name: `front-${number}`,
+        folder,
+        store: address,
+        record,
+        zone: `zone-${number}`,
+      }),
+    ),
+  );
+  for (const machine of machines) await machine.start();
   await Promise.all(machines.map((machine) => machine.untilReady()));
-  const weights = { [FIRST]: 50, [SECOND]: 50 };
-  const backends = Object.entries(weights).map(([service, weight]) => ({ service, weight }));
-  put(2, { service: undefined, backends });
-  await sleep(APPLIED_MS);
-
-  const before = listItems('before');
-  await client.submit(machines[0], '/split/', 'before', before);
-  const results = await client.read(machines[1], 'before', before.length, FINISH_MS);
-  if (results.length < before.length) return RESULTS.notRun;
+  await sleep(3000);
 
   if (hasTrouble) {
-    record.add('disruption: the 2 engines of the first service are emptied and taken away');
-    await Promise.all(first.map((engine) => engine.leave(DRAIN_MS)));
+    record.add('i-next, one of six engines, is lost for good');
+    next.stop();
+    await sleep(LAPSE_MS);
+    store.drop('servers', 'i-next');
+    record.add('the entry of i-next has lapsed');
   }
-  await sleep(APPLIED_MS);
-  const split = listItems('split');
-  const plain = listItems('plain');
-  await client.submit(machines[0], '/split/', 'split', split);
-  await client.submit(machines[0], '/plain/', 'plain', plain);
-  await sleep(FINISH_MS);
-  const plainResults = await client.read(machines[1], 'plain', plain.length, 0);
-  const splitResults = await client.read(machines[1], 'split', split.length, 0);
+  await sleep(4000);
+  const [first, second] = machines;
+  if (!first || !second) return RESULTS.notRun;
+  const client = new BatchClient(record, 'kaje80', KEY);
+  const items = Array.from({ length: 10 }, (_, index) => `e${index}b2907c14da6f38`);
+  await client.submit(first, PREFIX, JOB, items);
+  const results = await client.read(second, JOB, items.length, FINISH_MS);
   const runs = engines.flatMap((engine) => engine.runs);
-  const lastRunAt = Math.max(...runs.map(({ at }) => at));
-  record.add(
-    `check: ${plainResults.length} of 10 items of the job on "plain" and ${splitResults.length} of 10 on "split" are listed`,
-  );
+  const lateRuns = runs.filter(({ at }) => at > record.now - CALM_S).length;
   record.add(
-    `check: ${runs.filter(({ id }) => split.includes(id)).length} runs of items of "split"; the last run of any item ` +
-      `began at ${lastRunAt.toFixed(3)}`,
+    `${FINISH_MS / 1000} s after the 202 ${results.length} of ${items.length} items are listed; engines ran ${runs.length}, ${lateRuns} of them in the last ${CALM_S} s`,
   );
-  if (plainResults.length < plain.length) return RESULTS.notRun;
-  if (splitResults.length === split.length) return RESULTS.held;
-  return record.now - lastRunAt > CALM_S ? RESULTS.broken : RESULTS.notRun;
+  return results.length < items.length && lateRuns === 0 ? RESULTS.broken : RESULTS.held;
 });
