Run batch items at each service of their route

Cause: BatchWorker.startItems offered each item to the first service of its route only, whatever the weights. Online requests draw a service; items had a decision of their own.

Evidence: with nothing lost, 40 items on weights 20 and 80 run at the first service only. On related paths: an item whose route was moved to a service with targets of the same version was continued there, so that its result held output of two services.

Ruled out: registrations that lapse late (the target was absent for 4 s), slots reserved for online requests (the targets were idle), the division of slots among hosts (one pass never asks the second service).

Fix: orderServices draws all services of a route by weight, and a SchedulingPass places an item at the first one with a slot. The output of an item is stored with its service; it is continued there, and started again elsewhere once no target can continue it, or, at another service, once it has waited for as long as producing it again takes. Saved outputs without a service are not continued.

--- a/packages/catalog/src/logEvents.ts
+++ b/packages/catalog/src/logEvents.ts
@@ -413,8 +413,9 @@
   'item-restarted': {
     number: 832,
     severity: 'info',
-    message: 'A batch item starts again, as no target has the version that began it',
-    hint: 'Expected during a release of targets.',
+    message:
+      'A batch item starts again, as no target of the service and version that began it can continue it',
+    hint: 'Expected during a release of targets, and while a service of a split route has no free target.',
   },
   'stream-version-found': {
     number: 833,
--- a/packages/serving/src/batch/BatchWorker.ts
+++ b/packages/serving/src/batch/BatchWorker.ts
@@ -22,12 +22,13 @@
 import { orderItems, estimateRemainingMs, type SchedulableItem } from './orderItems.js';
 import { orderForPreemption } from './orderForPreemption.js';
 import { PaceEstimator } from './PaceEstimator.js';
+import { SchedulingPass, type Placement, type Urgency } from './SchedulingPass.js';
 
 /**
  * Slots of each target that batch items leave free, so that an online request gets one without waiting.
  * Urgent items may use them to meet their job's due time.
  */
-const RESERVED_SLOTS = { relaxed: 1, urgent: 0 } as const;
+const RESERVED_SLOTS: Readonly<Record<Urgency, number>> = { relaxed: 1, urgent: 0 };
 
 /** Slack below which an item is urgent: about the length of one traffic peak. Unit: ms. */
 const URGENT_SLACK_MS = 4000;
@@ -221,32 +222,27 @@
       this.allItems().filter(({ job, task }) => job.isHeld && task.isWaiting(now)),
     );
     if (waiting.length === 0) return;
-    const allocated = new Map<string, number>();
-    /** Pairs of service and urgency without a slot for this host; further items of such a pair are skipped. */
-    const kindsWithoutSlot = new Set<string>();
-    const allowances = {
-      relaxed: this.createAllowanceLookup(now, RESERVED_SLOTS.relaxed, allocated),
-      urgent: this.createAllowanceLookup(now, RESERVED_SLOTS.urgent, allocated),
-    };
+    const pass = new SchedulingPass({
+      router,
+      allowances: {
+        relaxed: this.createAllowanceLookup(now, RESERVED_SLOTS.relaxed),
+        urgent: this.createAllowanceLookup(now, RESERVED_SLOTS.urgent),
+      },
+      random: Math.random,
+    });
     orderItems(waiting, this.paceEstimator.pace, now).forEach((item) => {
-      const { job, task } = item;
-      const route = view.index?.findRouteByName(job.record.route);
-      const service = route?.services[0]?.service;
-      if (service === undefined) return;
+      const route = view.index?.findRouteByName(item.job.record.route);
+      if (!route) return;
       const slackMs = item.dueAt - now - estimateRemainingMs(item, this.paceEstimator.pace);
-      const urgency = slackMs < URGENT_SLACK_MS ? 'urgent' : 'relaxed';
-      const version = this.findRequiredVersion(job, task, service);
-      const kind = `${service}/${urgency}/${version ?? ''}`;
-      if (kindsWithoutSlot.has(kind)) return;
-      const target = router.chooseForBatch(service, version, allowances[urgency]);
-      if (!target) {
-        kindsWithoutSlot.add(kind);
-        return;
-      }
-      allocated.set(target.id, (allocated.get(target.id) ?? 0) + 1);
-      void this.runItem(job, task, target);
+      const placement = pass.place({
+        services: route.services,
+        urgency: slackMs < URGENT_SLACK_MS ? 'urgent' : 'relaxed',
+        origin: item.task.response.outputOrigin,
+        isRestartDue: this.isRestartDue(item.task, now),
+      });
+      if (placement) this.startItem(item, placement);
     });
-    allocated.forEach((_, id) => {
+    pass.usedTargets.forEach((id) => {
       const isLocal = targets.find(id)?.failureDomain === identity.failureDomain;
       this.slotAllocator.recordAllocation(
         id,
@@ -258,28 +254,34 @@
   }
 
   /**
-   * Returns the version that a target must have to continue an item, or undefined if any will do. If the version that
-   * began the item no longer serves, its output is discarded.
+   * Checks whether an item has waited for targets that can continue its output for as long as it takes to produce the output
+   * again. Waiting longer costs more than it saves.
    */
-  private findRequiredVersion(job: HeldJob, task: ItemTask, service: string): string | undefined {
-    const { version, lastEventId, eventCount } = task.response;
-    if (lastEventId === undefined) return undefined;
-    if (!this.dependencies.router.isVersionGone(service, version)) return version;
-    task.discardOutput();
-    this.dependencies.journal.record('item-restarted', {
-      request: task.item.id,
-      job: job.record.id,
-      version,
-      events: eventCount,
-    });
-    return undefined;
+  private isRestartDue(task: ItemTask, now: number): boolean {
+    const { msPerEvent } = this.paceEstimator.pace;
+    return task.timeSinceProgress(now) >= task.response.eventCount * msPerEvent;
+  }
+
+  /** Starts a run of an item, from the beginning if its target can't continue the output so far. */
+  private startItem({ job, task }: JobTask, { target, isRestart }: Placement): void {
+    if (isRestart) {
+      const { origin, eventCount } = task.response;
+      task.discardOutput();
+      this.dependencies.journal.record('item-restarted', {
+        request: task.item.id,
+        job: job.record.id,
+        ...origin,
+        target: target.id,
+        events: eventCount,
+      });
+    }
+    void this.runItem(job, task, target);
   }
 
-  /** Returns a function that counts the slots of a target that this host may still use in this pass. */
+  /** Returns a function that counts the slots of a target that this host may use now. */
   private createAllowanceLookup(
     now: number,
     reservedSlots: number,
-    allocated: ReadonlyMap<string, number>,
   ): (candidate: Candidate) => number {
     const groupHosts = this.groupWaitingHosts();
     const allowances = new Map<string, number>();
@@ -292,7 +294,7 @@
           now,
         );
       allowances.set(target.id, allowance);
-      return allowance - (allocated.get(target.id) ?? 0);
+      return allowance;
     };
   }
 
@@ -368,7 +370,7 @@
     const { client, dialect, health } = this.dependencies;
     const { item, response } = task;
     const { host, account } = job.record;
-    response.version = target.version;
+    response.origin = { service: target.service, version: target.version };
     const rawHeaders = ['Host', host, ...Object.entries(item.headers).flat()];
     return runAttempt({
       client,
--- a/packages/serving/src/batch/ItemResponse.ts
+++ b/packages/serving/src/batch/ItemResponse.ts
@@ -9,6 +9,12 @@
 
 const callImmediately = (resume: () => void): void => resume();
 
+/** The targets that produced an output: only they can continue it. */
+export interface ItemOrigin {
+  readonly service: string;
+  readonly version: string;
+}
+
 /** Where a run can resume. */
 interface ResumePoint {
   /** Undefined at the start. */
@@ -36,8 +42,8 @@
   /** Where a run can resume to repeat the last event; undefined if there is none, or it is unknown. */
   private beforeLastEvent: ResumePoint | undefined;
 
-  /** Version of the targets that produce the output; undefined before the first run. */
-  version: string | undefined;
+  /** Targets that produce the output; undefined before the first run. */
+  origin: ItemOrigin | undefined;
 
   /** Unit: characters. */
   private outputLength = 0;
@@ -108,19 +114,29 @@
    * @returns the output; nothing while no event has an id after which a run can resume
    */
   get resumableOutput(): ItemOutput | undefined {
-    const { lastEventId, resumableEventCount, version } = this;
+    const { lastEventId, resumableEventCount, origin } = this;
     if (lastEventId === undefined) return undefined;
-    return { lastEventId, data: this.eventData.slice(0, resumableEventCount), version };
+    return { lastEventId, data: this.eventData.slice(0, resumableEventCount), ...origin };
+  }
+
+  /**
+   * Returns the targets that can continue the output.
+   *
+   * @returns their service and version; undefined if the next run starts from the beginning
+   */
+  get outputOrigin(): ItemOrigin | undefined {
+    return this.lastEventId === undefined ? undefined : this.origin;
   }
 
   /**
    * Restores the output that another host has saved.
    *
    * @param output - output up to an event with an id
+   * @param origin - targets that produced it
    */
-  resume({ lastEventId, data, version }: ItemOutput): void {
+  resume({ lastEventId, data }: ItemOutput, origin: ItemOrigin): void {
     this.events.lastEventId = lastEventId;
-    this.version = version;
+    this.origin = origin;
     this.truncate(0);
     data.forEach((each) => this.append(each));
     this.resumableEventCount = this.eventCount;
--- a/packages/serving/src/batch/ItemTask.ts
+++ b/packages/serving/src/batch/ItemTask.ts
@@ -44,8 +44,11 @@
   /** Number of consecutive runs without a new resumable event, except those that ended with a crash of the target. */
   private runsWithoutProgress = 0;
 
+  /** Monotonic time at which the output last grew; the start of the task if it has not. Unit: ms. */
+  private lastProgressAt = performance.now();
+
   /** The latest end of a response with events that only the end of its connection showed. */
-  private unconfirmedEnd: Pick<ItemResponse, 'lastEventId' | 'version'> | undefined;
+  private unconfirmedEnd: Pick<ItemResponse, 'lastEventId' | 'origin'> | undefined;
 
   /** Monotonic time before which the item is not run. Unit: ms. */
   notBefore = 0;
@@ -63,9 +66,12 @@
    * @param output - output from the store
    */
   resume(output: ItemOutput): void {
-    this.response.resume(output);
-    this.savedEventCount = this.response.resumableEventCount;
     this.hasSavedOutput = true;
+    const { service, version } = output;
+    // No target can be told to continue an output whose origin is unknown, as others would add their own output to it.
+    if (service === undefined || version === undefined) return;
+    this.response.resume(output, { service, version });
+    this.savedEventCount = this.response.resumableEventCount;
   }
 
   /** Restarts the item from the beginning, as its output so far can't be continued. */
@@ -85,6 +91,16 @@
     return this.run === undefined && this.notBefore <= now;
   }
 
+  /**
+   * Returns how long the output has not grown.
+   *
+   * @param now - monotonic time. Unit: ms
+   * @returns time since then. Unit: ms
+   */
+  timeSinceProgress(now: number): number {
+    return now - this.lastProgressAt;
+  }
+
   /**
    * Records the end of a run. Unless it was cancelled, an unfinished run delays the next one.
    *
@@ -95,6 +111,7 @@
    */
   finishRun(attempt: AttemptOutcome, eventsBefore: number, now: number): ItemState | undefined {
     this.run = undefined;
+    if (this.response.resumableEventCount > eventsBefore) this.lastProgressAt = now;
     const outcome = ('status' in attempt && outcomesByStatus.get(attempt.status)) || 'again';
     if (outcome === 'completed') {
       const isEndStated = attempt.kind === 'complete' && !attempt.isCloseDelimited;
@@ -134,10 +151,13 @@
    */
   private confirmEnd(): boolean {
     const { response, unconfirmedEnd } = this;
-    const { lastEventId, version } = response;
-    if (unconfirmedEnd?.lastEventId === lastEventId && unconfirmedEnd?.version === version)
-      return true;
-    this.unconfirmedEnd = { lastEventId, version };
+    const { lastEventId, origin } = response;
+    const isRepeated =
+      unconfirmedEnd?.lastEventId === lastEventId &&
+      unconfirmedEnd?.origin?.service === origin?.service &&
+      unconfirmedEnd?.origin?.version === origin?.version;
+    if (isRepeated) return true;
+    this.unconfirmedEnd = { lastEventId, origin };
     response.removeLastEvent();
     return false;
   }
--- a/packages/serving/src/batch/JobRecord.ts
+++ b/packages/serving/src/batch/JobRecord.ts
@@ -70,7 +70,9 @@
   lastEventId: z.string(),
   /** Data of all events up to the last one. */
   data: z.array(z.string()),
-  /** Version of the targets that produced the output; absent in outputs that earlier versions of the host have saved. */
+  /** Service that produced the output; absent in outputs that earlier versions of the host have saved. */
+  service: z.string().optional(),
+  /** Version of its targets; absent in such outputs too. */
   version: z.string().optional(),
 });
 
--- a/packages/serving/src/routing/TargetRouter.ts
+++ b/packages/serving/src/routing/TargetRouter.ts
@@ -150,15 +150,14 @@
   }
 
   /**
-   * Checks whether streams of a version can only be continued by starting again.
+   * Checks whether targets of a version accept requests, whatever their load and health.
    *
    * @param service - name of the service
-   * @param version - version that began the stream; undefined if it is not known
-   * @returns whether targets accept requests, but none of this version
+   * @param version - name of the version
+   * @returns whether streams of the version can be continued
    */
-  isVersionGone(service: string, version: string | undefined): boolean {
-    const accepting = this.listAccepting(service);
-    return accepting.length > 0 && accepting.every((target) => target.version !== version);
+  hasVersion(service: string, version: string): boolean {
+    return this.listAccepting(service).some((target) => target.version === version);
   }
 
   /** Lists the targets that accept new requests, whatever their load and health. */
--- a/packages/serving/test/features/jobs.feature
+++ b/packages/serving/test/features/jobs.feature
@@ -123,6 +123,7 @@
       | to event 1; nothing; to event 1                     | no final state               |
       | saved to event 3; nothing; nothing                  | no final state               |
       | to event 3; to event 3 of another version           | no final state               |
+      | to event 3; to event 3 of another service           | no final state               |
       | to event 3; to event 3                              | completed with events 1 to 3 |
       | to event 3; nothing; to event 3                     | completed with events 1 to 3 |
       | to event 3; to event 7; to event 7                  | completed with events 1 to 7 |
