Send online requests of a split route to a service that can run them

Callers saw: with weights 99 and 1 and no target of the first service, 503 for nearly all requests, though a target of the second one was idle. A stream that its caller took up again was refused when the draw fell on a service without its version.

Cause: the service was drawn by weight alone, without a look at its targets.

Fix: TargetRouter.chooseService takes the services in the order that orderServices draws for items too, and returns the first one with a target that can run the request. For a stream it asks for the known version.

Ruled out: an attempt at the second service after the first one's refusal. It would count a request that never left the host as an attempt, and the content keys of the crash guard belong to one service.

--- a/packages/serving/src/online/OnlineRequestHandler.ts
+++ b/packages/serving/src/online/OnlineRequestHandler.ts
@@ -29,16 +29,6 @@
   readonly streamResumption: StreamResumption;
 }
 
-const pickService = (route: Route): string => {
-  const total = route.services.reduce((sum, { weight }) => sum + weight, 0);
-  let draw = Math.random() * total;
-  const found = route.services.find(({ weight }) => {
-    draw -= weight;
-    return draw < 0;
-  });
-  return (found ?? route.services[0]!).service;
-};
-
 const isRepeatable = ({ kind, resumable }: Route): boolean =>
   kind === 'idempotent' || (kind === 'streaming' && resumable);
 
@@ -97,12 +87,12 @@
         return;
       }
       const repeatable = isRepeatable(route);
-      const service = pickService(route);
       const isStream = route.kind === 'streaming' && message.method !== 'HEAD';
       const streamKey =
         repeatable && route.kind === 'streaming'
           ? computeStreamKey(account?.name, head.resumedRequest ?? head.id)
           : undefined;
+      const service = this.chooseService(route, streamKey, head);
       const request: OnlineRequest = {
         message,
         head,
@@ -137,6 +127,19 @@
     }
   }
 
+  private chooseService(
+    { services }: Route,
+    streamKey: string | undefined,
+    { resumeAfter }: CallerHead,
+  ): string {
+    const { router, streamVersions } = this.dependencies;
+    const isContinuation = streamKey !== undefined && resumeAfter !== undefined;
+    return router.chooseService(
+      services,
+      isContinuation ? streamVersions.find(streamKey) : undefined,
+    );
+  }
+
   /** Runs a request, unless its content, its account's rate or the version of its stream forbids it. */
   private async run(request: OnlineRequest, progress: RequestProgress): Promise<RequestOutcome> {
     const blocked = this.refuseBlockedContent(request);
--- a/packages/serving/src/routing/TargetRouter.ts
+++ b/packages/serving/src/routing/TargetRouter.ts
@@ -1,4 +1,5 @@
 /** Chooses targets from the load, health and registration data of this host. */
+import type { WeightedService } from '../configuration/ServingConfiguration.js';
 import type { DrainingTargets } from '../fleet/DrainingTargets.js';
 import type { HostIdentity } from '../fleet/HostIdentity.js';
 import type { Target } from '../fleet/Target.js';
@@ -14,6 +15,7 @@
   type TargetOccupancy,
 } from './chooseTarget.js';
 import type { LoadTable } from './LoadTable.js';
+import { orderServices } from './orderServices.js';
 import type { TargetHealth } from './TargetHealth.js';
 
 /** Dependencies of {@link TargetRouter}. */
@@ -32,10 +34,31 @@
   readonly responsive: boolean;
 }
 
+const NO_TARGETS: ReadonlySet<string> = new Set();
+
 /** Chooses the targets of online requests and batch items. */
 export class TargetRouter {
   constructor(private readonly dependencies: TargetRouterDependencies) {}
 
+  /**
+   * Chooses the service of an online request: the one that is drawn by weight, unless only another one has a target that
+   * can run the request.
+   *
+   * @param services - services of the request's route
+   * @param version - version that began the stream which the request continues; undefined if any will do
+   * @returns name of the service
+   */
+  chooseService(services: readonly WeightedService[], version: string | undefined): string {
+    const order = orderServices(services, Math.random);
+    const [preferred = ''] = order;
+    if (order.length === 1) return preferred;
+    return (
+      order.find((service) => this.hasAlternative(service, NO_TARGETS, version)) ??
+      order.find((service) => this.listCandidates(service, version).length > 0) ??
+      preferred
+    );
+  }
+
   /**
    * Chooses the target of an online request.
    *
--- a/packages/serving/test/features/placement.feature
+++ b/packages/serving/test/features/placement.feature
@@ -58,6 +58,31 @@
       | leaving |
       | absent  |
 
+  # Guards against a request that is refused although a service of its route could run it.
+  Scenario Outline: An online request goes to the service with a free target
+    Given service "begun" with targets that are <targets>
+    And service "idle" with a free target
+    Then an online request of a route to begun and idle goes to "idle"
+
+    Examples:
+      | targets |
+      | full    |
+      | silent  |
+      | leaving |
+      | absent  |
+
+  # Guards against a continuation that is sent to a service without the version that began the stream.
+  Scenario Outline: A request that continues a stream goes to the service with its version
+    Given service "begun" with targets that are <targets>
+    And service "idle" with targets that are free, in version v2
+    Then an online request of a route to begun and idle that continues version "v1" goes to "begun"
+
+    Examples:
+      | targets |
+      | free    |
+      | full    |
+      | silent  |
+
   # Guards against items that all wait because the first one in their order has no slot.
   Scenario: An item that waits for its service keeps no other item waiting
     Given service "begun" with targets that are full
--- a/packages/serving/test/steps/placement.steps.ts
+++ b/packages/serving/test/steps/placement.steps.ts
@@ -18,6 +18,7 @@
   readonly drainingTargets: DrainingTargets;
   readonly loadTable: LoadTable;
   readonly health: TargetHealth;
+  readonly router: TargetRouter;
   readonly pass: SchedulingPass;
 }
 
@@ -32,6 +33,9 @@
 
 const SLOTS = 8;
 
+/** Online requests with which the slots and the queue of a target are full. */
+const FILLING_REQUESTS = SLOTS + 2;
+
 const allowanceOf = ({ target, load }: Candidate): number =>
   target.slots - RESERVED_SLOTS - load.online - load.batch;
 
@@ -53,7 +57,7 @@
     allowances: { relaxed: allowanceOf, urgent: allowanceOf },
     random: Math.random,
   });
-  const host = { targets, drainingTargets, loadTable, health, pass };
+  const host = { targets, drainingTargets, loadTable, health, router, pass };
   Object.assign(world, { host, placements: [] });
   return host;
 };
@@ -66,7 +70,8 @@
 };
 
 const fillTarget = ({ loadTable }: PlacingHost, id: string): void => {
-  for (let slot = 0; slot < SLOTS; slot += 1) loadTable.beginRequest(id, 'online');
+  for (let request = 0; request < FILLING_REQUESTS; request += 1)
+    loadTable.beginRequest(id, 'online');
 };
 
 const targetStates: Readonly<Record<string, (host: PlacingHost, service: string) => void>> = {
@@ -164,6 +169,20 @@
   assert.deepEqual(this.placements, [undefined]);
 });
 
+/** Number of requests for which a service is drawn; none of several is drawn each time by chance. */
+const REQUEST_COUNT = 50;
+
+Then(
+  /^an online request of a route to (.+?)(?: that continues version "([^"]+)")? goes to "([^"]+)"$/,
+  function (this: PlacementWorld, route: string, version: string | null, expected: string) {
+    const { router } = getHost(this);
+    const chosen = Array.from({ length: REQUEST_COUNT }, () =>
+      router.chooseService(readServices(route), version ?? undefined),
+    );
+    assert.deepEqual([...new Set(chosen)], [expected]);
+  },
+);
+
 const listServices = ({ placements }: PlacementWorld): (string | undefined)[] =>
   placements.map((placement) => placement?.target.service);
 
