Stop reading ahead of responses that are processed more slowly than they arrive

Cause: a response is passed on in parts of 4 KiB, and the client pauses in between. undici takes all bytes from the socket at once and puts the rest back when it is paused. By then the empty socket has read on, so that each part of 4 KiB let the connection buffer up to 64 KiB more, and each read copied all of it: 8,441 MB were allocated in Readable.read within 5 s, 343 MB in EventSplitter. The bytes read ahead also counted as framing, so that a sound response of 2 MB in chunks of 4,000 bytes was broken off as too large.

Ruled out: the limit of one event (48 of them are 12 MB), the heap (13 MB in use at the peak, 117 MB in buffers), idle connections.

Fix: the socket of a connection hands out at most 4 KiB a read, so that it stays filled and stops reading while its response is paused.

--- a/packages/serving/src/http/TargetConnection.ts
+++ b/packages/serving/src/http/TargetConnection.ts
@@ -22,6 +22,13 @@
 /** Maximum number of requests on a connection, whose ids it keeps. */
 const MAX_REQUESTS = 256;
 
+/**
+ * Maximum number of bytes that the client takes from the socket at a time. When a listener pauses, the client puts the rest
+ * of them back. If it had taken all bytes, the socket would count as empty and read on, however slowly they are
+ * processed. Unit: bytes.
+ */
+const MAX_BYTES_PER_READ = 4096;
+
 const createResetError = (): Error =>
   Object.assign(new Error('connection reset by the target'), { code: 'ECONNRESET' });
 
@@ -148,8 +155,12 @@
       if (socket.remoteAddress === undefined) this.socketError = createResetError();
       this.exchange?.handleConnectionEnd();
     });
+    const read = socket.read.bind(socket);
     const destroy = socket.destroy.bind(socket);
     Object.assign(socket, {
+      read: (size?: number): unknown =>
+        // Without a size, an empty socket is asked for more bytes.
+        read(size ?? (Math.min(socket.readableLength, MAX_BYTES_PER_READ) || undefined)),
       destroy: (error?: Error) => {
         this.socketError ??= error;
         this.exchange?.handleConnectionEnd();
--- a/packages/serving/test/features/connections.feature
+++ b/packages/serving/test/features/connections.feature
@@ -16,6 +16,19 @@
       | 1.2.3.4:80:90   |
       |                 |
 
+  # Guards against a target that sends faster than its response is processed, until the bytes read ahead fill the memory.
+  Scenario Outline: A connection reads little ahead of a response in chunks of <size> bytes, <pace>
+    When a target sends a response of 2,000,000 bytes in chunks of <size> bytes, <pace>
+    Then the listener gets the whole response
+    And the connection has never read 262144 bytes ahead of the listener
+
+    Examples:
+      | size  | pace                                   |
+      | 100   | which is passed on at once             |
+      | 4000  | which is passed on at once             |
+      | 60000 | which is passed on at once             |
+      | 4000  | of which the listener pauses each part |
+
   # Guards against targets that get no requests for a while, as a request can't be sent to any target.
   Scenario Outline: A request with <request> is rejected by the HTTP client, which is no failure of the target
     When a request with <request> is sent to a target
--- a/packages/serving/test/steps/connections.steps.ts
+++ b/packages/serving/test/steps/connections.steps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
+import { subscribe, unsubscribe } from 'node:diagnostics_channel';
 import { once } from 'node:events';
-import { createServer, type AddressInfo } from 'node:net';
+import { createServer, type AddressInfo, type Socket } from 'node:net';
 import { After, Then, When } from '@cucumber/cucumber';
 import { TargetClient } from '@jacinthlug/serving/http/TargetClient';
 import {
@@ -13,6 +14,9 @@
 interface ConnectionWorld {
   client: TargetClient | undefined;
   outcome: AttemptOutcome;
+  receivedBytes: number;
+  /** Largest number of bytes that were read from the connection and not passed on. Unit: bytes. */
+  maxReadAhead: number;
 }
 
 /** Headers that the HTTP client rejects, as alternating names and values. */
@@ -90,6 +94,68 @@
   },
 );
 
+/** Sends a response in chunks as fast as the connection takes them. */
+const sendChunks = (socket: Socket, bytes: number, chunkBytes: number): void => {
+  const chunk = `${chunkBytes.toString(16)}\r\n${'x'.repeat(chunkBytes)}\r\n`;
+  socket.write('HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n');
+  for (let sent = 0; sent < bytes; sent += chunkBytes) socket.write(chunk);
+  socket.write('0\r\n\r\n');
+};
+
+When(
+  /^a target sends a response of 2,000,000 bytes in chunks of (\d+) bytes, (.+)$/,
+  async function (this: ConnectionWorld, size: string, pace: string) {
+    const bytes = 2_000_000;
+    const target = createServer((socket) => {
+      // Before it ends, a response that is broken off resets the connection.
+      socket.on('error', () => undefined);
+      socket.once('data', () => sendChunks(socket, bytes, Number(size)));
+    }).listen(0, '127.0.0.1');
+    await once(target, 'listening');
+    const { port } = target.address() as AddressInfo;
+    const sockets: Socket[] = [];
+    const addSocket = (message: unknown): void => {
+      sockets.push((message as { socket: Socket }).socket);
+    };
+    subscribe('undici:client:connected', addSocket);
+    const client = new TargetClient();
+    this.client = client;
+    this.receivedBytes = 0;
+    this.maxReadAhead = 0;
+    await new Promise<void>((resolve, reject) => {
+      const call = client.send(createTarget(`127.0.0.1:${port}`), plainRequest, {
+        sent: () => undefined,
+        head: () => undefined,
+        data: (part) => {
+          this.receivedBytes += part.length;
+          this.maxReadAhead = Math.max(
+            this.maxReadAhead,
+            sockets[0]!.bytesRead - this.receivedBytes,
+          );
+          if (pace === 'which is passed on at once') return;
+          call.pause();
+          setImmediate(() => call.resume());
+        },
+        end: () => resolve(),
+        fail: reject,
+      });
+    });
+    unsubscribe('undici:client:connected', addSocket);
+    target.close();
+  },
+);
+
+Then('the listener gets the whole response', function (this: ConnectionWorld) {
+  assert.ok(this.receivedBytes >= 2_000_000);
+});
+
+Then(
+  'the connection has never read {int} bytes ahead of the listener',
+  function (this: ConnectionWorld, max: number) {
+    assert.ok(this.maxReadAhead < max, `${this.maxReadAhead} bytes`);
+  },
+);
+
 After(function (this: Partial<ConnectionWorld>) {
   this.client?.close();
 });
