Buffer incomplete events in blocks in place of one buffer that grows

Cause: a buffer that doubles leaves as many bytes to the garbage collector as it holds in the end, in each of the responses that a faulty target sends.

Ruled out: a smaller limit of an event, which sound targets may need.

The event scenarios pass unchanged.

--- a/packages/serving/src/online/EventSplitter.ts
+++ b/packages/serving/src/online/EventSplitter.ts
@@ -40,10 +40,9 @@
  */
 export const MAX_EVENT_BYTES = 262_144;
 
-/** Initial size of the buffer for an incomplete event. Unit: bytes. */
-const INITIAL_BUFFER_BYTES = 512;
-
-const EMPTY_BUFFER = Buffer.alloc(0);
+/** Sizes of the first and the largest block of an incomplete event. Unit: bytes. */
+const MIN_BLOCK_BYTES = 512;
+const MAX_BLOCK_BYTES = 16_384;
 
 /** Calls back with the start and end of each line, without its line terminator. */
 const forEachLine = (bytes: Buffer, visit: (start: number, end: number) => void): void => {
@@ -113,11 +112,17 @@
 
 /** Buffers bytes until events are complete. Each byte is scanned once, even if the bytes arrive one by one. */
 export class EventSplitter {
-  /** Holds the incomplete event, with spare capacity. */
-  private buffer: Buffer = EMPTY_BUFFER;
+  /**
+   * Holds the incomplete event; only the last block has spare capacity. One buffer that grows would leave as many bytes
+   * again to the garbage collector, in each of the responses that a faulty target sends at once.
+   */
+  private blocks: Buffer[] = [];
 
   private bufferedBytes = 0;
 
+  /** Unit: bytes. */
+  private spareCapacity = 0;
+
   /** Length of the incomplete line. Unit: bytes. */
   private partialLineBytes = 0;
 
@@ -201,9 +206,8 @@
     this.hasCompleteLine = false;
     if (this.bufferedBytes === 0) return end;
     this.append(end);
-    const event = this.buffer.subarray(0, this.bufferedBytes);
-    this.buffer = EMPTY_BUFFER;
-    this.bufferedBytes = 0;
+    const event = Buffer.concat(this.blocks, this.bufferedBytes);
+    this.clear();
     return event;
   }
 
@@ -212,17 +216,28 @@
     const needed = this.bufferedBytes + bytes.length;
     if (needed > MAX_EVENT_BYTES) {
       this.isOversized = true;
-      this.buffer = EMPTY_BUFFER;
+      this.clear();
       return;
     }
-    if (needed > this.buffer.length) {
-      const grown = Buffer.allocUnsafe(
-        Math.max(needed, this.buffer.length * 2, INITIAL_BUFFER_BYTES),
-      );
-      this.buffer.copy(grown, 0, 0, this.bufferedBytes);
-      this.buffer = grown;
+    for (let copied = 0; copied < bytes.length;) copied += this.copyToBlock(bytes.subarray(copied));
+  }
+
+  /** Copies as many bytes as the last block holds, or a new one if it is full; returns their number. */
+  private copyToBlock(bytes: Buffer): number {
+    if (this.spareCapacity === 0) {
+      this.spareCapacity = Math.min(MAX_BLOCK_BYTES, Math.max(MIN_BLOCK_BYTES, this.bufferedBytes));
+      this.blocks.push(Buffer.allocUnsafe(this.spareCapacity));
     }
-    bytes.copy(this.buffer, this.bufferedBytes);
-    this.bufferedBytes = needed;
+    const block = this.blocks[this.blocks.length - 1]!;
+    const copied = bytes.copy(block, block.length - this.spareCapacity);
+    this.spareCapacity -= copied;
+    this.bufferedBytes += copied;
+    return copied;
+  }
+
+  private clear(): void {
+    this.blocks = [];
+    this.bufferedBytes = 0;
+    this.spareCapacity = 0;
   }
 }
