Keep jobs of two accounts with the same id apart

Callers saw: one account read the outputs of another one as results of its own job, and its own items never ran, when both had given their jobs the same id and sent them to one host.

Cause: HeldJobs kept the jobs of a host by their ids alone, so that the row of the second job was taken for a newer state of the first one.

Ruled out: rows in the store and the cache of jobs, which have the account in their keys.

Fix: jobs are kept by account and id.

Measured: the scenario in batch.feature failed before (results a-1 and a-2 in place of b-1 and b-2) and passes now.

--- a/packages/serving/src/batch/HeldJobs.ts
+++ b/packages/serving/src/batch/HeldJobs.ts
@@ -38,14 +38,19 @@
   readonly onExpired: (job: HeldJob) => void;
 }
 
+/** Identifies a job among those of all accounts, as callers choose the ids of their jobs. */
+const createKey = ({ account, id }: Pick<JobRecord, 'account' | 'id'>): string =>
+  JSON.stringify([account, id]);
+
 /** Opens, takes over and releases jobs. */
 export class HeldJobs {
+  /** By the keys of the jobs, like the following ones. */
   private readonly heldJobs = new Map<string, HeldJob>();
 
-  /** Ids of jobs that another process may have held before. */
+  /** Jobs that another process may have held before. */
   private readonly takenOver = new Set<string>();
 
-  /** Ids of jobs with a call to the store in progress. */
+  /** Jobs with a call to the store in progress. */
   private readonly pendingStoreCalls = new Set<string>();
 
   private stopping = false;
@@ -113,12 +118,13 @@
 
   private applyJob(job: VersionedJob): void {
     const { record } = job;
-    const held = this.heldJobs.get(record.id);
+    const key = createKey(record);
+    const held = this.heldJobs.get(key);
     if (held) {
       held.applyState(job);
       if (!held.isHeld) {
-        this.heldJobs.delete(record.id);
-        this.takenOver.delete(record.id);
+        this.heldJobs.delete(key);
+        this.takenOver.delete(key);
       }
       return;
     }
@@ -135,27 +141,28 @@
   private async openJob(job: VersionedJob): Promise<void> {
     const { jobs, progress, identity, journal } = this.dependencies;
     const { id, route: routeName, account } = job.record;
+    const key = createKey(job.record);
     const policy = this.policyOf(routeName);
-    if (this.pendingStoreCalls.has(id) || !policy) return;
-    this.pendingStoreCalls.add(id);
+    if (this.pendingStoreCalls.has(key) || !policy) return;
+    this.pendingStoreCalls.add(key);
     if (this.stopping) {
       // Another host made this one the holder before it learned of the shutdown.
       await this.release(job.record);
-      this.pendingStoreCalls.delete(id);
+      this.pendingStoreCalls.delete(key);
       return;
     }
     const items = await jobs.loadInput(job.record);
     // A job that was not taken over has only run in this process, so no other host has saved output.
-    const outputs = this.takenOver.has(id)
+    const outputs = this.takenOver.has(key)
       ? await progress.load(job.record)
       : ok(new Map<number, ItemOutput>());
-    this.pendingStoreCalls.delete(id);
+    this.pendingStoreCalls.delete(key);
     const newest = this.dependencies.jobCache.find(account, id);
     if (this.stopping) {
       await this.release(job.record);
       return;
     }
-    if (items.isErr() || outputs.isErr() || !newest || this.heldJobs.has(id)) return;
+    if (items.isErr() || outputs.isErr() || !newest || this.heldJobs.has(key)) return;
     const holder = [identity.name, identity.incarnation] as const;
     const held = new HeldJob(newest, policy, items.value, { jobs, progress, journal, holder });
     if (!held.isHeld) return;
@@ -166,7 +173,7 @@
       resumed: outputs.value.size,
       ageMs: Math.round(jobs.ageOf(job.record)),
     });
-    this.heldJobs.set(id, held);
+    this.heldJobs.set(key, held);
     this.dependencies.onItemsAvailable();
   }
 
@@ -220,15 +227,16 @@
 
   private async takeOver({ record }: VersionedJob): Promise<void> {
     const { jobs, identity, journal } = this.dependencies;
-    if (this.pendingStoreCalls.has(record.id)) return;
-    this.pendingStoreCalls.add(record.id);
+    const key = createKey(record);
+    if (this.pendingStoreCalls.has(key)) return;
+    this.pendingStoreCalls.add(key);
     // Set before the write, which may be applied even if its response is lost.
-    this.takenOver.add(record.id);
+    this.takenOver.add(key);
     const changed = await jobs.update(record.account, record.id, (current) => {
       if (!isOpen(current) || !this.hasNoLiveHolder(current.holder)) return undefined;
       return { ...current, holder: [identity.name, identity.incarnation] };
     });
-    this.pendingStoreCalls.delete(record.id);
+    this.pendingStoreCalls.delete(key);
     journal.record('job-taken-over', {
       job: record.id,
       from: record.holder,
@@ -241,8 +249,9 @@
     const { jobs, jobRetentionMs } = this.dependencies;
     const { record } = job;
     if (isOpen(record) || jobs.ageOf(record) < jobRetentionMs) return;
-    if (this.pendingStoreCalls.has(record.id) || !this.isResponsible(record.id, workers)) return;
-    this.pendingStoreCalls.add(record.id);
-    void jobs.remove(job).finally(() => this.pendingStoreCalls.delete(record.id));
+    const key = createKey(record);
+    if (this.pendingStoreCalls.has(key) || !this.isResponsible(record.id, workers)) return;
+    this.pendingStoreCalls.add(key);
+    void jobs.remove(job).finally(() => this.pendingStoreCalls.delete(key));
   }
 }
