Give a job up for its route only once the configuration can tell that it was removed

Cause: a holder that follows the jobs may not know the newest configuration yet, as its poll for it has gone silent. HeldJobs took a route that its configuration lacks for a removed one while the last answered poll was less than 2.5 s old.

Ruled out: a shorter age of the configuration, as a change may always come after the last answered poll.

Fix: the row of a job has the version of the configuration with which it was accepted. A host with an older one waits.

--- a/packages/serving/src/batch/HeldJobs.ts
+++ b/packages/serving/src/batch/HeldJobs.ts
@@ -103,12 +103,14 @@
     return this.heldJobs.size === 0;
   }
 
-  /** Returns the policy of a route, or nothing while it is unknown whether the route still exists. */
-  private policyOf(route: string): JobPolicy | undefined {
+  /** Returns the policy of a job's route, or nothing while it is unknown whether the route still exists. */
+  private policyOf({ route, configuration = 0 }: JobRecord): JobPolicy | undefined {
     const { view } = this.dependencies;
-    return (
-      view.index?.findRouteByName(route) ?? (view.isCurrent ? REMOVED_ROUTE_POLICY : undefined)
-    );
+    const policy = view.index?.findRouteByName(route);
+    if (policy || !view.index) return policy;
+    // An older version than the one with which the job was accepted may lack the route, as it was added since.
+    const isKnownVersion = view.index.configuration.version >= configuration;
+    return isKnownVersion && view.isCurrent ? REMOVED_ROUTE_POLICY : undefined;
   }
 
   private isThisProcess(holder: readonly [string, number] | null): boolean {
@@ -140,9 +142,9 @@
 
   private async openJob(job: VersionedJob): Promise<void> {
     const { jobs, progress, identity, journal } = this.dependencies;
-    const { id, route: routeName, account } = job.record;
+    const { id, account } = job.record;
     const key = createKey(job.record);
-    const policy = this.policyOf(routeName);
+    const policy = this.policyOf(job.record);
     if (this.pendingStoreCalls.has(key) || !policy) return;
     this.pendingStoreCalls.add(key);
     if (this.stopping) {
@@ -195,7 +197,7 @@
     });
     this.heldJobs.forEach((job) => {
       job.saveProgress();
-      const policy = this.policyOf(job.record.route) ?? job.policy;
+      const policy = this.policyOf(job.record) ?? job.policy;
       if (jobs.ageOf(job.record) >= policy.retentionMs) this.dependencies.onExpired(job);
     });
     this.dependencies.onItemsAvailable();
--- a/packages/serving/src/batch/JobAcceptance.ts
+++ b/packages/serving/src/batch/JobAcceptance.ts
@@ -25,6 +25,8 @@
   readonly id: string;
   readonly account: string;
   readonly route: string;
+  /** Version of the configuration that has the route. */
+  readonly configuration: number;
   readonly host: string;
   readonly items: JobInput;
   /** Maximum tokens that the account may have waiting on the route; 0 means no limit. */
@@ -108,7 +110,7 @@
     signal: AbortSignal,
   ): Promise<Result<void, Refusal>> {
     const { store, jobCache, inputs } = this.dependencies;
-    const { id, account, route, host, items } = submission;
+    const { id, account, route, configuration, host, items } = submission;
     if (jobCache.find(account, id)) return ok(undefined);
     const submittedAt = store.now();
     if (submittedAt === undefined || signal.aborted) return err(refuseUnavailable());
@@ -118,6 +120,7 @@
       id,
       account,
       route,
+      configuration,
       host,
       submittedAt,
       items: items.map((item) => [item.id, item.tokens]),
--- a/packages/serving/src/batch/JobRecord.ts
+++ b/packages/serving/src/batch/JobRecord.ts
@@ -13,6 +13,8 @@
   account: z.string(),
   /** Name of the route at which the job was submitted. */
   route: z.string(),
+  /** Version of the configuration that has the route; absent in jobs that earlier versions of the host have accepted. */
+  configuration: z.number().optional(),
   /** Value of the `Host` header of its items. */
   host: z.string(),
   /** Time of acceptance by the store's clock, as the clocks of hosts may be stepped. Unit: ms. */
--- a/packages/serving/test/features/jobs.feature
+++ b/packages/serving/test/features/jobs.feature
@@ -78,6 +78,19 @@
     Then "h-1" reads events 1 to 45 as the result of item 1
     And the store holds no saved output of unfinished items
 
+  # Guards against a job of an added route that is given up by a host which has heard of the job, and not yet of the route.
+  Scenario Outline: A job is given up only by a host that can tell that its route was removed
+    Given hosts "h-1" and "h-2" with a store
+    When job "j-1" with 3 items is submitted to "h-1"
+    And "h-1", whose configuration <version> lacks the route, looks for jobs
+    Then it <outcome>
+
+    Examples:
+      | version | outcome          |
+      | 1       | keeps the job    |
+      | 2       | gives the job up |
+      | 3       | gives the job up |
+
   Scenario: A host that stops while the store is unavailable stores its results once the store has recovered
     Given hosts "h-1" and "h-2" with a store
     When job "j-1" with 3 items is submitted to "h-1"
--- a/packages/serving/test/steps/jobInputs.steps.ts
+++ b/packages/serving/test/steps/jobInputs.steps.ts
@@ -62,6 +62,7 @@
   route: 'r',
   host: 'x.example',
   items,
+  configuration: 1,
   waitingTokens: 0,
 });
 
--- a/packages/serving/test/steps/jobs.steps.ts
+++ b/packages/serving/test/steps/jobs.steps.ts
@@ -1,9 +1,10 @@
 import assert from 'node:assert/strict';
-import { setImmediate } from 'node:timers/promises';
+import { setImmediate, setTimeout as sleep } from 'node:timers/promises';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { MemoryObjects } from '@jacinthlug/batch/testing/MemoryObjects';
 import { silentJournal } from '@jacinthlug/catalog/Journal';
 import type { Refusal } from '@jacinthlug/catalog/resultCodes';
+import { HeldJobs, type HeldJobsDependencies } from '@jacinthlug/serving/batch/HeldJobs';
 import { HeldJob } from '@jacinthlug/serving/batch/HeldJob';
 import type { AttemptOutcome } from '@jacinthlug/serving/online/runAttempt';
 import type { ItemState } from '@jacinthlug/serving/batch/JobRecord';
@@ -11,6 +12,7 @@
 import { JobCache } from '@jacinthlug/serving/batch/JobCache';
 import { jobKey, JOBS_TABLE, PROGRESS_TABLE } from '@jacinthlug/serving/batch/jobKeys';
 import { JobStore } from '@jacinthlug/serving/batch/JobStore';
+import { ConfigurationView } from '@jacinthlug/serving/configuration/ConfigurationView';
 import { ProgressStore } from '@jacinthlug/serving/batch/ProgressStore';
 import { ok, type Result } from 'neverthrow';
 import { MemoryRecordStore } from '../fakes/MemoryRecordStore.js';
@@ -34,6 +36,8 @@
   responses: Result<void, Refusal>[];
   job: string;
   held: HeldJob | undefined;
+  /** Number of times that a host has given the job up. */
+  givenUpCount: number;
 }
 
 /** Time limit for a host to stop. Unit: ms. */
@@ -41,6 +45,9 @@
 
 const ACCOUNT = 'fitters';
 
+/** Version of the configuration with which jobs are accepted. */
+const ACCEPTING_CONFIGURATION = 2;
+
 const createItem = (index: number) => ({
   id: `item-${index}`,
   path: '/x/',
@@ -81,6 +88,7 @@
       route: 'r',
       host: 'x.example',
       items: Array.from({ length: items }, (_, index) => createItem(index)),
+      configuration: ACCEPTING_CONFIGURATION,
       waitingTokens: world.limit,
     },
     [host, 1],
@@ -304,6 +312,54 @@
   },
 );
 
+/** Time in which a host looks for jobs several times. Unit: ms. */
+const SCANNING_TIME_MS = 1700;
+
+When(
+  /^"([^"]+)", whose configuration (\d+) lacks the route, looks for jobs$/,
+  async function (this: JobsWorld, host: string, version: string) {
+    const { jobCache, jobs, progress } = this.hosts.get(host)!;
+    const journal = silentJournal;
+    const view = new ConfigurationView(journal);
+    view.follower = { age: 0 };
+    view.apply({
+      version: Number(version),
+      routes: [],
+      accounts: [],
+      services: [],
+      limits: { headerBytes: 0, bodyBytes: 0, headerTimeoutMs: 0, idleTimeoutMs: 0 },
+    });
+    this.givenUpCount = 0;
+    const heldJobs = new HeldJobs({
+      identity: { name: host, failureDomain: 'a', incarnation: 1, address: '', port: 1, cores: 1 },
+      view,
+      members: { listWorkers: () => [host] } as unknown as HeldJobsDependencies['members'],
+      jobCache,
+      jobs,
+      progress,
+      journal,
+      jobRetentionMs: 60_000,
+      timeSinceStoreContact: () => 0,
+      timeSinceStoreRecovery: () => Number.POSITIVE_INFINITY,
+      onItemsAvailable: () => undefined,
+      onExpired: () => {
+        this.givenUpCount += 1;
+      },
+    });
+    heldJobs.start();
+    await sleep(SCANNING_TIME_MS);
+    await heldJobs.stop(performance.now());
+  },
+);
+
+Then('it keeps the job', function (this: JobsWorld) {
+  assert.equal(this.givenUpCount, 0);
+});
+
+Then('it gives the job up', function (this: JobsWorld) {
+  assert.ok(this.givenUpCount > 0);
+});
+
 When('the store delays the next commit', function (this: JobsWorld) {
   this.store.faults.push('late');
 });
