--- a/packages/serving/test/features/connections.feature
+++ b/packages/serving/test/features/connections.feature
@@ -16,6 +16,18 @@
       | 1.2.3.4:80:90   |
       |                 |
 
+  # Guards against requests that one host passes on and another one rejects, as the parser of Node.js differs by processor.
+  Scenario Outline: The head of a request for "<target>" is <verdict>
+    Then the head of a request for "<target>" is <verdict>
+
+    Examples:
+      | target       | verdict |
+      | /query/a?b=c | valid   |
+      | /query/%C3   | valid   |
+      | /query/é     | invalid |
+      | /query/a b   | invalid |
+      | /query/\u007f | invalid |
+
   # Guards against a target that sends faster than its response is processed, until the bytes read ahead fill the memory.
   Scenario Outline: A connection reads little ahead of a response in chunks of <size> bytes, <pace>
     When a target sends a response of 2,000,000 bytes in chunks of <size> bytes, <pace>
--- a/packages/serving/test/steps/connections.steps.ts
+++ b/packages/serving/test/steps/connections.steps.ts
@@ -3,6 +3,7 @@
 import { once } from 'node:events';
 import { createServer, type AddressInfo, type Socket } from 'node:net';
 import { After, Then, When } from '@cucumber/cucumber';
+import { hasValidHead } from '@jacinthlug/serving/http/hasValidHead';
 import { TargetClient } from '@jacinthlug/serving/http/TargetClient';
 import {
   isTargetFault,
@@ -94,6 +95,15 @@
   },
 );
 
+Then(
+  /^the head of a request for "([^"]+)" is (valid|invalid)$/,
+  (target: string, verdict: string) => {
+    const url = JSON.parse(`"${target}"`) as string;
+    const isValid = hasValidHead({ url, rawHeaders: ['Host', 'x.example'], httpVersion: '1.1' });
+    assert.equal(isValid, verdict === 'valid');
+  },
+);
+
 /** Sends a response in chunks as fast as the connection takes them. */
 const sendChunks = (socket: Socket, bytes: number, chunkBytes: number): void => {
   const chunk = `${chunkBytes.toString(16)}\r\n${'x'.repeat(chunkBytes)}\r\n`;
