Start the size limit of a response at the bytes that its connection has carried before

Callers would see: 503 for a request whose target is sound, after each 16 KiB of responses on one connection.

Cause: an exchange began with a limit for a connection without earlier bytes until the client started the request, and the limit is checked at each read since.

Ruled out: the load of the machine, as the refusal names its cause.

Fix: the limit is created with the bytes that the connection has carried.

--- a/packages/serving/src/http/TargetExchange.ts
+++ b/packages/serving/src/http/TargetExchange.ts
@@ -45,7 +45,7 @@
 export class TargetExchange implements Dispatcher.DispatchHandler, TargetCall {
   private controller: Dispatcher.DispatchController | undefined;
 
-  private sizeLimit = new ResponseSizeLimit(0);
+  private sizeLimit: ResponseSizeLimit;
 
   private isEnded = false;
 
@@ -81,7 +81,10 @@
   constructor(
     private readonly connection: ExchangeConnection,
     private listener: ResponseListener | undefined,
-  ) {}
+  ) {
+    // The client may read from the connection before it starts the request.
+    this.sizeLimit = new ResponseSizeLimit(connection.bytesTaken);
+  }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
--- a/packages/serving/test/features/connections.feature
+++ b/packages/serving/test/features/connections.feature
@@ -28,6 +28,12 @@
       | /query/a b   | invalid |
       | /query/\u007f | invalid |
 
+  # Guards against requests that fail as the bytes of earlier responses on their connection count for them.
+  Scenario: A connection carries many responses
+    When 200 requests are sent to a target one after another, with responses of 1000 bytes
+    Then all of them get their responses
+    And the target has seen 1 connection
+
   # Guards against a target that sends faster than its response is processed, until the bytes read ahead fill the memory.
   Scenario Outline: A connection reads little ahead of a response in chunks of <size> bytes, <pace>
     When a target sends a response of 2,000,000 bytes in chunks of <size> bytes, <pace>
--- a/packages/serving/test/steps/connections.steps.ts
+++ b/packages/serving/test/steps/connections.steps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { subscribe, unsubscribe } from 'node:diagnostics_channel';
 import { once } from 'node:events';
+import { createServer as createHttpServer } from 'node:http';
 import { createServer, type AddressInfo, type Socket } from 'node:net';
 import { After, Then, When } from '@cucumber/cucumber';
 import { hasValidHead } from '@jacinthlug/serving/http/hasValidHead';
@@ -15,6 +16,10 @@
 interface ConnectionWorld {
   client: TargetClient | undefined;
   outcome: AttemptOutcome;
+  /** Messages of failed requests. */
+  failures: string[];
+  /** Number of connections to the target. */
+  connectionCount: number;
   receivedBytes: number;
   /** Largest number of bytes that were read from the connection and not passed on. Unit: bytes. */
   maxReadAhead: number;
@@ -104,6 +109,53 @@
   },
 );
 
+When(
+  /^(\d+) requests are sent to a target one after another, with responses of (\d+) bytes$/,
+  async function (this: ConnectionWorld, count: string, bytes: string) {
+    this.connectionCount = 0;
+    const target = createHttpServer((message, response) => {
+      message.resume();
+      response.end('x'.repeat(Number(bytes)));
+    }).listen(0, '127.0.0.1');
+    target.on('connection', () => {
+      this.connectionCount += 1;
+    });
+    await once(target, 'listening');
+    const { port } = target.address() as AddressInfo;
+    const client = new TargetClient();
+    this.client = client;
+    this.failures = [];
+    const sendNext = (id: string): Promise<void> =>
+      new Promise((resolve) => {
+        client.send(
+          createTarget(`127.0.0.1:${port}`),
+          { ...plainRequest, id },
+          {
+            sent: () => undefined,
+            head: () => undefined,
+            data: () => undefined,
+            // The connection is idle only after this call.
+            end: () => setImmediate(resolve),
+            fail: (error) => {
+              this.failures.push(error.message);
+              resolve();
+            },
+          },
+        );
+      });
+    for (let request = 0; request < Number(count); request += 1) await sendNext(`r-${request}`);
+    target.close();
+  },
+);
+
+Then('all of them get their responses', function (this: ConnectionWorld) {
+  assert.deepEqual(this.failures, []);
+});
+
+Then('the target has seen {int} connection', function (this: ConnectionWorld, count: number) {
+  assert.equal(this.connectionCount, count);
+});
+
 /** Sends a response in chunks as fast as the connection takes them. */
 const sendChunks = (socket: Socket, bytes: number, chunkBytes: number): void => {
   const chunk = `${chunkBytes.toString(16)}\r\n${'x'.repeat(chunkBytes)}\r\n`;
