Reject responses whose status HTTP doesn't have

A status over 599 was passed on to callers. One below 100 reached the HTTP client's own assertion: as the bundle has only a few long lines, Node.js parses it for seconds to format the message of the failed assertion, the process stands still, and callers get no response by their deadline. Unbundled, the same response gave 502 at once, so the earlier tests didn't show it.

Ruled out: the parser of the client (it rejects statuses with fewer or more than three digits and signs), waiting for the end of the body, reads of a kept connection.

Such a response is now an invalid one: the connection is closed, the target counts as failing, and a request or item that may run again does so elsewhere. The call is aborted within the client, so that its assertion isn't reached.

--- a/packages/serving/src/http/TargetExchange.ts
+++ b/packages/serving/src/http/TargetExchange.ts
@@ -21,6 +21,9 @@
 /** Lowest status of a final response; lower ones are informational. */
 const FIRST_FINAL_STATUS = 200;
 
+/** Statuses that HTTP defines, see RFC 9110, section 15. */
+const STATUS_RANGE = { min: 100, max: 599 } as const;
+
 /** Statuses of responses that have no body, whatever their heads state. */
 export const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 
@@ -93,10 +96,18 @@
   }
 
   onResponseStart(
-    _: Dispatcher.DispatchController,
+    controller: Dispatcher.DispatchController,
     status: number,
     headers: ResponseHeaders,
   ): void {
+    if (status < STATUS_RANGE.min || status > STATUS_RANGE.max) {
+      const error = new Error(`invalid status ${status}`);
+      this.fail(error);
+      // Otherwise the client asserts the lower bound at the end of the response. For the message of a failed assertion,
+      // Node.js parses the source file, which blocks the event loop for seconds in a bundled program.
+      controller.abort(error);
+      return;
+    }
     if (status < FIRST_FINAL_STATUS) {
       this.sizeLimit.recordInformationalHead();
       this.checkSizeLimit();
