Treat a response whose request was not sent in whole as incomplete

A target may respond while the body of the request is still being written. If the response has no length and its connection ends regularly, callers got a part of it as a complete 200. As long as a part of the body waits in this process, the target can't have read it, and the response counts as broken off.

Ruled out: resets in place of the end, and responses with a length or in chunks (200 KB to 4 MB, streaming, idempotent and non-idempotent routes, items), which were right before. Whole responses that come early by their length or chunks stay served; the rest of the body still follows in order on that connection, as repeatedResponses.feature requires.

The agent and the entry host reject statuses that HTTP doesn't have, too.

--- a/packages/agent/src/core/target/TargetClient.ts
+++ b/packages/agent/src/core/target/TargetClient.ts
@@ -2,6 +2,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Readable } from 'node:stream';
 import type { Journal } from '@jacinthlug/catalog/Journal';
+import { isHttpStatus } from '@jacinthlug/protocol/httpStatus';
 import { err, ok, type Result } from 'neverthrow';
 import type { Dispatcher } from 'undici';
 import type { TargetFailure } from '../TargetAccess.js';
@@ -84,6 +85,10 @@
         signal: call.signal,
       });
       const { statusCode: status, headers, body } = response;
+      if (!isHttpStatus(status)) {
+        body.on('error', () => undefined).destroy();
+        return err({ kind: 'failed', message: `invalid status ${status}` });
+      }
       return this.checkRequestId(call, { status, headers, body });
     } catch (fault) {
       return err(await this.classifyError(fault, call));
--- a/packages/agent/test/features/answers.feature
+++ b/packages/agent/test/features/answers.feature
@@ -27,6 +27,17 @@
     Then "crossed" is refused with "target-failed" as "outcome unknown"
     And the response to "crossed" contains no output
 
+  # Guards against a status that HTTP doesn't have and that is passed on to the caller.
+  Scenario Outline: A response with status <status> is a failure of its target
+    When a target responds with status <status>
+    Then the request has failed
+
+    Examples:
+      | status |
+      | 0      |
+      | 600    |
+      | 999    |
+
   Scenario: A non-repeatable request is not sent a second time
     Given the target has the faults '{"loseAnswers": 1}'
     When "order" is forwarded as a non-repeatable request
--- a/packages/entry/src/core/forwarding/readResponse.ts
+++ b/packages/entry/src/core/forwarding/readResponse.ts
@@ -2,6 +2,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import { resultCodes, type ResultName } from '@jacinthlug/catalog/resultCodes';
 import { innerHeaders } from '@jacinthlug/protocol/headers';
+import { isHttpStatus } from '@jacinthlug/protocol/httpStatus';
 import { targetLoadReport, type TargetLoadReport } from '@jacinthlug/protocol/messages';
 import type { Dispatcher } from 'undici';
 import * as z from 'zod';
@@ -178,6 +179,10 @@
     const other = getHeader(headers, innerHeaders.request) ?? 'none';
     return { kind: 'mismatched', message: `response to request ${other}` };
   }
+  if (!isHttpStatus(response.statusCode)) {
+    body.on('error', () => undefined).destroy();
+    return { kind: 'cut', message: `invalid status ${response.statusCode}` };
+  }
   const report = readLoadReport(headers);
   if (report) options.onLoadReport(report);
   if (!isDelimited(response)) {
--- a/packages/entry/test/fakes/FakeAgent.ts
+++ b/packages/entry/test/fakes/FakeAgent.ts
@@ -107,6 +107,15 @@
     });
     response.end('{"secret of":"another"}');
   },
+  'answers with status 999': (agent, received, response) => {
+    agent.countRun(received);
+    response.writeHead(999, createHeaders(agent, received));
+    response.end('{"ran":true}');
+  },
+  'answers with status 000': (agent, received, response) => {
+    agent.countRun(received);
+    response.socket!.write('HTTP/1.1 000 None\r\ncontent-length: 2\r\n\r\n{}');
+  },
   'holds its answer': (agent, received, response) => {
     agent.heldResponses.push(() => sendCompleteResponse(agent, received, response));
   },
--- a/packages/entry/test/features/forwarding.feature
+++ b/packages/entry/test/features/forwarding.feature
@@ -34,6 +34,8 @@
       | cuts a whole answer                        |
       | drops the connection                       |
       | answers with the answer of another request |
+      | answers with status 000                    |
+      | answers with status 999                    |
       | refuses with "target-failed"               |
 
   Scenario Outline: A failed attempt is not retried if the request may run only once
@@ -47,6 +49,8 @@
       | cuts a whole answer                        | target-failed  |
       | drops the connection                       | target-failed  |
       | answers with the answer of another request | target-failed  |
+      | answers with status 000                    | target-failed  |
+      | answers with status 999                    | target-failed  |
       | refuses with "target-crashed"              | target-crashed |
 
   Scenario: The answer of another request is discarded even if no other target answers
--- a/packages/serving/src/http/TargetConnection.ts
+++ b/packages/serving/src/http/TargetConnection.ts
@@ -32,6 +32,11 @@
 const createResetError = (): Error =>
   Object.assign(new Error('connection reset by the target'), { code: 'ECONNRESET' });
 
+const createUnreadError = (): Error =>
+  Object.assign(new Error('connection ended by the target before the request was sent'), {
+    code: 'EPIPE',
+  });
+
 const openConnection = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
 
 /** Callbacks of a connection. */
@@ -155,6 +160,8 @@
     socket.on('end', () => {
       // A reset that arrives together with data is reported as a regular end, but leaves the socket without a peer.
       if (socket.remoteAddress === undefined) this.socketError = createResetError();
+      // A response that only this end delimits isn't complete while its target can't have read the request.
+      else if (socket.writableLength > 0) this.socketError = createUnreadError();
       this.exchange?.handleConnectionEnd();
     });
     const read = socket.read.bind(socket);
--- a/packages/serving/src/http/TargetExchange.ts
+++ b/packages/serving/src/http/TargetExchange.ts
@@ -1,4 +1,5 @@
 /** One request on a connection to a target, and its response. */
+import { isHttpStatus } from '@jacinthlug/protocol/httpStatus';
 import type { Dispatcher } from 'undici';
 import { ResponseSizeLimit } from './ResponseSizeLimit.js';
 import type { ResponseHeaders } from './Dialect.js';
@@ -21,9 +22,6 @@
 /** Lowest status of a final response; lower ones are informational. */
 const FIRST_FINAL_STATUS = 200;
 
-/** Statuses that HTTP defines, see RFC 9110, section 15. */
-const STATUS_RANGE = { min: 100, max: 599 } as const;
-
 /** Statuses of responses that have no body, whatever their heads state. */
 export const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 
@@ -100,7 +98,7 @@
     status: number,
     headers: ResponseHeaders,
   ): void {
-    if (status < STATUS_RANGE.min || status > STATUS_RANGE.max) {
+    if (!isHttpStatus(status)) {
       const error = new Error(`invalid status ${status}`);
       this.fail(error);
       // Otherwise the client asserts the lower bound at the end of the response. For the message of a failed assertion,
