--- a/packages/serving/src/http/TargetExchange.ts
+++ b/packages/serving/src/http/TargetExchange.ts
@@ -1,4 +1,5 @@
 /** One request on a connection to a target, and its response. */
+import { isHttpStatus } from '@jacinthlug/protocol/httpStatus';
 import type { Dispatcher } from 'undici';
 import { ResponseSizeLimit } from './ResponseSizeLimit.js';
 import type { ResponseHeaders } from './Dialect.js';
@@ -93,10 +94,18 @@
   }
 
   onResponseStart(
-    _: Dispatcher.DispatchController,
+    controller: Dispatcher.DispatchController,
     status: number,
     headers: ResponseHeaders,
   ): void {
+    if (!isHttpStatus(status)) {
+      const error = new Error(`invalid status ${status}`);
+      this.fail(error);
+      // Otherwise the client asserts the lower bound at the end of the response. For the message of a failed assertion,
+      // Node.js parses the source file, which blocks the event loop for seconds in a bundled program.
+      controller.abort(error);
+      return;
+    }
     if (status < FIRST_FINAL_STATUS) {
       this.sizeLimit.recordInformationalHead();
       this.checkSizeLimit();
