Evacuate failure domains at the operator's request

Rows evacuate/DOMAIN in the operator's table were ignored, so that hosts went on sending work to the targets there. Hosts now follow them with the configuration. TargetRouter.listAccepting, where every choice of a target starts, leaves out targets in evacuated domains. Requests without a permitted target are refused as not run (1210).

--- a/packages/catalog/src/logEvents.ts
+++ b/packages/catalog/src/logEvents.ts
@@ -429,6 +429,30 @@
     message: 'Versions of open streams could not be saved; the write is retried',
     hint: 'Check the row store. If all hosts restart now, callers can not take up these streams again.',
   },
+  'evacuation-begun': {
+    number: 840,
+    severity: 'warn',
+    message: 'Failure domain is evacuated; its targets get no new work',
+    hint: 'Nothing to do; the field targets counts the targets there. Running requests and items continue.',
+  },
+  'evacuation-ended': {
+    number: 841,
+    severity: 'info',
+    message: 'Evacuation of a failure domain has ended; its targets get work again',
+    hint: 'Nothing to do.',
+  },
+  'evacuation-unknown-domain': {
+    number: 842,
+    severity: 'warn',
+    message: 'No target is in the evacuated failure domain',
+    hint: 'Compare the name with the field known, which lists the failure domains of all targets.',
+  },
+  'evacuation-unreadable': {
+    number: 843,
+    severity: 'error',
+    message: 'Row of an evacuation names no failure domain',
+    hint: 'Write the row again; its key ends with the name of the failure domain.',
+  },
 });
 
 /** Name of a log event. */
--- a/packages/catalog/src/resultCodes.ts
+++ b/packages/catalog/src/resultCodes.ts
@@ -145,6 +145,16 @@
     retryAfterSeconds: 2,
   },
   // 1200: targets.
+  'no-permitted-target': {
+    number: 1210,
+    title: 'No permitted target',
+    message:
+      'Every target of the service is in an evacuated failure domain, or outside the regions where the request may run.',
+    hint: 'Retry after the time given. Ask the operator whether failure domains are evacuated.',
+    status: 503,
+    run: 'not run',
+    retryAfterSeconds: 1,
+  },
   'no-target': {
     number: 1201,
     title: 'No target',
--- a/packages/serving/src/online/requestOutcomes.ts
+++ b/packages/serving/src/online/requestOutcomes.ts
@@ -82,6 +82,7 @@
 const refusalsWithoutTarget = {
   full: () => refuse('overloaded', { retryAfterSeconds: drawRetrySeconds() }),
   none: () => refuse('no-target', { retryAfterSeconds: NO_TARGET_RETRY_SECONDS }),
+  forbidden: () => refuse('no-permitted-target'),
 };
 
 /**
--- a/packages/serving/src/routing/TargetRouter.ts
+++ b/packages/serving/src/routing/TargetRouter.ts
@@ -1,6 +1,7 @@
 /** Chooses targets from the load, health and registration data of this host. */
 import type { WeightedService } from '../configuration/ServingConfiguration.js';
 import type { DrainingTargets } from '../fleet/DrainingTargets.js';
+import type { Evacuations } from '../fleet/Evacuations.js';
 import type { HostIdentity } from '../fleet/HostIdentity.js';
 import type { Target } from '../fleet/Target.js';
 import type { TargetList } from '../fleet/TargetList.js';
@@ -23,6 +24,7 @@
   readonly identity: HostIdentity;
   readonly targets: TargetList;
   readonly drainingTargets: DrainingTargets;
+  readonly evacuations: Pick<Evacuations, 'includes'>;
   readonly loadTable: LoadTable;
   readonly health: TargetHealth;
 }
@@ -76,7 +78,10 @@
     const candidates = this.listCandidates(service, version);
     const isContinuation = version !== undefined;
     const { random } = Math;
-    return chooseTarget({ candidates, failureDomain, excluded, isContinuation, random });
+    const choice = chooseTarget({ candidates, failureDomain, excluded, isContinuation, random });
+    return choice.kind === 'none' && this.isOnlyForbidden(service, version)
+      ? { ...choice, kind: 'forbidden' }
+      : choice;
   }
 
   /**
@@ -183,12 +188,30 @@
     return this.listAccepting(service).some((target) => target.version === version);
   }
 
-  /** Lists the targets that accept new requests, whatever their load and health. */
+  /**
+   * Lists the targets that accept new requests, whatever their load and health. Every choice of a target starts here, so
+   * that nothing is sent to a target that isn't listed.
+   */
   private listAccepting(service: string): Target[] {
+    const { evacuations } = this.dependencies;
+    return this.listServing(service).filter((target) => !evacuations.includes(target));
+  }
+
+  /** Lists the targets that would accept new requests if none were forbidden. */
+  private listServing(service: string): Target[] {
     const { targets, drainingTargets } = this.dependencies;
     return targets.listReady(service).filter((target) => !drainingTargets.includes(target));
   }
 
+  /** Checks whether a request has no target only because all of them are forbidden to it. */
+  private isOnlyForbidden(service: string, version: string | undefined): boolean {
+    const hasVersion = (target: Target): boolean =>
+      version === undefined || target.version === version;
+    return (
+      !this.listAccepting(service).some(hasVersion) && this.listServing(service).some(hasVersion)
+    );
+  }
+
   private listCandidates(service: string, version: string | undefined): Candidate[] {
     const { loadTable, health } = this.dependencies;
     const ready = this.listAccepting(service).filter(
--- a/packages/serving/src/routing/chooseTarget.ts
+++ b/packages/serving/src/routing/chooseTarget.ts
@@ -63,7 +63,9 @@
   /** All slots and queues are taken by online requests. */
   | { readonly kind: 'full'; readonly counts: CandidateCounts }
   /** The service has no targets, or all of them are excluded. */
-  | { readonly kind: 'none'; readonly counts: CandidateCounts };
+  | { readonly kind: 'none'; readonly counts: CandidateCounts }
+  /** The service has targets, but the request may be sent to none of them. */
+  | { readonly kind: 'forbidden'; readonly counts: CandidateCounts };
 
 /** Classes of targets by available capacity, in order of preference. */
 const RANKS = {
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -13,6 +13,7 @@
 import { BLOCKED_CONTENT_TABLE, BlockedContent } from '../crashes/BlockedContent.js';
 import { CrashGuard } from '../crashes/CrashGuard.js';
 import { DrainingTargets } from '../fleet/DrainingTargets.js';
+import { Evacuations } from '../fleet/Evacuations.js';
 import type { HostIdentity } from '../fleet/HostIdentity.js';
 import { LoadExchange } from '../fleet/LoadExchange.js';
 import { Members, MEMBERS_TABLE } from '../fleet/Members.js';
@@ -60,6 +61,9 @@
 /** Maximum age of the configuration at which a host reports that it is ready. Unit: ms. */
 const MAX_READY_AGE_MS = 3000;
 
+/** Content of the key of a row. */
+export type EvacuationKey = { readonly failureDomain: string } | 'unreadable' | undefined;
+
 /** Tables of the deployment that are written by other processes. */
 export interface ExternalTables {
   /** Partition of the rows of both tables. Rows of other partitions may have the same keys, and are ignored. */
@@ -67,6 +71,12 @@
   readonly configurationTable: string;
   /** Decodes the row of the configuration; undefined for other or invalid rows. */
   readonly decodeConfiguration: (record: StoredRecord) => ServingConfiguration | undefined;
+  /**
+   * Decodes the key of a row of the configuration's table that requests an evacuation.
+   *
+   * @returns the name of the failure domain; 'unreadable' if the key has no valid one; undefined for keys of other rows
+   */
+  readonly decodeEvacuation: (key: string) => EvacuationKey;
   readonly targetsTable: string;
   /** Decodes the row of a target; undefined for invalid rows. */
   readonly decodeTarget: (record: StoredRecord) => Target | undefined;
@@ -126,20 +136,38 @@
     ),
 });
 
-/** Creates a listener that applies decoded configuration rows to the view. */
+/** Creates a listener that applies decoded configuration rows to the view, and the operator's evacuations. */
 const createConfigurationListener = (
   view: ConfigurationView,
+  evacuations: Evacuations,
   tables: ExternalTables,
+  journal: Journal,
 ): TableListener => {
   const applyRecord = (record: StoredRecord): void => {
     const configuration = tables.decodeConfiguration(record);
     if (configuration) view.apply(configuration);
   };
+  const findEvacuated = (key: string): string | undefined => {
+    const decoded = tables.decodeEvacuation(key);
+    if (decoded !== 'unreadable') return decoded?.failureDomain;
+    journal.record('evacuation-unreadable', { table: tables.configurationTable, key });
+    return undefined;
+  };
   return selectPartition(tables.partition, {
-    replace: (records) => records.forEach(applyRecord),
+    replace: (records) => {
+      // Before the configuration, as requests are served from then on.
+      evacuations.replace(
+        records.map(({ key }) => findEvacuated(key)).filter((domain) => domain !== undefined),
+      );
+      records.forEach(applyRecord);
+    },
     apply: (changes) =>
       changes.forEach((change) => {
-        if (change.kind === 'written') applyRecord(change.record);
+        const { key } = change.kind === 'written' ? change.record : change.key;
+        const evacuated = findEvacuated(key);
+        if (evacuated !== undefined && change.kind === 'written') evacuations.begin(evacuated);
+        else if (evacuated !== undefined) evacuations.end(evacuated);
+        else if (change.kind === 'written') applyRecord(change.record);
       }),
   });
 };
@@ -187,6 +215,7 @@
   const shutdown = new Shutdown();
   const targets = new TargetList(journal);
   const drainingTargets = new DrainingTargets(journal);
+  const evacuations = new Evacuations({ targets, journal });
   const loadTable = new LoadTable();
   const blockedContent = new BlockedContent({ store, journal });
   const crashGuard = new CrashGuard({ blockedContent, journal });
@@ -197,6 +226,7 @@
     identity,
     targets,
     drainingTargets,
+    evacuations,
     loadTable,
     health,
   });
@@ -226,7 +256,7 @@
   const followerDependencies = { store, journal, contact: storeContact };
   const configurationFollower = new TableFollower(
     { table: tables.configurationTable, holdMs: URGENT_POLL_TIMEOUT_MS, intervalMs: 0 },
-    createConfigurationListener(view, tables),
+    createConfigurationListener(view, evacuations, tables, journal),
     followerDependencies,
   );
   view.follower = configurationFollower;
@@ -329,6 +359,7 @@
   });
   targets.onChange(() => versionHistory.update(targets.list()));
   drainingTargets.onAdded(() => exchange.scheduleReport());
+  evacuations.onEnd(() => worker.queueScheduling());
   crashGuard.onEvidence(() => exchange.scheduleReport());
   // Callers may take a stream up elsewhere right after its first event. While only one version serves, it has begun every stream.
   streamVersions.onChange(() => {
--- a/packages/serving/test/steps/drainingTargets.steps.ts
+++ b/packages/serving/test/steps/drainingTargets.steps.ts
@@ -30,6 +30,7 @@
       identity: { name: 'h-1', failureDomain: 'a', incarnation: 1, address: '', port: 1, cores: 1 },
       targets: this.list,
       drainingTargets: this.drainingTargets,
+      evacuations: { includes: () => false },
       loadTable: new LoadTable(),
       health: new TargetHealth(silentJournal),
     });
--- a/packages/serving/test/steps/placement.steps.ts
+++ b/packages/serving/test/steps/placement.steps.ts
@@ -49,6 +49,7 @@
     identity: { name: 'h-1', failureDomain: 'a', incarnation: 1, address: '', port: 1, cores: 1 },
     targets,
     drainingTargets,
+    evacuations: { includes: () => false },
     loadTable,
     health,
   });
