Limit the requests of all hosts to cold targets

A target that has just started tolerates few requests (cold_per_s of its service), and nothing bounded what the hosts sent together. Warm targets are preferred while they have a free slot. Services without cold_per_s are served as before.

--- a/packages/catalog/src/counterNames.ts
+++ b/packages/catalog/src/counterNames.ts
@@ -27,6 +27,12 @@
   },
   'configuration.polls': { description: 'Configuration polls by source', tags: ['source'] },
   'shares.requests': { description: 'Share requests by outcome', tags: ['outcome'] },
+  'cold.sent': { description: 'Requests and items sent to cold targets', tags: [] },
+  'cold.deferred': {
+    description:
+      'Requests not sent, as only cold targets have room and this host has no share left',
+    tags: [],
+  },
   'orders.sent': { description: 'Orders sent to targets by outcome', tags: ['outcome'] },
 });
 
--- a/packages/catalog/src/logEvents.ts
+++ b/packages/catalog/src/logEvents.ts
@@ -453,6 +453,12 @@
     message: 'Row of an evacuation names no failure domain',
     hint: 'Write the row again; its key ends with the name of the failure domain.',
   },
+  'target-cold': {
+    number: 844,
+    severity: 'info',
+    message: 'Target is cold; all hosts together send it a limited rate of requests',
+    hint: 'Nothing to do; source tells whether it has started, its registration says so, or its evacuation has ended.',
+  },
 });
 
 /** Name of a log event. */
--- a/packages/serving/src/batch/BatchWorker.ts
+++ b/packages/serving/src/batch/BatchWorker.ts
@@ -336,6 +336,7 @@
     const eventsBefore = task.response.resumableEventCount;
     Object.assign(task, { run: { target, controller, startedAt } });
     const endRequest = loadTable.beginRequest(target.id, 'batch');
+    this.dependencies.router.recordSend(target);
     const attempt = await this.send(job, task, target, controller.signal);
     endRequest();
     const events = task.response.eventCount;
--- a/packages/serving/src/configuration/ServingConfiguration.ts
+++ b/packages/serving/src/configuration/ServingConfiguration.ts
@@ -50,11 +50,21 @@
   readonly priority: number;
 }
 
+/** Requests that a target tolerates after its start. */
+export interface ColdLimit {
+  /** Maximum requests per second over all hosts while it is cold. */
+  readonly rate: number;
+  /** Time for which it is cold after its start. Unit: ms. */
+  readonly startMs: number;
+}
+
 /** A service that targets provide. */
 export interface Service {
   readonly name: string;
   /** Number of requests that one target runs concurrently. */
   readonly slots: number;
+  /** Absent if its targets tolerate any rate after their start. */
+  readonly coldLimit?: ColdLimit | undefined;
 }
 
 /** Limits for callers' requests. */
--- a/packages/serving/src/fleet/Members.ts
+++ b/packages/serving/src/fleet/Members.ts
@@ -224,6 +224,18 @@
     return this.members.get(name)?.failureDomain === this.dependencies.identity.failureDomain;
   }
 
+  /**
+   * Returns the time for which other hosts can have known of this process by its row.
+   *
+   * @param now - monotonic time. Unit: ms
+   * @returns time since this host read its own row; 0 without one. Unit: ms
+   */
+  timeSinceRegistration(now = performance.now()): number {
+    const { name, incarnation } = this.dependencies.identity;
+    if (this.members.get(name)?.incarnation !== incarnation) return 0;
+    return now - (this.rowReads.get(name)?.readAt ?? now);
+  }
+
   /**
    * Returns the share of all rates that this host and the hosts it can reach may use.
    *
--- a/packages/serving/src/fleet/Target.ts
+++ b/packages/serving/src/fleet/Target.ts
@@ -16,4 +16,6 @@
   readonly slots: number;
   /** Only a `ready` target accepts new requests. */
   readonly state: 'ready' | 'draining';
+  /** Monotonic time until which it is cold, according to its registration. Unit: ms. */
+  readonly coldUntil?: number | undefined;
 }
--- a/packages/serving/src/online/RequestAttempts.ts
+++ b/packages/serving/src/online/RequestAttempts.ts
@@ -247,6 +247,7 @@
     const { progress: received } = callerResponse;
     const running: RunningAttempt = { router, request, target, progress, received };
     const endLoad = loadTable.beginRequest(target.id, 'online');
+    router.recordSend(target);
     this.dependencies.onAttemptStart(target);
     const sentAt = performance.now();
     const outcome = await runAttempt({
--- a/packages/serving/src/routing/TargetRouter.ts
+++ b/packages/serving/src/routing/TargetRouter.ts
@@ -1,5 +1,6 @@
 /** Chooses targets from the load, health and registration data of this host. */
 import type { WeightedService } from '../configuration/ServingConfiguration.js';
+import type { ColdTargets } from '../fleet/ColdTargets.js';
 import type { DrainingTargets } from '../fleet/DrainingTargets.js';
 import type { Evacuations } from '../fleet/Evacuations.js';
 import type { HostIdentity } from '../fleet/HostIdentity.js';
@@ -25,6 +26,10 @@
   readonly targets: TargetList;
   readonly drainingTargets: DrainingTargets;
   readonly evacuations: Pick<Evacuations, 'includes'>;
+  readonly coldTargets: Pick<
+    ColdTargets,
+    'isCold' | 'mayReceive' | 'recordSend' | 'recordDeferral'
+  >;
   readonly loadTable: LoadTable;
   readonly health: TargetHealth;
 }
@@ -75,13 +80,15 @@
     version: string | undefined,
   ): TargetChoice {
     const { failureDomain } = this.dependencies.identity;
-    const candidates = this.listCandidates(service, version);
+    const candidates = this.preferWarm(this.listCandidates(service, version), excluded);
     const isContinuation = version !== undefined;
     const { random } = Math;
     const choice = chooseTarget({ candidates, failureDomain, excluded, isContinuation, random });
-    return choice.kind === 'none' && this.isOnlyForbidden(service, version)
-      ? { ...choice, kind: 'forbidden' }
-      : choice;
+    if (choice.kind !== 'none') return choice;
+    if (this.isOnlyForbidden(service, version)) return { ...choice, kind: 'forbidden' };
+    if (!this.hasDeferredTarget(service, excluded, version)) return choice;
+    this.dependencies.coldTargets.recordDeferral();
+    return { ...choice, kind: 'full' };
   }
 
   /**
@@ -99,7 +106,21 @@
   ): Target | undefined {
     const { failureDomain } = this.dependencies.identity;
     const candidates = this.listCandidates(service, version);
-    return chooseBatchTarget({ candidates, failureDomain, allowanceOf, random: Math.random });
+    const warm = candidates.filter(({ target }) => !this.dependencies.coldTargets.isCold(target));
+    const criteria = { failureDomain, allowanceOf, random: Math.random };
+    return (
+      chooseBatchTarget({ candidates: warm, ...criteria }) ??
+      chooseBatchTarget({ candidates, ...criteria })
+    );
+  }
+
+  /**
+   * Counts a request or item that is sent to a target. Called before anything else is sent.
+   *
+   * @param target - the chosen target
+   */
+  recordSend(target: Target): void {
+    this.dependencies.coldTargets.recordSend(target);
   }
 
   /**
@@ -170,8 +191,9 @@
     version: string | undefined,
   ): ReturnTarget | undefined {
     if (left.length === 0) return undefined;
+    const { coldTargets } = this.dependencies;
     const returnable = this.listAccepting(service)
-      .filter(({ id }) => left.includes(id))
+      .filter((target) => left.includes(target.id) && coldTargets.mayReceive(target))
       .filter((target) => version === undefined || target.version === version)
       .map((target) => ({ target, responsive: this.dependencies.health.isResponsive(target.id) }));
     return returnable.find(({ responsive }) => responsive) ?? returnable[0];
@@ -212,10 +234,41 @@
     );
   }
 
+  /** Leaves out cold targets while a warm one that looks healthy has a free slot. */
+  private preferWarm(
+    candidates: readonly Candidate[],
+    excluded: ReadonlySet<string>,
+  ): readonly Candidate[] {
+    const { coldTargets } = this.dependencies;
+    const warm = candidates.filter(({ target }) => !coldTargets.isCold(target));
+    const hasRoom = warm.some(
+      ({ target, load, usable }) =>
+        usable && !excluded.has(target.id) && load.online + load.batch < target.slots,
+    );
+    return hasRoom ? warm : candidates;
+  }
+
+  /** Checks whether a request could be sent to a cold target if this host had not used up its share. */
+  private hasDeferredTarget(
+    service: string,
+    excluded: ReadonlySet<string>,
+    version: string | undefined,
+  ): boolean {
+    const { coldTargets } = this.dependencies;
+    return this.listAccepting(service).some(
+      (target) =>
+        !excluded.has(target.id) &&
+        (version === undefined || target.version === version) &&
+        !coldTargets.mayReceive(target),
+    );
+  }
+
+  /** Lists the targets to which this host may send a request now. */
   private listCandidates(service: string, version: string | undefined): Candidate[] {
-    const { loadTable, health } = this.dependencies;
+    const { loadTable, health, coldTargets } = this.dependencies;
     const ready = this.listAccepting(service).filter(
-      (target) => version === undefined || target.version === version,
+      (target) =>
+        (version === undefined || target.version === version) && coldTargets.mayReceive(target),
     );
     const unreliable = health.findUnreliable(ready.map(({ id }) => id));
     return ready.map((target) => ({
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -12,6 +12,7 @@
 import type { ServingConfiguration } from '../configuration/ServingConfiguration.js';
 import { BLOCKED_CONTENT_TABLE, BlockedContent } from '../crashes/BlockedContent.js';
 import { CrashGuard } from '../crashes/CrashGuard.js';
+import { ColdTargets } from '../fleet/ColdTargets.js';
 import { DrainingTargets } from '../fleet/DrainingTargets.js';
 import { Evacuations } from '../fleet/Evacuations.js';
 import type { HostIdentity } from '../fleet/HostIdentity.js';
@@ -222,11 +223,20 @@
   const health = new TargetHealth(journal);
   const members = new Members({ identity, store, journal });
   const client = new TargetClient();
+  const coldTargets = new ColdTargets({
+    ownName: identity.name,
+    listOthers: () => members.peers.map(({ name }) => name),
+    timeSinceRegistration: () => members.timeSinceRegistration(),
+    findLimit: (service) => view.index?.findService(service)?.coldLimit,
+    journal,
+    metrics,
+  });
   const router = new TargetRouter({
     identity,
     targets,
     drainingTargets,
     evacuations,
+    coldTargets,
     loadTable,
     health,
   });
@@ -359,7 +369,11 @@
   });
   targets.onChange(() => versionHistory.update(targets.list()));
   drainingTargets.onAdded(() => exchange.scheduleReport());
-  evacuations.onEnd(() => worker.queueScheduling());
+  evacuations.onEnd((failureDomain) => {
+    coldTargets.markDomain(failureDomain);
+    worker.queueScheduling();
+  });
+  targets.onChange(() => coldTargets.update(targets.list()));
   crashGuard.onEvidence(() => exchange.scheduleReport());
   // Callers may take a stream up elsewhere right after its first event. While only one version serves, it has begun every stream.
   streamVersions.onChange(() => {
--- a/packages/serving/test/steps/drainingTargets.steps.ts
+++ b/packages/serving/test/steps/drainingTargets.steps.ts
@@ -7,6 +7,7 @@
 import { TargetHealth } from '@jacinthlug/serving/routing/TargetHealth';
 import { TargetRouter } from '@jacinthlug/serving/routing/TargetRouter';
 import { createListedTarget } from '../fakes/createListedTarget.js';
+import { noColdTargets } from '../fakes/noColdTargets.js';
 
 interface DrainingTargetsWorld {
   drainingTargets: DrainingTargets;
@@ -31,6 +32,7 @@
       targets: this.list,
       drainingTargets: this.drainingTargets,
       evacuations: { includes: () => false },
+      coldTargets: noColdTargets,
       loadTable: new LoadTable(),
       health: new TargetHealth(silentJournal),
     });
--- a/packages/serving/test/steps/evacuations.steps.ts
+++ b/packages/serving/test/steps/evacuations.steps.ts
@@ -9,6 +9,7 @@
 import { TargetHealth } from '@jacinthlug/serving/routing/TargetHealth';
 import { TargetRouter } from '@jacinthlug/serving/routing/TargetRouter';
 import { createListedTarget } from '../fakes/createListedTarget.js';
+import { noColdTargets } from '../fakes/noColdTargets.js';
 
 interface EvacuationsWorld {
   targets: TargetList;
@@ -29,6 +30,7 @@
     targets,
     drainingTargets: new DrainingTargets(silentJournal),
     evacuations,
+    coldTargets: noColdTargets,
     loadTable: new LoadTable(),
     health: new TargetHealth(silentJournal),
   });
--- a/packages/serving/test/steps/placement.steps.ts
+++ b/packages/serving/test/steps/placement.steps.ts
@@ -11,6 +11,7 @@
 import { TargetHealth } from '@jacinthlug/serving/routing/TargetHealth';
 import { TargetRouter } from '@jacinthlug/serving/routing/TargetRouter';
 import { createListedTarget } from '../fakes/createListedTarget.js';
+import { noColdTargets } from '../fakes/noColdTargets.js';
 
 /** Parts of a host that decide where an item may run. */
 interface PlacingHost {
@@ -50,6 +51,7 @@
     targets,
     drainingTargets,
     evacuations: { includes: () => false },
+    coldTargets: noColdTargets,
     loadTable,
     health,
   });
