--- a/packages/serving/test/steps/placement.steps.ts
+++ b/packages/serving/test/steps/placement.steps.ts
@@ -11,6 +11,7 @@
 import { TargetHealth } from '@jacinthlug/serving/routing/TargetHealth';
 import { TargetRouter } from '@jacinthlug/serving/routing/TargetRouter';
 import { createListedTarget } from '../fakes/createListedTarget.js';
+import { noColdTargets } from '../fakes/noColdTargets.js';
 
 /** Parts of a host that decide where an item may run. */
 interface PlacingHost {
@@ -49,6 +50,8 @@
     identity: { name: 'h-1', failureDomain: 'a', incarnation: 1, address: '', port: 1, cores: 1 },
     targets,
     drainingTargets,
+    evacuations: { includes: () => false },
+    coldTargets: noColdTargets,
     loadTable,
     health,
   });
