Require more than a repeated end from one target to complete an item

An item whose response has neither a length nor chunks was complete once two responses had ended after the same event.

EndEvidence now decides what proves an end: three ends after the same event of which at least two targets have shown one, or five where only one target has. The next run is placed at a target that has not shown the end, if one has a slot. The number of runs is bounded, so that each item still ends, also where a version has only one target.

Weighed: a run from the beginning at another version (a second whole run for each item of such targets, and no answer where there is one version); the stated tokens (they bound the output, but don't tell its length). A fault that breaks off each response of a version at the same event is still not told from an end. Online requests keep their confirmation by another target, whose number of runs the route limits; they don't use EndEvidence yet.

--- a/packages/serving/src/batch/BatchWorker.ts
+++ b/packages/serving/src/batch/BatchWorker.ts
@@ -238,6 +238,7 @@
         services: route.services,
         urgency: slackMs < URGENT_SLACK_MS ? 'urgent' : 'relaxed',
         origin: item.task.response.outputOrigin,
+        avoided: item.task.endedTargets,
         isRestartDue: this.isRestartDue(item.task, now),
       });
       if (placement) this.startItem(item, placement);
--- a/packages/serving/src/batch/ItemTask.ts
+++ b/packages/serving/src/batch/ItemTask.ts
@@ -1,6 +1,7 @@
 /** State of an unfinished item of a job that this host holds. */
-import type { Target } from '../fleet/Target.js';
+import { getIncarnation, type Target } from '../fleet/Target.js';
 import type { AttemptOutcome } from '../online/runAttempt.js';
+import { EndEvidence } from '../streams/EndEvidence.js';
 import { ItemResponse } from './ItemResponse.js';
 import type { ItemOutput, ItemState, JobItem } from './JobRecord.js';
 
@@ -47,8 +48,7 @@
   /** Monotonic time at which the output last grew; the start of the task if it has not. Unit: ms. */
   private lastProgressAt = performance.now();
 
-  /** The latest end of a response with events that only the end of its connection showed. */
-  private unconfirmedEnd: Pick<ItemResponse, 'lastEventId' | 'origin'> | undefined;
+  private readonly endEvidence = new EndEvidence();
 
   /** Monotonic time before which the item is not run. Unit: ms. */
   notBefore = 0;
@@ -78,7 +78,7 @@
   discardOutput(): void {
     this.response = new ItemResponse();
     this.savedEventCount = 0;
-    this.unconfirmedEnd = undefined;
+    this.endEvidence.reset();
   }
 
   /**
@@ -110,6 +110,7 @@
    * @returns the final state, or nothing if the item must run again
    */
   finishRun(attempt: AttemptOutcome, eventsBefore: number, now: number): ItemState | undefined {
+    const target = this.run && getIncarnation(this.run.target);
     this.run = undefined;
     if (this.response.resumableEventCount > eventsBefore) this.lastProgressAt = now;
     const outcome = ('status' in attempt && outcomesByStatus.get(attempt.status)) || 'again';
@@ -117,7 +118,7 @@
       const isEndStated = attempt.kind === 'complete' && !attempt.isCloseDelimited;
       if (isEndStated && !this.response.lacksRemovedEvent) return 'completed';
       if (this.response.hasNewEvents) {
-        if (this.confirmEnd()) return 'completed';
+        if (this.confirmEnd(target ?? '')) return 'completed';
         this.runsWithoutProgress = 0;
         this.notBefore = now;
         return undefined;
@@ -125,7 +126,7 @@
       // A target that crashes after its head sends the same response, so that it confirms no end.
       if (!this.response.removeLastEvent()) this.discardOutput();
     }
-    if (attempt.kind === 'broken') this.unconfirmedEnd = undefined;
+    if (attempt.kind === 'broken') this.endEvidence.reset();
     if (outcome === 'impossible') return 'dead-lettered';
     if (outcome === 'failed') {
       this.failures += 1;
@@ -145,19 +146,30 @@
   }
 
   /**
-   * Checks whether a response that ended with its connection is the second one in a row that did so after the same event.
-   * Unless it is, further events may follow: the next run has to repeat the last event and end there too, which a target
-   * that has crashed does not do.
+   * Lists the targets that have ended a response with its connection after the last event. Another target should be asked to
+   * repeat that event.
+   *
+   * @returns incarnations of targets
+   */
+  get endedTargets(): ReadonlySet<string> {
+    return this.endEvidence.targets;
+  }
+
+  /**
+   * Checks whether responses that ended with their connection prove that the output is complete. Unless they do, further
+   * events may follow: the next run has to repeat the last event and end there too, which a target that has crashed does not
+   * do.
    */
-  private confirmEnd(): boolean {
-    const { response, unconfirmedEnd } = this;
+  private confirmEnd(target: string): boolean {
+    const { response } = this;
     const { lastEventId, origin } = response;
-    const isRepeated =
-      unconfirmedEnd?.lastEventId === lastEventId &&
-      unconfirmedEnd?.origin?.service === origin?.service &&
-      unconfirmedEnd?.origin?.version === origin?.version;
-    if (isRepeated) return true;
-    this.unconfirmedEnd = { lastEventId, origin };
+    this.endEvidence.record({
+      lastEventId,
+      service: origin?.service ?? '',
+      version: origin?.version ?? '',
+      target,
+    });
+    if (this.endEvidence.isProven) return true;
     response.removeLastEvent();
     return false;
   }
--- a/packages/serving/src/batch/SchedulingPass.ts
+++ b/packages/serving/src/batch/SchedulingPass.ts
@@ -1,6 +1,6 @@
 /** One pass over the waiting items of a host, in which they get the slots that the host may use. */
 import type { WeightedService } from '../configuration/ServingConfiguration.js';
-import type { Target } from '../fleet/Target.js';
+import { getIncarnation, type Target } from '../fleet/Target.js';
 import type { Candidate } from '../routing/chooseTarget.js';
 import { orderServices } from '../routing/orderServices.js';
 import type { TargetRouter } from '../routing/TargetRouter.js';
@@ -16,6 +16,8 @@
   readonly urgency: Urgency;
   /** Which targets can continue its output; undefined if it has none. */
   readonly origin: ItemOrigin | undefined;
+  /** Incarnations of targets that should not continue its output if others can. */
+  readonly avoided: ReadonlySet<string>;
   /** Whether it has waited for these targets for so long that another service may run it from its beginning. */
   readonly isRestartDue: boolean;
 }
@@ -36,6 +38,8 @@
   readonly random: () => number;
 }
 
+const NO_TARGETS: ReadonlySet<string> = new Set();
+
 export class SchedulingPass {
   private readonly usedSlots = new Map<string, number>();
 
@@ -60,11 +64,14 @@
    * @returns its target; undefined while this host may use no slot for it
    */
   place(item: WaitingItem): Placement | undefined {
-    const { services, urgency, origin } = item;
+    const { services, urgency, origin, avoided } = item;
     const order = orderServices(services, this.dependencies.random);
     if (!origin) return this.placeAtFirst(order, urgency, false);
     const mayContinue = order.includes(origin.service);
-    const target = mayContinue ? this.takeSlot(origin.service, urgency, origin.version) : undefined;
+    const target = mayContinue
+      ? (this.takeSlot(origin.service, urgency, origin.version, avoided) ??
+        this.takeSlot(origin.service, urgency, origin.version))
+      : undefined;
     if (target) return { target, isRestart: false };
     if (!mayContinue || !this.dependencies.router.hasVersion(origin.service, origin.version))
       return this.placeAtFirst(order, urgency, true);
@@ -89,14 +96,15 @@
     service: string,
     urgency: Urgency,
     version: string | undefined,
+    avoided: ReadonlySet<string> = NO_TARGETS,
   ): Target | undefined {
-    const kind = JSON.stringify([service, urgency, version]);
+    const kind = JSON.stringify([service, urgency, version, ...avoided]);
     if (this.exhausted.has(kind)) return undefined;
     const allowanceOf = this.dependencies.allowances[urgency];
-    const target = this.dependencies.router.chooseForBatch(
-      service,
-      version,
-      (candidate) => allowanceOf(candidate) - (this.usedSlots.get(candidate.target.id) ?? 0),
+    const target = this.dependencies.router.chooseForBatch(service, version, (candidate) =>
+      avoided.has(getIncarnation(candidate.target))
+        ? 0
+        : allowanceOf(candidate) - (this.usedSlots.get(candidate.target.id) ?? 0),
     );
     if (target) this.usedSlots.set(target.id, (this.usedSlots.get(target.id) ?? 0) + 1);
     else this.exhausted.add(kind);
--- a/packages/serving/src/fleet/Target.ts
+++ b/packages/serving/src/fleet/Target.ts
@@ -17,3 +17,12 @@
   /** Only a `ready` target accepts new requests. */
   readonly state: 'ready' | 'draining';
 }
+
+/**
+ * Identifies one run of a target's process.
+ *
+ * @param target - the target
+ * @returns its id and the time of its start
+ */
+export const getIncarnation = ({ id, bornAt }: Pick<Target, 'id' | 'bornAt'>): string =>
+  `${id}/${bornAt}`;
--- a/packages/serving/test/features/jobs.feature
+++ b/packages/serving/test/features/jobs.feature
@@ -137,19 +137,26 @@
       | saved to event 3; nothing; nothing                  | no final state               |
       | to event 3; to event 3 of another version           | no final state               |
       | to event 3; to event 3 of another service           | no final state               |
-      | to event 3; to event 3                              | completed with events 1 to 3 |
-      | to event 3; nothing; to event 3                     | completed with events 1 to 3 |
-      | to event 3; to event 7; to event 7                  | completed with events 1 to 7 |
+      | to event 3; to event 3 | no final state |
+      | to event 3; to event 3 at t-2 | no final state |
+      | to event 3; to event 3; to event 3; to event 3 | no final state |
+      | to event 3; to event 3 at t-2; to event 7 at t-2 | no final state |
+      | to event 3; to event 3 at t-2; nothing, broken; to event 3 | no final state |
+      | to event 3; to event 3 at t-2; to event 3 | completed with events 1 to 3 |
+      | to event 3; to event 3; to event 3 at t-2 | completed with events 1 to 3 |
+      | to event 3; to event 3; to event 3; to event 3; to event 3 | completed with events 1 to 3 |
+      | to event 3; nothing; to event 3 at t-2; to event 3 | completed with events 1 to 3 |
+      | to event 3; to event 7; to event 7 at t-2; to event 7 | completed with events 1 to 7 |
       | to event 3; nothing; to event 7, stated             | completed with events 1 to 7 |
       | to event 3; nothing, stated; to event 3, stated     | completed with events 1 to 3 |
       | to event 3; to event 3, stated                      | completed with events 1 to 3 |
-      | to event 3, broken; nothing; to event 3; to event 3 | completed with events 1 to 3 |
+      | to event 3, broken; nothing; to event 3; to event 3 at t-2; to event 3 | completed with events 1 to 3 |
       | to event 3, broken; nothing, stated                 | completed with events 1 to 3 |
-      | to event 1; to event 1                              | completed with events 1 to 1 |
-      | to event 3 and an id; to event 3 and an id          | completed with events 1 to 3 |
-      | to event 3 and an id; nothing; to event 3 and an id | completed with events 1 to 3 |
-      | saved to event 3; nothing; to event 3; to event 3   | completed with events 1 to 3 |
-      | saved to event 3; to event 5; to event 5            | completed with events 1 to 5 |
+      | to event 1; to event 1 at t-2; to event 1 | completed with events 1 to 1 |
+      | to event 3 and an id; to event 3 at t-2 and an id; to event 3 and an id | completed with events 1 to 3 |
+      | to event 3 and an id; nothing; to event 3 at t-2 and an id; to event 3 and an id | completed with events 1 to 3 |
+      | saved to event 3; nothing; to event 3; to event 3 at t-2; to event 3 | completed with events 1 to 3 |
+      | saved to event 3; to event 5; to event 5 at t-2; to event 5 | completed with events 1 to 5 |
 
   # Guards against a caller that gives its job up, as a row that a host can't read counts as absent.
   Scenario Outline: A caller that <call> at "<host>" is not told that it is absent although its row can't be read
--- a/packages/serving/test/features/placement.feature
+++ b/packages/serving/test/features/placement.feature
@@ -97,3 +97,13 @@
     And service "idle" with a free target
     When 40 new items are placed on a route to begun and idle
     Then 14 of them run, 7 at each service
+
+  # Guards against an end that only the target which has broken off the output confirms.
+  Scenario Outline: The end of an output is confirmed by another target if one has a slot
+    When an item whose output has ended at "t-1" is placed, while "t-2" is <state>
+    Then it continues at target "<target>"
+
+    Examples:
+      | state | target |
+      | free  | t-2    |
+      | full  | t-1    |
--- a/packages/serving/test/steps/jobs.steps.ts
+++ b/packages/serving/test/steps/jobs.steps.ts
@@ -190,6 +190,8 @@
   const isCloseDelimited = !text.endsWith('stated');
   const version = text.endsWith('another version') ? 'v2' : 'v1';
   const service = text.endsWith('another service') ? 'other' : 'chat';
+  const [, target = 't-1'] = / at (t-\d)/.exec(text) ?? [];
+  Object.assign(task, { run: { target: { id: target, bornAt: 1 } } });
   response.origin = { service, version };
   response.begin(200, {}, isCloseDelimited, version);
   for (let event = Number(response.lastEventId ?? 0) + 1; event <= Number(last); event += 1)
--- a/packages/serving/test/steps/placement.steps.ts
+++ b/packages/serving/test/steps/placement.steps.ts
@@ -135,12 +135,40 @@
       services: readServices(route),
       urgency: 'relaxed',
       origin: { service, version },
+      avoided: new Set(),
       isRestartDue: wait === 'is due to be moved',
     });
     this.placements = [placement];
   },
 );
 
+When(
+  /^an item whose output has ended at "([^"]+)" is placed, while "([^"]+)" is (free|full)$/,
+  function (this: PlacementWorld, ended: string, other: string, state: string) {
+    const host = getHost(this);
+    [ended, other].forEach((id) =>
+      host.targets.put({ ...createListedTarget(id), service: 'chat', version: 'v1', slots: SLOTS }),
+    );
+    if (state === 'full') fillTarget(host, other);
+    this.placements = Array.from({ length: SLOTS - RESERVED_SLOTS }, () =>
+      host.pass.place({
+        services: readServices('chat'),
+        urgency: 'relaxed',
+        origin: { service: 'chat', version: 'v1' },
+        avoided: new Set([`${ended}/1`]),
+        isRestartDue: false,
+      }),
+    );
+  },
+);
+
+Then('it continues at target {string}', function (this: PlacementWorld, id: string) {
+  assert.deepEqual(
+    new Set(this.placements.map((placement) => placement?.target.id)),
+    new Set([id]),
+  );
+});
+
 When(
   /^(\d+) new items are placed on a route to (.+)$/,
   function (this: PlacementWorld, count: string, route: string) {
@@ -150,6 +178,7 @@
         services: readServices(route),
         urgency: 'relaxed',
         origin: undefined,
+        avoided: new Set(),
         isRestartDue: false,
       }),
     );
