--- a/packages/serving/src/fleet/Target.ts
+++ b/packages/serving/src/fleet/Target.ts
@@ -19,3 +19,12 @@
   /** Monotonic time until which it is cold, according to its registration. Unit: ms. */
   readonly coldUntil?: number | undefined;
 }
+
+/**
+ * Identifies one run of a target's process.
+ *
+ * @param target - the target
+ * @returns its id and the time of its start
+ */
+export const getIncarnation = ({ id, bornAt }: Pick<Target, 'id' | 'bornAt'>): string =>
+  `${id}/${bornAt}`;
