Bind requests and items to the regions of their route and account

allowed_regions of routes and client accounts was ignored. Both bind now, at every choice of a target; the settings map failure domains to regions. A batch job is held by a host in an allowed region, or by the one that accepted it. Regions without a failure domain are logged (845).

--- a/packages/catalog/src/logEvents.ts
+++ b/packages/catalog/src/logEvents.ts
@@ -459,6 +459,12 @@
     message: 'Target is cold; all hosts together send it a limited rate of requests',
     hint: 'Nothing to do; source tells whether it has started, its registration says so, or its evacuation has ended.',
   },
+  'region-unknown': {
+    number: 845,
+    severity: 'error',
+    message: 'The configuration allows a region in which no failure domain is',
+    hint: 'Correct the region of the routes and accounts in allowedBy; requests that no other region allows are refused.',
+  },
 });
 
 /** Name of a log event. */
--- a/packages/serving/src/batch/BatchWorker.ts
+++ b/packages/serving/src/batch/BatchWorker.ts
@@ -237,6 +237,7 @@
       const placement = pass.place({
         services: route.services,
         urgency: slackMs < URGENT_SLACK_MS ? 'urgent' : 'relaxed',
+        allowedRegions: view.index?.findAllowedRegions(item.job.record),
         origin: item.task.response.outputOrigin,
         isRestartDue: this.isRestartDue(item.task, now),
       });
--- a/packages/serving/src/batch/HeldJobs.ts
+++ b/packages/serving/src/batch/HeldJobs.ts
@@ -26,6 +26,8 @@
   readonly jobs: JobStore;
   readonly progress: ProgressStore;
   readonly journal: Journal;
+  /** Returns a function that checks whether hosts of a failure domain may take over a job; undefined if all may. */
+  readonly findHolderFilter: (job: JobRecord) => ((failureDomain: string) => boolean) | undefined;
   /** Minimum age, counted from acceptance, at which a job that is no longer open is removed. Unit: ms. */
   readonly jobRetentionMs: number;
   /** Returns the time since the last contact with the store. Unit: ms. */
@@ -191,7 +193,7 @@
       const { record } = job;
       if (isOpen(record)) {
         if (this.isThisProcess(record.holder)) this.applyJob(job);
-        else if (this.shouldTakeOver(record.holder, record.id, workers)) void this.takeOver(job);
+        else if (this.shouldTakeOver(record, workers)) void this.takeOver(job);
       }
       this.removeExpired(job, workers);
     });
@@ -204,12 +206,15 @@
   }
 
   /** Checks whether the job has no live holder and this host is the one to take it over. */
-  private shouldTakeOver(
-    holder: readonly [string, number] | null,
-    id: string,
-    workers: readonly string[],
-  ): boolean {
-    return this.hasNoLiveHolder(holder) && this.isResponsible(id, workers);
+  private shouldTakeOver(record: JobRecord, workers: readonly string[]): boolean {
+    if (!this.hasNoLiveHolder(record.holder)) return false;
+    const { identity, members, findHolderFilter } = this.dependencies;
+    const mayHold = findHolderFilter(record);
+    if (!mayHold) return this.isResponsible(record.id, workers);
+    return (
+      mayHold(identity.failureDomain) &&
+      this.isResponsible(record.id, members.listWorkers(performance.now(), mayHold))
+    );
   }
 
   /** Checks whether this host ranks first for a job among the hosts that can run jobs. */
--- a/packages/serving/src/batch/SchedulingPass.ts
+++ b/packages/serving/src/batch/SchedulingPass.ts
@@ -3,6 +3,7 @@
 import type { Target } from '../fleet/Target.js';
 import type { Candidate } from '../routing/chooseTarget.js';
 import { orderServices } from '../routing/orderServices.js';
+import type { AllowedRegions } from '../routing/allowedRegions.js';
 import type { TargetRouter } from '../routing/TargetRouter.js';
 import type { ItemOrigin } from './ItemResponse.js';
 
@@ -14,6 +15,8 @@
   /** Services of its route. */
   readonly services: readonly WeightedService[];
   readonly urgency: Urgency;
+  /** Regions in which it may run; undefined if any will do. */
+  readonly allowedRegions?: AllowedRegions | undefined;
   /** Which targets can continue its output; undefined if it has none. */
   readonly origin: ItemOrigin | undefined;
   /** Whether it has waited for these targets for so long that another service may run it from its beginning. */
@@ -60,26 +63,27 @@
    * @returns its target; undefined while this host may use no slot for it
    */
   place(item: WaitingItem): Placement | undefined {
-    const { services, urgency, origin } = item;
+    const { services, origin, allowedRegions } = item;
     const order = orderServices(services, this.dependencies.random);
-    if (!origin) return this.placeAtFirst(order, urgency, false);
+    if (!origin) return this.placeAtFirst(order, item, false);
     const mayContinue = order.includes(origin.service);
-    const target = mayContinue ? this.takeSlot(origin.service, urgency, origin.version) : undefined;
+    const target = mayContinue ? this.takeSlot(origin.service, item, origin.version) : undefined;
     if (target) return { target, isRestart: false };
-    if (!mayContinue || !this.dependencies.router.hasVersion(origin.service, origin.version))
-      return this.placeAtFirst(order, urgency, true);
+    const { router } = this.dependencies;
+    if (!mayContinue || !router.hasVersion(origin.service, origin.version, allowedRegions))
+      return this.placeAtFirst(order, item, true);
     const others = item.isRestartDue ? order.filter((name) => name !== origin.service) : [];
-    return this.placeAtFirst(others, urgency, true);
+    return this.placeAtFirst(others, item, true);
   }
 
   /** Places an item that runs from its beginning at the first service with a slot. */
   private placeAtFirst(
     services: readonly string[],
-    urgency: Urgency,
+    item: WaitingItem,
     isRestart: boolean,
   ): Placement | undefined {
     for (const service of services) {
-      const target = this.takeSlot(service, urgency, undefined);
+      const target = this.takeSlot(service, item, undefined);
       if (target) return { target, isRestart };
     }
     return undefined;
@@ -87,16 +91,17 @@
 
   private takeSlot(
     service: string,
-    urgency: Urgency,
+    { urgency, allowedRegions }: WaitingItem,
     version: string | undefined,
   ): Target | undefined {
-    const kind = JSON.stringify([service, urgency, version]);
+    const kind = JSON.stringify([service, urgency, version, allowedRegions && [...allowedRegions]]);
     if (this.exhausted.has(kind)) return undefined;
     const allowanceOf = this.dependencies.allowances[urgency];
     const target = this.dependencies.router.chooseForBatch(
       service,
       version,
       (candidate) => allowanceOf(candidate) - (this.usedSlots.get(candidate.target.id) ?? 0),
+      allowedRegions,
     );
     if (target) this.usedSlots.set(target.id, (this.usedSlots.get(target.id) ?? 0) + 1);
     else this.exhausted.add(kind);
--- a/packages/serving/src/configuration/ConfigurationIndex.ts
+++ b/packages/serving/src/configuration/ConfigurationIndex.ts
@@ -1,4 +1,5 @@
 /** Finds routes, accounts and services in one version of the configuration. */
+import { findAllowedRegions, type AllowedRegions } from '../routing/allowedRegions.js';
 import type { Account, Route, Service, ServingConfiguration } from './ServingConfiguration.js';
 
 /** Lookup indexes of one configuration version. */
@@ -7,6 +8,8 @@
 
   private readonly accountsByKey = new Map<string, Account>();
 
+  private readonly accounts: ReadonlyMap<string, Account>;
+
   private readonly services: ReadonlyMap<string, Service>;
 
   private readonly routes: ReadonlyMap<string, Route>;
@@ -22,6 +25,7 @@
     configuration.accounts.forEach((account) =>
       account.keys.forEach((key) => this.accountsByKey.set(key, account)),
     );
+    this.accounts = new Map(configuration.accounts.map((account) => [account.name, account]));
     this.services = new Map(configuration.services.map((service) => [service.name, service]));
     this.routes = new Map(configuration.routes.map((route) => [route.name, route]));
   }
@@ -57,6 +61,19 @@
     return this.accountsByKey.get(key);
   }
 
+  /**
+   * Finds the regions in which the items of a batch job may run.
+   *
+   * @param job - names of its route and account
+   * @returns the regions; undefined if any will do
+   */
+  findAllowedRegions(job: {
+    readonly route: string;
+    readonly account: string;
+  }): AllowedRegions | undefined {
+    return findAllowedRegions(this.routes.get(job.route), this.accounts.get(job.account));
+  }
+
   /**
    * Finds a service by its name.
    *
--- a/packages/serving/src/configuration/ServingConfiguration.ts
+++ b/packages/serving/src/configuration/ServingConfiguration.ts
@@ -38,6 +38,8 @@
   readonly retentionMs: number;
   /** Maximum tokens of the batch items of an account that wait on the route; 0 is no limit. */
   readonly waitingTokens: number;
+  /** Regions in which its requests and items may run; absent if any will do. */
+  readonly allowedRegions?: readonly string[] | undefined;
 }
 
 /** A client account. */
@@ -48,6 +50,8 @@
   readonly rate: number;
   readonly burst: number;
   readonly priority: number;
+  /** Regions in which its requests and items may run; absent if any will do. */
+  readonly allowedRegions?: readonly string[] | undefined;
 }
 
 /** Requests that a target tolerates after its start. */
--- a/packages/serving/src/fleet/Members.ts
+++ b/packages/serving/src/fleet/Members.ts
@@ -302,11 +302,18 @@
    * Lists the hosts that can take over work, including this host.
    *
    * @param now - monotonic time. Unit: ms
+   * @param isPermitted - whether hosts of a failure domain may have the work
    * @returns names of the available hosts with enough cores
    */
-  listWorkers(now = performance.now()): string[] {
-    const candidates = this.listCandidates(this.peers, now);
-    return selectCapableHosts<WorkerCandidate>(candidates).map(({ name }) => name);
+  listWorkers(
+    now = performance.now(),
+    isPermitted: (failureDomain: string) => boolean = () => true,
+  ): string[] {
+    const candidates = this.listCandidates([this.dependencies.identity, ...this.peers], now).filter(
+      ({ failureDomain }) => isPermitted(failureDomain),
+    );
+    if (candidates.length === 0) return [];
+    return selectCapableHosts(candidates).map(({ name }) => name);
   }
 
   /**
@@ -315,14 +322,17 @@
    *
    * @param job - id of the job
    * @param now - monotonic time. Unit: ms
+   * @param isPermitted - whether other hosts of a failure domain may have the job
    * @returns name and incarnation; null if no local host can take the job, so any host may claim it
    */
-  assignHolder(job: string, now = performance.now()): [string, number] | null {
-    const holder = chooseHolder(
-      job,
-      this.dependencies.identity,
-      this.listCandidates(this.localPeers, now),
-    );
+  assignHolder(
+    job: string,
+    now = performance.now(),
+    isPermitted: (failureDomain: string) => boolean = () => true,
+  ): [string, number] | null {
+    const { identity } = this.dependencies;
+    const others = isPermitted(identity.failureDomain) ? this.localPeers : [];
+    const holder = chooseHolder(job, identity, this.listCandidates([identity, ...others], now));
     return holder ? [holder.name, holder.incarnation] : null;
   }
 
@@ -387,11 +397,12 @@
     this.remoteMembers = others.filter((member) => !isLocal(member));
   }
 
-  /** Selects those hosts that can take jobs, among this host and the given ones. */
-  private listCandidates(others: readonly Member[], now: number): WorkerCandidate[] {
-    return [this.dependencies.identity, ...others].filter(({ name, incarnation }) =>
-      this.isAvailable(name, incarnation, now),
-    );
+  /** Selects those hosts that can take jobs. */
+  private listCandidates<Host extends WorkerCandidate>(
+    hosts: readonly Host[],
+    now: number,
+  ): Host[] {
+    return hosts.filter(({ name, incarnation }) => this.isAvailable(name, incarnation, now));
   }
 
   private isResponsive(name: string, now: number): boolean {
--- a/packages/serving/src/online/OnlineRequest.ts
+++ b/packages/serving/src/online/OnlineRequest.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { Account, Route } from '../configuration/ServingConfiguration.js';
 import type { CallerHead } from '../http/Dialect.js';
+import type { AllowedRegions } from '../routing/allowedRegions.js';
 import type { CallerResponse } from './CallerResponse.js';
 import type { RequestLifetime } from './RequestLifetime.js';
 
@@ -12,6 +13,8 @@
   readonly route: Route;
   readonly account: Account | undefined;
   readonly service: string;
+  /** Regions in which it may run; undefined if any will do. */
+  readonly allowedRegions: AllowedRegions | undefined;
   readonly body: Buffer;
   /** Identify the content that may crash targets, see {@link computeContentKeys}. */
   readonly contentKeys: readonly string[];
--- a/packages/serving/src/online/OnlineRequestHandler.ts
+++ b/packages/serving/src/online/OnlineRequestHandler.ts
@@ -9,6 +9,7 @@
 import { takeBody } from '../http/takeBody.js';
 import { writeRefusal } from '../http/writeRefusal.js';
 import type { AccountRateLimiter } from '../rates/AccountRateLimiter.js';
+import { findAllowedRegions, type AllowedRegions } from '../routing/allowedRegions.js';
 import type { StreamResumption } from '../streams/StreamResumption.js';
 import { computeStreamKey, type StreamVersions } from '../streams/StreamVersions.js';
 import { admitCaller } from './admitCaller.js';
@@ -92,13 +93,15 @@
         repeatable && route.kind === 'streaming'
           ? computeStreamKey(account?.name, head.resumedRequest ?? head.id)
           : undefined;
-      const service = this.chooseService(route, streamKey, head);
+      const allowedRegions = findAllowedRegions(route, account);
+      const service = this.chooseService(route, streamKey, head, allowedRegions);
       const request: OnlineRequest = {
         message,
         head,
         route,
         account,
         service,
+        allowedRegions,
         body: body.value,
         contentKeys: computeContentKeys({
           service,
@@ -131,12 +134,14 @@
     { services }: Route,
     streamKey: string | undefined,
     { resumeAfter }: CallerHead,
+    allowedRegions: AllowedRegions | undefined,
   ): string {
     const { router, streamVersions } = this.dependencies;
     const isContinuation = streamKey !== undefined && resumeAfter !== undefined;
     return router.chooseService(
       services,
       isContinuation ? streamVersions.find(streamKey) : undefined,
+      allowedRegions,
     );
   }
 
--- a/packages/serving/src/online/RequestAttempts.ts
+++ b/packages/serving/src/online/RequestAttempts.ts
@@ -134,26 +134,32 @@
     progress: RequestProgress,
   ): TargetChoice | undefined {
     const { router } = this.dependencies;
-    const { service, route } = request;
+    const { service, route, allowedRegions } = request;
     const { excludedTargets, version, unconfirmedEnd } = progress;
     const left = unconfirmedEnd ? undefined : this.findReturnTarget(request, progress);
     const mayRunFurther = progress.mayRunFurther(route.attempts);
     const prefersFurther =
       mayRunFurther &&
       progress.attempts < Math.max(MAX_ATTEMPTS_NOT_RUN, route.attempts) &&
-      router.hasAlternative(service, excludedTargets, version);
+      router.hasAlternative(service, excludedTargets, version, allowedRegions);
     if (!left && !mayRunFurther) return undefined;
-    if (!left || prefersFurther) return router.chooseForOnline(service, excludedTargets, version);
+    if (!left || prefersFurther)
+      return router.chooseForOnline(service, excludedTargets, version, allowedRegions);
     progress.recordReturn(left.target.id);
     return { kind: 'target', target: left.target };
   }
 
   /** Finds a target that the request has left while it was silent, and that can still run the request. */
   private findReturnTarget(
-    { service }: OnlineRequest,
+    { service, allowedRegions }: OnlineRequest,
     { returnableTargets, version }: RequestProgress,
   ): ReturnTarget | undefined {
-    return this.dependencies.router.findReturnTarget(service, returnableTargets, version);
+    return this.dependencies.router.findReturnTarget(
+      service,
+      returnableTargets,
+      version,
+      allowedRegions,
+    );
   }
 
   /** Sends a request to a target. Returns the outcome of the request, unless another attempt follows. */
--- a/packages/serving/src/online/leaveTarget.ts
+++ b/packages/serving/src/online/leaveTarget.ts
@@ -26,6 +26,7 @@
       request.service,
       new Set(progress.excludedTargets).add(target.id),
       findRequiredVersion(attempt),
+      request.allowedRegions,
     )
   );
 };
@@ -36,6 +37,7 @@
     request.service,
     progress.returnableTargets,
     findRequiredVersion(attempt),
+    request.allowedRegions,
   );
 };
 
--- a/packages/serving/src/routing/TargetRouter.ts
+++ b/packages/serving/src/routing/TargetRouter.ts
@@ -16,6 +16,7 @@
   type TargetChoice,
   type TargetOccupancy,
 } from './chooseTarget.js';
+import { isAllowed, type AllowedRegions, type RegionsByDomain } from './allowedRegions.js';
 import type { LoadTable } from './LoadTable.js';
 import { orderServices } from './orderServices.js';
 import type { TargetHealth } from './TargetHealth.js';
@@ -30,6 +31,8 @@
     ColdTargets,
     'isCold' | 'mayReceive' | 'recordSend' | 'recordDeferral'
   >;
+  /** Regions of the failure domains. */
+  readonly regions: RegionsByDomain;
   readonly loadTable: LoadTable;
   readonly health: TargetHealth;
 }
@@ -53,15 +56,20 @@
    *
    * @param services - services of the request's route
    * @param version - version that began the stream which the request continues; undefined if any will do
+   * @param allowed - regions in which the request may run; undefined if any will do
    * @returns name of the service
    */
-  chooseService(services: readonly WeightedService[], version: string | undefined): string {
+  chooseService(
+    services: readonly WeightedService[],
+    version: string | undefined,
+    allowed?: AllowedRegions,
+  ): string {
     const order = orderServices(services, Math.random);
     const [preferred = ''] = order;
     if (order.length === 1) return preferred;
     return (
-      order.find((service) => this.hasAlternative(service, NO_TARGETS, version)) ??
-      order.find((service) => this.listCandidates(service, version).length > 0) ??
+      order.find((service) => this.hasAlternative(service, NO_TARGETS, version, allowed)) ??
+      order.find((service) => this.listCandidates(service, version, allowed).length > 0) ??
       preferred
     );
   }
@@ -72,21 +80,23 @@
    * @param service - name of the service
    * @param excluded - identities of targets on which the request has failed already
    * @param version - version that began the stream which the request continues; undefined if any will do
+   * @param allowed - regions in which the request may run; undefined if any will do
    * @returns the target, or why there is none
    */
   chooseForOnline(
     service: string,
     excluded: ReadonlySet<string>,
     version: string | undefined,
+    allowed?: AllowedRegions,
   ): TargetChoice {
     const { failureDomain } = this.dependencies.identity;
-    const candidates = this.preferWarm(this.listCandidates(service, version), excluded);
+    const candidates = this.preferWarm(this.listCandidates(service, version, allowed), excluded);
     const isContinuation = version !== undefined;
     const { random } = Math;
     const choice = chooseTarget({ candidates, failureDomain, excluded, isContinuation, random });
     if (choice.kind !== 'none') return choice;
-    if (this.isOnlyForbidden(service, version)) return { ...choice, kind: 'forbidden' };
-    if (!this.hasDeferredTarget(service, excluded, version)) return choice;
+    if (this.isOnlyForbidden(service, version, allowed)) return { ...choice, kind: 'forbidden' };
+    if (!this.hasDeferredTarget(service, excluded, version, allowed)) return choice;
     this.dependencies.coldTargets.recordDeferral();
     return { ...choice, kind: 'full' };
   }
@@ -97,15 +107,17 @@
    * @param service - name of the service
    * @param version - version that the target must have; undefined if any will do
    * @param allowanceOf - returns the number of slots of a target that this host may use now
+   * @param allowed - regions in which the item may run; undefined if any will do
    * @returns the target; undefined when this host may use no slot
    */
   chooseForBatch(
     service: string,
     version: string | undefined,
     allowanceOf: (candidate: Candidate) => number,
+    allowed?: AllowedRegions,
   ): Target | undefined {
     const { failureDomain } = this.dependencies.identity;
-    const candidates = this.listCandidates(service, version);
+    const candidates = this.listCandidates(service, version, allowed);
     const warm = candidates.filter(({ target }) => !this.dependencies.coldTargets.isCold(target));
     const criteria = { failureDomain, allowanceOf, random: Math.random };
     return (
@@ -162,15 +174,17 @@
    * @param service - name of the service
    * @param excluded - identities of targets to ignore
    * @param version - version that the target must have; undefined if any will do
+   * @param allowed - regions in which the request may run; undefined if any will do
    * @returns whether a request could run on another target
    */
   hasAlternative(
     service: string,
     excluded: ReadonlySet<string>,
     version: string | undefined,
+    allowed?: AllowedRegions,
   ): boolean {
     return hasUsableTarget({
-      candidates: this.listCandidates(service, version),
+      candidates: this.listCandidates(service, version, allowed),
       excluded,
       isContinuation: version !== undefined,
     });
@@ -183,16 +197,18 @@
    * @param service - name of the service
    * @param left - identities of the targets that the request has left
    * @param version - version that the target must have; undefined if any will do
+   * @param allowed - regions in which the request may run; undefined if any will do
    * @returns the target; undefined if none of them accepts requests
    */
   findReturnTarget(
     service: string,
     left: readonly string[],
     version: string | undefined,
+    allowed?: AllowedRegions,
   ): ReturnTarget | undefined {
     if (left.length === 0) return undefined;
     const { coldTargets } = this.dependencies;
-    const returnable = this.listAccepting(service)
+    const returnable = this.listAccepting(service, allowed)
       .filter((target) => left.includes(target.id) && coldTargets.mayReceive(target))
       .filter((target) => version === undefined || target.version === version)
       .map((target) => ({ target, responsive: this.dependencies.health.isResponsive(target.id) }));
@@ -204,19 +220,23 @@
    *
    * @param service - name of the service
    * @param version - name of the version
+   * @param allowed - regions in which the stream may run; undefined if any will do
    * @returns whether streams of the version can be continued
    */
-  hasVersion(service: string, version: string): boolean {
-    return this.listAccepting(service).some((target) => target.version === version);
+  hasVersion(service: string, version: string, allowed?: AllowedRegions): boolean {
+    return this.listAccepting(service, allowed).some((target) => target.version === version);
   }
 
   /**
    * Lists the targets that accept new requests, whatever their load and health. Every choice of a target starts here, so
    * that nothing is sent to a target that isn't listed.
    */
-  private listAccepting(service: string): Target[] {
-    const { evacuations } = this.dependencies;
-    return this.listServing(service).filter((target) => !evacuations.includes(target));
+  private listAccepting(service: string, allowed: AllowedRegions | undefined): Target[] {
+    const { evacuations, regions } = this.dependencies;
+    return this.listServing(service).filter(
+      (target) =>
+        !evacuations.includes(target) && isAllowed(target.failureDomain, allowed, regions),
+    );
   }
 
   /** Lists the targets that would accept new requests if none were forbidden. */
@@ -226,11 +246,16 @@
   }
 
   /** Checks whether a request has no target only because all of them are forbidden to it. */
-  private isOnlyForbidden(service: string, version: string | undefined): boolean {
+  private isOnlyForbidden(
+    service: string,
+    version: string | undefined,
+    allowed: AllowedRegions | undefined,
+  ): boolean {
     const hasVersion = (target: Target): boolean =>
       version === undefined || target.version === version;
     return (
-      !this.listAccepting(service).some(hasVersion) && this.listServing(service).some(hasVersion)
+      !this.listAccepting(service, allowed).some(hasVersion) &&
+      this.listServing(service).some(hasVersion)
     );
   }
 
@@ -253,9 +278,10 @@
     service: string,
     excluded: ReadonlySet<string>,
     version: string | undefined,
+    allowed: AllowedRegions | undefined,
   ): boolean {
     const { coldTargets } = this.dependencies;
-    return this.listAccepting(service).some(
+    return this.listAccepting(service, allowed).some(
       (target) =>
         !excluded.has(target.id) &&
         (version === undefined || target.version === version) &&
@@ -264,9 +290,13 @@
   }
 
   /** Lists the targets to which this host may send a request now. */
-  private listCandidates(service: string, version: string | undefined): Candidate[] {
+  private listCandidates(
+    service: string,
+    version: string | undefined,
+    allowed: AllowedRegions | undefined,
+  ): Candidate[] {
     const { loadTable, health, coldTargets } = this.dependencies;
-    const ready = this.listAccepting(service).filter(
+    const ready = this.listAccepting(service, allowed).filter(
       (target) =>
         (version === undefined || target.version === version) && coldTargets.mayReceive(target),
     );
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -25,6 +25,12 @@
 import { TargetClient } from '../http/TargetClient.js';
 import { OnlineRequestHandler } from '../online/OnlineRequestHandler.js';
 import { AccountRateLimiter } from '../rates/AccountRateLimiter.js';
+import {
+  findUnknownRegions,
+  isAllowed,
+  type AllowedRegions,
+  type RegionsByDomain,
+} from '../routing/allowedRegions.js';
 import { LoadTable } from '../routing/LoadTable.js';
 import { TargetHealth } from '../routing/TargetHealth.js';
 import { TargetRouter } from '../routing/TargetRouter.js';
@@ -86,6 +92,8 @@
 /** Dependencies of {@link createHost}, provided by the deployment. */
 export interface HostDependencies {
   readonly identity: HostIdentity;
+  /** Regions of the failure domains. */
+  readonly regions: RegionsByDomain;
   /** Whether this is the first start of the whole system. */
   readonly isFirstStart: boolean;
   /** Retention of batch jobs after their acceptance. Unit: ms. */
@@ -106,8 +114,11 @@
   readonly shutdown: Shutdown;
   readonly jobs: JobStore;
   readonly jobCache: JobCache;
-  /** Returns name and incarnation of the host that is to run a job accepted here; null if any host may run it. */
-  readonly holderOf: (job: string) => [string, number] | null;
+  /**
+   * Returns name and incarnation of the host that is to run a job accepted here; null if any host in an allowed region may run
+   * it.
+   */
+  readonly holderOf: (job: string, allowed: AllowedRegions | undefined) => [string, number] | null;
   /** Returns the time since the known jobs were confirmed as current. Unit: ms. */
   readonly jobsAge: () => number;
   /** Checks whether load balancers should send callers to this host. */
@@ -211,7 +222,7 @@
  * @returns the host, which is not started
  */
 export const createHost = (dependencies: HostDependencies): Host => {
-  const { identity, store, objects, dialect, tables, journal, metrics } = dependencies;
+  const { identity, regions, store, objects, dialect, tables, journal, metrics } = dependencies;
   const view = new ConfigurationView(journal);
   const shutdown = new Shutdown();
   const targets = new TargetList(journal);
@@ -237,6 +248,7 @@
     drainingTargets,
     evacuations,
     coldTargets,
+    regions,
     loadTable,
     health,
   });
@@ -315,6 +327,10 @@
     journal,
     metrics,
     drainingTargets,
+    findHolderFilter: (job) => {
+      const allowed = view.index?.findAllowedRegions(job);
+      return allowed && ((failureDomain) => isAllowed(failureDomain, allowed, regions));
+    },
     jobRetentionMs: dependencies.jobRetentionMs,
     timeSinceStoreContact: () => configurationFollower.age,
     timeSinceStoreRecovery: () => configurationFollower.timeSinceRecovery,
@@ -382,6 +398,9 @@
   view.onChange(({ configuration }) => {
     rates.configure(configuration);
     retention.configure(configuration);
+    findUnknownRegions(configuration, regions).forEach((unknown) =>
+      journal.record('region-unknown', { ...unknown, version: configuration.version }),
+    );
   });
   loadTable.onOwnLoadChange(() => {
     exchange.scheduleReport();
@@ -403,7 +422,10 @@
     shutdown,
     jobs,
     jobCache,
-    holderOf: (job) => members.assignHolder(job),
+    holderOf: (job, allowed) =>
+      members.assignHolder(job, performance.now(), (failureDomain) =>
+        isAllowed(failureDomain, allowed, regions),
+      ),
     jobsAge: () => jobsFollower.age,
     isReady: () => !members.isStopping && view.index !== undefined && view.age < MAX_READY_AGE_MS,
     async waitUntilLoaded(deadline) {
--- a/packages/serving/test/steps/coldTargets.steps.ts
+++ b/packages/serving/test/steps/coldTargets.steps.ts
@@ -173,6 +173,7 @@
       drainingTargets: new DrainingTargets(silentJournal),
       evacuations: { includes: () => false },
       coldTargets,
+      regions: new Map(),
       loadTable,
       health: new TargetHealth(silentJournal),
     });
--- a/packages/serving/test/steps/drainingTargets.steps.ts
+++ b/packages/serving/test/steps/drainingTargets.steps.ts
@@ -33,6 +33,7 @@
       drainingTargets: this.drainingTargets,
       evacuations: { includes: () => false },
       coldTargets: noColdTargets,
+      regions: new Map(),
       loadTable: new LoadTable(),
       health: new TargetHealth(silentJournal),
     });
--- a/packages/serving/test/steps/evacuations.steps.ts
+++ b/packages/serving/test/steps/evacuations.steps.ts
@@ -31,6 +31,7 @@
     drainingTargets: new DrainingTargets(silentJournal),
     evacuations,
     coldTargets: noColdTargets,
+    regions: new Map(),
     loadTable: new LoadTable(),
     health: new TargetHealth(silentJournal),
   });
--- a/packages/serving/test/steps/jobs.steps.ts
+++ b/packages/serving/test/steps/jobs.steps.ts
@@ -338,6 +338,7 @@
       jobs,
       progress,
       journal,
+      findHolderFilter: () => undefined,
       jobRetentionMs: 60_000,
       timeSinceStoreContact: () => 0,
       timeSinceStoreRecovery: () => Number.POSITIVE_INFINITY,
--- a/packages/serving/test/steps/placement.steps.ts
+++ b/packages/serving/test/steps/placement.steps.ts
@@ -52,6 +52,7 @@
     drainingTargets,
     evacuations: { includes: () => false },
     coldTargets: noColdTargets,
+    regions: new Map(),
     loadTable,
     health,
   });
