--- a/packages/serving/test/steps/coldTargets.steps.ts
+++ b/packages/serving/test/steps/coldTargets.steps.ts
@@ -144,7 +144,7 @@
     host.update([{ ...target, coldUntil: now + START_MS }], now),
 };
 
-When(/^(.+) at (\d+) ms$/, function (this: ColdWorld, event: string, time: string) {
+When(/^(the (?:target|evacuation).+|its registration.+) at (\d+) ms$/, function (this: ColdWorld, event: string, time: string) {
   events[event]!(this.hosts[0]!, this.target, Number(time));
 });
 
@@ -173,6 +173,7 @@
       drainingTargets: new DrainingTargets(silentJournal),
       evacuations: { includes: () => false },
       coldTargets,
+      regions: new Map(),
       loadTable,
       health: new TargetHealth(silentJournal),
     });
