Show what crowds of uncontrolled callers do to a host

New suite "crowds" (tools/run-tests.js runs it alone, after the parallel ones): the bundled host as a process on a machine that is told 178 MB (the smallest host of the deployments, as in memory.feature) and 320 descriptors, 200 of them for files; 48 callers for 3 s, or 140 for the descriptors, that replace each connection the host closes. Checked: the process lives, VmHWM is under the told memory, sockets and pipes are under the told descriptors, an ordinary request beside the crowd is answered and one after it is served.

--- a/tools/run-tests.js
+++ b/tools/run-tests.js
@@ -1,5 +1,5 @@
 /**
- * Runs the Cucumber suites of all packages, or of those named as arguments, and counts their scenarios.
+ * Runs all Cucumber suites, or those named as arguments, and counts their scenarios.
  *
  * Scenarios listed in KNOWN-RED.txt may fail without failing the run; their failures are printed.
  */
@@ -12,9 +12,20 @@
 /** Returns the folder of a package: the platform adapter is at the root, the others in `packages/`. */
 const getPackageFolder = (name) => (name === 'platform' ? name : `packages/${name}`);
 
-const listPackagesWithTests = () =>
-  [...readdirSync('packages'), 'platform'].filter((name) =>
-    existsSync(join(getPackageFolder(name), 'test', 'features')),
+/** Suites beside those of the packages: folders of their compiled steps and of their features. */
+const ADDITIONAL_SUITES = {
+  crowds: { steps: 'platform/dist/test/crowds', features: 'platform/test/crowds/features' },
+};
+
+const getSuiteFolders = (name) =>
+  ADDITIONAL_SUITES[name] ?? {
+    steps: `${getPackageFolder(name)}/dist/test`,
+    features: `${getPackageFolder(name)}/test/features`,
+  };
+
+const listSuites = () =>
+  [...readdirSync('packages'), 'platform', ...Object.keys(ADDITIONAL_SUITES)].filter((name) =>
+    existsSync(getSuiteFolders(name).features),
   );
 
 /** Reads the scenarios from lines such as `test: packages/x/test/features/y.feature: Scenario name`. */
@@ -27,28 +38,29 @@
 };
 
 /**
- * Packages whose scenarios start fleets of processes. Their suites run one at a time, because they would
- * interfere with each other.
+ * Suites whose scenarios start fleets of processes or crowds of callers. They run one at a time, because they
+ * would interfere with each other.
  */
-const SEQUENTIAL_PACKAGES = new Set(['bench', 'demo']);
+const SEQUENTIAL_SUITES = new Set(['bench', 'demo', 'crowds']);
 
 /** Maximum number of other suites that run in parallel. */
 const MAX_PARALLEL_SUITES = 4;
 
-/** Runs the suite of a package and prints its output when it ends. */
+/** Runs a suite and prints its output when it ends. */
 const runCucumber = (name, messageFile) =>
   new Promise((resolve) => {
+    const { steps, features } = getSuiteFolders(name);
     const child = spawn(
       process.execPath,
       [
         'node_modules/@cucumber/cucumber/bin/cucumber.js',
         '--import',
-        `${getPackageFolder(name)}/dist/test/**/*.steps.js`,
+        `${steps}/**/*.steps.js`,
         '--format',
         'progress',
         '--format',
         `message:${messageFile}`,
-        `${getPackageFolder(name)}/test/features/**/*.feature`,
+        `${features}/**/*.feature`,
       ],
       { stdio: ['ignore', 'pipe', 'pipe'] },
     );
@@ -93,7 +105,7 @@
 
 const main = async () => {
   const requestedNames = process.argv.slice(2);
-  const names = requestedNames.length > 0 ? requestedNames : listPackagesWithTests();
+  const names = requestedNames.length > 0 ? requestedNames : listSuites();
   const folder = await mkdtemp(join(tmpdir(), 'jacinthlug-test-'));
   const results = [];
   let hasIncompleteSuite = false;
@@ -105,12 +117,12 @@
     if (exitCode !== 0 && suiteResults.every(({ passed }) => passed)) hasIncompleteSuite = true;
     results.push(...suiteResults);
   };
-  const parallelNames = names.filter((name) => !SEQUENTIAL_PACKAGES.has(name));
+  const parallelNames = names.filter((name) => !SEQUENTIAL_SUITES.has(name));
   const runNextSuites = async () => {
     for (let name = parallelNames.shift(); name; name = parallelNames.shift()) await runSuite(name);
   };
   await Promise.all(Array.from({ length: MAX_PARALLEL_SUITES }, runNextSuites));
-  for (const name of names.filter((each) => SEQUENTIAL_PACKAGES.has(each))) await runSuite(name);
+  for (const name of names.filter((each) => SEQUENTIAL_SUITES.has(each))) await runSuite(name);
   await rm(folder, { recursive: true });
   const knownFailures = readKnownFailures();
   const failed = results.filter(({ passed }) => !passed);
