Bound the memory and descriptors that callers can take

Bodies were held as lists of pieces, without a common bound. All bodies of a host, online requests and submissions alike, now share one budget. Once it is used up, the incomplete body with the least progress of the account (or address) that holds most yields and gets 503 (1105, not run); an eighth of the budget is for bodies up to 64 KiB. A body that is announced over the limit gets 413 unread. A refusal of a long or chunked body closes the connection after a bounded rest. At the maximum number of connections, the least useful one is replaced; one that serves a request never is.

--- a/packages/catalog/src/counterNames.ts
+++ b/packages/catalog/src/counterNames.ts
@@ -16,6 +16,10 @@
   'requests.refused': { description: 'Refused requests by result code', tags: ['code'] },
   'requests.retried': { description: 'Retries by reason', tags: ['reason'] },
   'requests.replayed': { description: 'Responses replayed from a claim', tags: ['route'] },
+  'connections.replaced': {
+    description: 'Connections of callers that were closed to make room for new ones',
+    tags: [],
+  },
   'streams.cut': { description: 'Streams ended early by reason', tags: ['reason'] },
   'batch.items': { description: 'Batch items by outcome', tags: ['outcome'] },
   'batch.preempted': { description: 'Batch streams cancelled for online requests', tags: [] },
--- a/packages/catalog/src/logEvents.ts
+++ b/packages/catalog/src/logEvents.ts
@@ -423,6 +423,12 @@
     message: 'A stream that its caller takes up again goes on at this version',
     hint: 'If events of two versions are joined, "source" and "host" name who told the version, and "knownMs" how long before.',
   },
+  'connection-replaced': {
+    number: 835,
+    severity: 'warn',
+    message: 'A connection of a caller was closed, as there were as many as this host can hold',
+    hint: 'Look for callers that open many connections; or raise caller_connections.',
+  },
   'streams-unsaved': {
     number: 831,
     severity: 'warn',
--- a/packages/catalog/src/resultCodes.ts
+++ b/packages/catalog/src/resultCodes.ts
@@ -144,6 +144,15 @@
     run: 'not run',
     retryAfterSeconds: 2,
   },
+  'bodies-over-memory': {
+    number: 1105,
+    title: 'No memory for the body',
+    message: 'The host has no memory for the body beside those of other requests.',
+    hint: 'Retry after the time given; another host may have memory.',
+    status: 503,
+    run: 'not run',
+    retryAfterSeconds: 1,
+  },
   // 1200: targets.
   'no-target': {
     number: 1201,
--- a/packages/serving/src/http/CallerConnection.ts
+++ b/packages/serving/src/http/CallerConnection.ts
@@ -20,6 +20,12 @@
   /** Responses in progress, in the order of their requests. */
   readonly responses = new Set<ServerResponse>();
 
+  /** Monotonic time of the latest bytes from the caller, or of the begin of the connection. Unit: ms. */
+  receivedAt = performance.now();
+
+  /** Whether a complete request has been received. */
+  hasHadRequest = false;
+
   /** Whether a part of a request has been received since the last one was handled. */
   private hasUnhandledPart = false;
 
@@ -33,6 +39,7 @@
     // Node.js limits only the time after a response.
     socket.setTimeout(limits.keepAliveTimeout);
     socket.on('data', (bytes: Buffer) => {
+      this.receivedAt = performance.now();
       if (this.hasUnhandledPart || hasOnlyLineBreaks(bytes)) return;
       this.hasUnhandledPart = true;
       socket.setTimeout(0);
@@ -45,6 +52,16 @@
     return this.responses.size === 0 && !this.hasUnhandledPart;
   }
 
+  /** Whether a complete request waits for the end of its response. */
+  get isServing(): boolean {
+    return [...this.responses].some(({ req }) => req.complete);
+  }
+
+  /** Closes the connection and ends what is in progress on it. */
+  close(): void {
+    this.socket.destroy();
+  }
+
   /**
    * Tracks a request.
    *
@@ -69,6 +86,9 @@
     });
     // After the response if that was sent before the whole request had arrived.
     message.once('close', update);
+    message.once('end', () => {
+      this.hasHadRequest = true;
+    });
     if (this.isClosing) this.announceClose();
     return isAnswerable;
   }
--- a/packages/serving/src/http/CallerServer.ts
+++ b/packages/serving/src/http/CallerServer.ts
@@ -4,8 +4,11 @@
 import type { Duplex } from 'node:stream';
 import { setImmediate as yieldToEventLoop } from 'node:timers/promises';
 import { systemClock } from '@jacinthlug/control/time/Clock';
+import type { Journal } from '@jacinthlug/catalog/Journal';
+import type { Metrics } from '@jacinthlug/catalog/Metrics';
 import type { CallerLimits } from '../configuration/ServingConfiguration.js';
 import { CallerConnection } from './CallerConnection.js';
+import { chooseReplaced } from './chooseReplaced.js';
 import { rejectionStatuses, type Rejection } from './formatRejection.js';
 import { hasValidHead } from './hasValidHead.js';
 import { findRejection, rejectConnection } from './rejectConnection.js';
@@ -47,6 +50,16 @@
 /** Handles one request of a caller; never rejects. */
 export type CallerHandler = (message: IncomingMessage, response: ServerResponse) => Promise<void>;
 
+/** Dependencies of {@link CallerServer}. */
+export interface CallerServerDependencies {
+  /** Stop of the host. */
+  readonly shutdown: Shutdown;
+  /** Maximum number of connections. */
+  readonly maxConnections: number;
+  readonly journal: Journal;
+  readonly metrics: Metrics;
+}
+
 /** Where to listen. */
 export interface ListenAddress {
   readonly host: string;
@@ -71,6 +84,8 @@
 export class CallerServer {
   private readonly server: Server;
 
+  private readonly shutdown: Shutdown;
+
   private isStopping = false;
 
   /** Connections that are closed once their complete requests have responses. */
@@ -80,9 +95,10 @@
 
   constructor(
     private readonly handler: CallerHandler,
-    private readonly shutdown: Shutdown,
+    private readonly dependencies: CallerServerDependencies,
     timeoutCheckMs = TIMEOUT_CHECK_MS,
   ) {
+    this.shutdown = dependencies.shutdown;
     this.server = createServer(
       // Node.js would respond to a request without a host itself, and have later ones run whose responses are not sent.
       {
@@ -176,10 +192,29 @@
       if (this.shutdown.isIntakeOver) connection.closeIfIdle();
     });
     if (this.isStopping) connection.announceClose();
+    if (!this.hasRoom()) {
+      socket.destroy();
+      return;
+    }
     this.connections.set(socket, connection);
     socket.once('close', () => this.connections.delete(socket));
   }
 
+  /** Checks whether a new connection can be kept; closes another one if there are as many as allowed. */
+  private hasRoom(): boolean {
+    const { maxConnections, journal, metrics } = this.dependencies;
+    if (this.connections.size < maxConnections) return true;
+    const replaced = chooseReplaced(this.connections.values());
+    metrics.count('connections.replaced');
+    journal.record('connection-replaced', {
+      connections: this.connections.size,
+      idleMs: replaced && Math.round(performance.now() - replaced.receivedAt),
+      hadRequest: replaced?.hasHadRequest,
+    });
+    replaced?.close();
+    return replaced !== undefined;
+  }
+
   private async endUnfinished(): Promise<void> {
     const responses = [...this.connections.values()].flatMap((connection) => [
       ...connection.responses,
--- a/packages/serving/src/http/readBody.ts
+++ b/packages/serving/src/http/readBody.ts
@@ -1,42 +1,91 @@
 /** Reads the complete body of a caller's request. */
 import type { IncomingMessage } from 'node:http';
 import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
+import type { HeldBody } from '@jacinthlug/control/bodies/BodyBudget';
+import { GrowingBlock } from '@jacinthlug/control/bodies/GrowingBlock';
 import { err, ok, type Result } from 'neverthrow';
 
+/** Returns the announced size of a body; undefined for a body in chunks. Unit: bytes. */
+const readAnnouncedBytes = ({ headers }: IncomingMessage): number | undefined =>
+  headers['content-length'] === undefined ? undefined : Number(headers['content-length']);
+
+/** A body that is read. */
+export interface BodyReading {
+  /** The body; undefined if the caller disconnected or the signal was aborted before its end; or a refusal. */
+  readonly body: Promise<Result<Buffer | undefined, Refusal>>;
+  /** Ends reading with a refusal. */
+  readonly refuse: (refusal: Refusal) => void;
+}
+
+/** How a body is read. */
+export interface BodyReadingOptions {
+  /** Maximum body size. Unit: bytes. */
+  readonly limitBytes: number;
+  /** Ends reading when it is aborted. */
+  readonly signal?: AbortSignal | undefined;
+  /** Memory of the body; its budget is not limited otherwise. */
+  readonly held?: HeldBody | undefined;
+}
+
+/**
+ * Begins to read a body. The rest of a body that is too large, or that is not read any more, is ignored.
+ *
+ * @param message - the request
+ * @param options - limits
+ * @returns the reading
+ */
+export const beginReading = (
+  message: IncomingMessage,
+  { limitBytes, signal, held }: BodyReadingOptions,
+): BodyReading => {
+  let end: (result: Result<Buffer | undefined, Refusal>) => void;
+  const body = new Promise<Result<Buffer | undefined, Refusal>>((resolve) => {
+    end = resolve;
+  });
+  const announcedBytes = readAnnouncedBytes(message);
+  let block: GrowingBlock | undefined = new GrowingBlock(
+    Math.min(announcedBytes ?? limitBytes, limitBytes),
+  );
+  const finish = (result: Result<Buffer | undefined, Refusal>): void => {
+    block = undefined;
+    end(result);
+  };
+  const stop = (): void => finish(ok(undefined));
+  const tooLarge = (): Refusal =>
+    refuse('body-too-large', { detail: `The limit is ${limitBytes} bytes.` });
+  const take = (piece: Buffer): void => {
+    if (!block) return;
+    if (block.size + piece.length > limitBytes) finish(err(tooLarge()));
+    else if (held && !held.reserve(block.sizeWith(piece.length)))
+      finish(err(refuse('bodies-over-memory')));
+    else block.append(piece);
+  };
+  const refuseBody = (refusal: Refusal): void => finish(err(refusal));
+  if (announcedBytes !== undefined && announcedBytes > limitBytes) {
+    refuseBody(tooLarge());
+    return { body, refuse: refuseBody };
+  }
+  message.on('data', take);
+  message.once('end', () => {
+    if (held && block) Object.assign(held, { isComplete: true });
+    finish(ok(block?.getContent()));
+  });
+  // The only error of a request is that its connection is closed before its end.
+  message.once('error', stop);
+  message.once('close', stop);
+  if (message.destroyed || signal?.aborted) stop();
+  signal?.addEventListener('abort', stop);
+  return { body, refuse: refuseBody };
+};
+
 /**
- * Reads a body. The rest of a body that is too large, or that is not read any more, is ignored, so that the caller gets
- * the refusal.
+ * Reads a body.
  *
  * @param message - the request
  * @param limitBytes - maximum body size. Unit: bytes
- * @param signal - ends reading when it is aborted
- * @returns the body, undefined if the caller disconnected or the signal was aborted before its end, or a refusal
+ * @returns the body, undefined if the caller disconnected before its end, or a refusal
  */
 export const readBody = (
   message: IncomingMessage,
   limitBytes: number,
-  signal?: AbortSignal,
-): Promise<Result<Buffer | undefined, Refusal>> =>
-  new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    let isDone = false;
-    const finish = (result: Result<Buffer | undefined, Refusal>): void => {
-      isDone = true;
-      chunks.length = 0;
-      resolve(result);
-    };
-    const stop = (): void => finish(ok(undefined));
-    message.on('data', (chunk: Buffer) => {
-      if (isDone) return;
-      size += chunk.length;
-      if (size <= limitBytes) chunks.push(chunk);
-      else finish(err(refuse('body-too-large', { detail: `The limit is ${limitBytes} bytes.` })));
-    });
-    message.once('end', () => finish(ok(Buffer.concat(chunks))));
-    // The only error of a request is that its connection is closed before its end.
-    message.once('error', stop);
-    message.once('close', stop);
-    if (message.destroyed || signal?.aborted) stop();
-    signal?.addEventListener('abort', stop);
-  });
+): Promise<Result<Buffer | undefined, Refusal>> => beginReading(message, { limitBytes }).body;
--- a/packages/serving/src/http/writeRefusal.ts
+++ b/packages/serving/src/http/writeRefusal.ts
@@ -5,6 +5,7 @@
 import { renderRefusal } from '@jacinthlug/catalog/refusalBody';
 import type { Refusal } from '@jacinthlug/catalog/resultCodes';
 import type { Dialect } from './Dialect.js';
+import { endRefusedRequest, mustCloseAfterRefusal } from './endRefusedRequest.js';
 
 /** Dependencies of {@link writeRefusal}. */
 export interface RefusalDependencies {
@@ -49,7 +50,8 @@
   response.writeHead(status, {
     ...headers,
     ...(seconds !== undefined && { 'retry-after': dialect.renderRetryAfter(seconds) }),
+    ...(mustCloseAfterRefusal(response) && { connection: 'close' }),
     'content-length': Buffer.byteLength(content),
   });
-  response.end(content);
+  endRefusedRequest(response, content);
 };
--- a/packages/serving/src/online/OnlineRequestHandler.ts
+++ b/packages/serving/src/online/OnlineRequestHandler.ts
@@ -1,6 +1,7 @@
 /** Serves online requests. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
+import type { BodyBudget } from '@jacinthlug/control/bodies/BodyBudget';
 import { systemClock } from '@jacinthlug/control/time/Clock';
 import type { ConfigurationView } from '../configuration/ConfigurationView.js';
 import type { Route } from '../configuration/ServingConfiguration.js';
@@ -23,6 +24,8 @@
 export interface OnlineRequestHandlerDependencies extends RequestAttemptsDependencies {
   readonly view: ConfigurationView;
   readonly rates: AccountRateLimiter;
+  /** Memory for the bodies of requests. */
+  readonly bodies: BodyBudget;
   /** Called when an account's use of its rate must be reported to other hosts at once. */
   readonly onLowRate: () => void;
   readonly streamVersions: StreamVersions;
@@ -64,7 +67,7 @@
     response: ServerResponse,
     head: CallerHead,
   ): Promise<void> {
-    const { view, shutdown } = this.dependencies;
+    const { view, shutdown, bodies } = this.dependencies;
     const { arrivedAt } = head;
     const admitted = admitCaller(view, head);
     if (admitted.isErr()) {
@@ -75,8 +78,14 @@
     const waitMs = Math.min(head.waitMs ?? route.timeoutMs, route.timeoutMs);
     const lifetime = new RequestLifetime(response, arrivedAt + waitMs, shutdown);
     try {
-      const { bodyBytes } = view.index!.configuration.limits;
-      const body = await takeBody(message, bodyBytes, shutdown, lifetime.signal);
+      const body = await takeBody(message, {
+        limitBytes: view.index!.configuration.limits.bodyBytes,
+        shutdown,
+        bodies,
+        account: account?.name,
+        response,
+        signal: lifetime.signal,
+      });
       if (body.isErr()) {
         this.refuse(response, head, body.error);
         return;
@@ -99,13 +108,13 @@
         route,
         account,
         service,
-        body: body.value,
+        body: body.value.content,
         contentKeys: computeContentKeys({
           service,
           account: account?.name,
           path: head.path,
           sharedPromptParts: head.sharedPromptParts,
-          body: body.value,
+          body: body.value.content,
         }),
         lifetime,
         callerResponse: new CallerResponse(
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -2,6 +2,7 @@
 import type { ObjectStore } from '@jacinthlug/backing/ObjectStore';
 import type { Journal } from '@jacinthlug/catalog/Journal';
 import type { Metrics } from '@jacinthlug/catalog/Metrics';
+import { BodyBudget } from '@jacinthlug/control/bodies/BodyBudget';
 import { systemClock } from '@jacinthlug/control/time/Clock';
 import { BatchWorker } from '../batch/BatchWorker.js';
 import { JobCache } from '../batch/JobCache.js';
@@ -81,6 +82,8 @@
   readonly jobRetentionMs: number;
   readonly store: RecordStore;
   readonly objects: ObjectStore;
+  /** Memory for the bodies of callers' requests. Unit: bytes. */
+  readonly bodyMemoryBytes: number;
   readonly dialect: Dialect;
   readonly tables: ExternalTables;
   readonly journal: Journal;
@@ -92,6 +95,8 @@
   readonly identity: HostIdentity;
   readonly view: ConfigurationView;
   readonly online: OnlineRequestHandler;
+  /** Memory for the bodies of requests and submissions. */
+  readonly bodies: BodyBudget;
   readonly shutdown: Shutdown;
   readonly jobs: JobStore;
   readonly jobCache: JobCache;
@@ -304,6 +309,7 @@
       else worker.queueDelayedScheduling();
     },
   });
+  const bodies = new BodyBudget(dependencies.bodyMemoryBytes);
   const online = new OnlineRequestHandler({
     view,
     router,
@@ -311,6 +317,7 @@
     crashGuard,
     health,
     rates,
+    bodies,
     client,
     dialect,
     journal,
@@ -355,6 +362,7 @@
     identity,
     view,
     online,
+    bodies,
     shutdown,
     jobs,
     jobCache,
--- a/packages/serving/test/fakes/startCallerServer.ts
+++ b/packages/serving/test/fakes/startCallerServer.ts
@@ -3,6 +3,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { createServer, type AddressInfo } from 'node:net';
 import type { CallerLimits } from '@jacinthlug/serving/configuration/ServingConfiguration';
+import { silentJournal } from '@jacinthlug/catalog/Journal';
+import { openMetrics } from '@jacinthlug/catalog/Metrics';
 import { CallerServer } from '@jacinthlug/serving/http/CallerServer';
 import { Shutdown } from '@jacinthlug/serving/http/Shutdown';
 
@@ -22,6 +24,9 @@
   return port;
 };
 
+/** More connections than the tests open. */
+const MAX_CONNECTIONS = 1000;
+
 /**
  * Starts a server.
  *
@@ -42,7 +47,12 @@
       respond(message, response);
       return Promise.resolve();
     },
-    shutdown,
+    {
+      shutdown,
+      maxConnections: MAX_CONNECTIONS,
+      journal: silentJournal,
+      metrics: openMetrics('h-1'),
+    },
     timeoutCheckMs,
   );
   if (limits) server.applyLimits(limits);
