--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -2,6 +2,7 @@
 import type { ObjectStore } from '@jacinthlug/backing/ObjectStore';
 import type { Journal } from '@jacinthlug/catalog/Journal';
 import type { Metrics } from '@jacinthlug/catalog/Metrics';
+import { BodyBudget } from '@jacinthlug/control/bodies/BodyBudget';
 import { systemClock } from '@jacinthlug/control/time/Clock';
 import { BatchWorker } from '../batch/BatchWorker.js';
 import { JobCache } from '../batch/JobCache.js';
@@ -100,6 +101,8 @@
   readonly jobRetentionMs: number;
   readonly store: RecordStore;
   readonly objects: ObjectStore;
+  /** Memory for the bodies of callers' requests. Unit: bytes. */
+  readonly bodyMemoryBytes: number;
   readonly dialect: Dialect;
   readonly tables: ExternalTables;
   readonly journal: Journal;
@@ -111,6 +114,8 @@
   readonly identity: HostIdentity;
   readonly view: ConfigurationView;
   readonly online: OnlineRequestHandler;
+  /** Memory for the bodies of requests and submissions. */
+  readonly bodies: BodyBudget;
   readonly shutdown: Shutdown;
   readonly jobs: JobStore;
   readonly jobCache: JobCache;
@@ -360,6 +365,7 @@
       else worker.queueDelayedScheduling();
     },
   });
+  const bodies = new BodyBudget(dependencies.bodyMemoryBytes);
   const online = new OnlineRequestHandler({
     view,
     router,
@@ -367,6 +373,7 @@
     crashGuard,
     health,
     rates,
+    bodies,
     client,
     dialect,
     journal,
@@ -419,6 +426,7 @@
     identity,
     view,
     online,
+    bodies,
     shutdown,
     jobs,
     jobCache,
--- a/packages/serving/test/steps/allowedRegions.steps.ts
+++ b/packages/serving/test/steps/allowedRegions.steps.ts
@@ -146,6 +146,7 @@
         services: [{ service: 'chat', weight: 1 }],
         urgency: 'relaxed',
         origin: undefined,
+        avoided: new Set(),
         isRestartDue: false,
         allowedRegions: findAllowedRegions(readRegions(regions), undefined),
       });
