Choose targets by predicted times, behind a setting

Cause: targets were ranked by counts of requests against slots, whatever their pace and whatever the requests still had to do. A third of the targets takes 2.4 times as long per event as the others (median times of a stream after its first event 873 to 1,271 ms against 405 to 506 ms), and freed a slot accordingly later, but took the same queue of two requests.

A host now learns the time per event of each target from its responses, the number of events of a request from its hint and from earlier requests, and reports what its online requests still have to do at each target. From this it predicts the time to the first event at each target, and draws among the targets with weights that fall with that time. The setting serving.placement selects it: count (default, as before), cost, pace, work.

Ruled out: always taking the best prediction, as all hosts see the same idle target for as long as their reports are old (test of 30 hosts).

The test of encoded reports has the new field in its samples, and two more malformed ones. packages/serving: 363 passed.

--- a/packages/protocol/src/loadReport.ts
+++ b/packages/protocol/src/loadReport.ts
@@ -16,8 +16,14 @@
 
 const isRequestCount = countUpTo(MAX_REQUESTS_PER_TARGET);
 
-/** Running requests of one host on one target: id of the target, online requests, batch items. */
-const targetLoad = tupleOf(isString, isRequestCount, isRequestCount);
+/** Maximum time for which the requests of one host hold slots of one target. Unit: ms. */
+const MAX_WORK_LEFT_MS = 1_000_000_000;
+
+/**
+ * Running requests of one host on one target: id of the target, online requests, batch items, and the time for which the
+ * online requests are expected to hold slots from now on, in ms (0 if the host doesn't estimate it).
+ */
+const targetLoad = tupleOf(isString, isRequestCount, isRequestCount, countUpTo(MAX_WORK_LEFT_MS));
 
 /** Rate usage of one account on one host: name of the account, and requests since the start of the process. */
 const rateUsage = tupleOf(isString, isNonNegativeInteger);
--- a/packages/serving/src/batch/BatchWorker.ts
+++ b/packages/serving/src/batch/BatchWorker.ts
@@ -11,6 +11,7 @@
 import { isTargetFault, runAttempt, type AttemptOutcome } from '../online/runAttempt.js';
 import { BatchSlotAllocator, type FreeSlots } from '../routing/BatchSlotAllocator.js';
 import type { Candidate } from '../routing/chooseTarget.js';
+import type { RunningWork, WorkLedger } from '../placement/WorkLedger.js';
 import type { LoadTable } from '../routing/LoadTable.js';
 import type { TargetHealth } from '../routing/TargetHealth.js';
 import type { TargetRouter } from '../routing/TargetRouter.js';
@@ -62,6 +63,7 @@
   readonly targets: TargetList;
   readonly router: TargetRouter;
   readonly loadTable: LoadTable;
+  readonly ledger: WorkLedger;
   readonly health: TargetHealth;
   readonly client: TargetClient;
   readonly dialect: Dialect;
@@ -336,7 +338,9 @@
     const eventsBefore = task.response.resumableEventCount;
     Object.assign(task, { run: { target, controller, startedAt } });
     const endRequest = loadTable.beginRequest(target.id, 'batch');
-    const attempt = await this.send(job, task, target, controller.signal);
+    const work = this.dependencies.ledger.begin({ target, size: undefined, work: 'batch' });
+    const attempt = await this.send(job, task, target, controller.signal, work);
+    work.end(attempt.kind === 'complete');
     endRequest();
     const events = task.response.eventCount;
     this.paceEstimator.recordRun(events - eventsBefore, performance.now() - startedAt);
@@ -366,6 +370,7 @@
     task: ItemTask,
     target: Target,
     signal: AbortSignal,
+    work: RunningWork,
   ): Promise<AttemptOutcome> {
     const { client, dialect, health } = this.dependencies;
     const { item, response } = task;
@@ -397,6 +402,7 @@
         return true;
       },
       maxResponseBytes: MAX_RESPONSE_BYTES,
+      onProgress: (events) => work.recordEvents(events),
       // Any response counts as a success: an item may fail at every target, so its status says nothing
       // about the target's health.
       onResponse: () => health.recordSuccess(target.id),
--- a/packages/serving/src/http/Dialect.ts
+++ b/packages/serving/src/http/Dialect.ts
@@ -1,6 +1,7 @@
 /** The HTTP headers that callers and targets of one deployment use; implemented by an adapter. */
 import type { IncomingMessage } from 'node:http';
 import type { Target } from '../fleet/Target.js';
+import type { RequestSize } from '../placement/RequestSize.js';
 
 /** Head of a caller's request. */
 export interface CallerHead {
@@ -22,6 +23,8 @@
   readonly resumedRequest: string | undefined;
   /** Ids of the parts of the prompt that other requests may contain too, in order; empty when not stated. */
   readonly sharedPromptParts: readonly string[];
+  /** Size of the request; undefined when not stated. */
+  readonly size?: RequestSize | undefined;
 }
 
 /** What a request to a target carries in addition to the caller's headers. */
@@ -61,6 +64,14 @@
    */
   readCallerHead(message: IncomingMessage): CallerHead;
 
+  /**
+   * Reads the size of a batch item.
+   *
+   * @param headers - headers of the item
+   * @returns the size; undefined when not stated
+   */
+  readItemSize(headers: Readonly<Record<string, string>>): RequestSize | undefined;
+
   /**
    * Builds the headers of a request to a target.
    *
--- a/packages/serving/src/online/RequestAttempts.ts
+++ b/packages/serving/src/online/RequestAttempts.ts
@@ -8,6 +8,7 @@
 import type { Dialect } from '../http/Dialect.js';
 import { refuseStopping, type Shutdown } from '../http/Shutdown.js';
 import type { TargetClient } from '../http/TargetClient.js';
+import type { WorkLedger } from '../placement/WorkLedger.js';
 import type { LoadTable } from '../routing/LoadTable.js';
 import type { TargetHealth } from '../routing/TargetHealth.js';
 import type { TargetChoice } from '../routing/chooseTarget.js';
@@ -45,6 +46,7 @@
 export interface RequestAttemptsDependencies {
   readonly router: TargetRouter;
   readonly loadTable: LoadTable;
+  readonly ledger: WorkLedger;
   readonly crashGuard: CrashGuard;
   readonly health: TargetHealth;
   readonly client: TargetClient;
@@ -143,9 +145,10 @@
       progress.attempts < Math.max(MAX_ATTEMPTS_NOT_RUN, route.attempts) &&
       router.hasAlternative(service, excludedTargets, version);
     if (!left && !mayRunFurther) return undefined;
-    if (!left || prefersFurther) return router.chooseForOnline(service, excludedTargets, version);
+    if (!left || prefersFurther)
+      return router.chooseForOnline(service, excludedTargets, version, request.head.size);
     progress.recordReturn(left.target.id);
-    return { kind: 'target', target: left.target };
+    return { kind: 'target', target: left.target, expectedWaitMs: 0 };
   }
 
   /** Finds a target that the request has left while it was silent, and that can still run the request. */
@@ -246,6 +249,7 @@
     const { head, route, account, lifetime, callerResponse, message, body } = request;
     const { progress: received } = callerResponse;
     const running: RunningAttempt = { router, request, target, progress, received };
+    const work = this.dependencies.ledger.begin({ target, size: head.size, work: 'online' });
     const endLoad = loadTable.beginRequest(target.id, 'online');
     this.dependencies.onAttemptStart(target);
     const sentAt = performance.now();
@@ -278,11 +282,13 @@
         if (status === FAILED_STATUS) health.recordFailure(target.id, `status ${status}`);
         else health.recordSuccess(target.id);
       },
+      onProgress: (events) => work.recordEvents(events),
       onUnderWay: () => crashGuard.recordServed(request.service, request.contentKeys),
       onDraining: () => this.dependencies.drainingTargets.add(target),
       shouldRetryStatus: (status) => status === FAILED_STATUS && mayLeaveFailedTarget(running),
       maxResponseBytes: MAX_RESPONSE_BYTES,
     });
+    work.end(outcome.kind === 'complete');
     endLoad();
     if (outcome.kind === 'broken' && outcome.connectionLost && !outcome.wasUnderWay)
       crashGuard.recordFailure({
--- a/packages/serving/src/online/runAttempt.ts
+++ b/packages/serving/src/online/runAttempt.ts
@@ -80,6 +80,8 @@
   readonly maxResponseBytes: number;
   /** Called with the status when the target itself responds. */
   readonly onResponse: (status: number) => void;
+  /** Called with the number of parts of the response, or of its events, each time that further ones have arrived. */
+  readonly onProgress?: (count: number) => void;
   /**
    * Called once a target has begun to produce a successful response: several parts of it have arrived, or all. Content
    * that crashes targets does so before.
@@ -275,7 +277,10 @@
       return;
     }
     // Bytes that complete no event don't count as activity: the event may never end.
-    if (sink.progress > progress) this.recordActivity();
+    if (sink.progress > progress) {
+      this.recordActivity();
+      this.options.onProgress?.(sink.progress - this.initialProgress);
+    }
     if (sink.progress - this.initialProgress >= PARTS_UNDER_WAY) this.recordUnderWay();
     if (acceptsMore) return;
     this.call?.pause();
--- /dev/null
+++ b/packages/serving/src/placement/TargetOutlook.ts
@@ -0,0 +1,56 @@
+/** Combines what this host knows of a target into a prediction for one more request. */
+import type { Target } from '../fleet/Target.js';
+import type { LoadTable } from '../routing/LoadTable.js';
+import { forecastTarget, type TargetForecast } from './forecastTarget.js';
+import type { RequestSize } from './RequestSize.js';
+import type { PlacementStrategy } from './strategies.js';
+import type { WorkLedger } from './WorkLedger.js';
+
+/** Dependencies of {@link TargetOutlook}. */
+export interface TargetOutlookDependencies {
+  readonly strategy: PlacementStrategy;
+  readonly loadTable: LoadTable;
+  readonly ledger: WorkLedger;
+}
+
+/** What is expected of a target. */
+export interface Outlook {
+  /** Time per event as a multiple of the mean of the service. */
+  readonly pace: number;
+  readonly forecast: TargetForecast;
+}
+
+/** Predicts times at targets. */
+export class TargetOutlook {
+  constructor(private readonly dependencies: TargetOutlookDependencies) {}
+
+  /**
+   * Predicts the times of one more online request at a target.
+   *
+   * @param target - the target
+   * @param size - size of the request; undefined if its caller states none
+   * @param now - monotonic time. Unit: ms
+   * @returns the prediction
+   */
+  describe(target: Target, size: RequestSize | undefined, now: number): Outlook {
+    const { strategy, loadTable, ledger } = this.dependencies;
+    const load = loadTable.totalLoad(target.id);
+    const reported = loadTable.reportedWork(target.id, now);
+    const pace = ledger.relativePace(target, now);
+    const forecast = forecastTarget({
+      slots: target.slots,
+      online: load.online,
+      batch: load.batch,
+      reportedOnline: reported.online,
+      reportAgeMs: reported.ageMs,
+      workLeftMs: strategy.usesCost
+        ? reported.workLeftMs + ledger.workLeftMs(target, now)
+        : undefined,
+      pace,
+      meanHoldMs: ledger.meanHoldMs(now),
+      meanFirstMs: ledger.meanFirstMs(now),
+      ownHoldMs: ledger.estimateHoldMs(target.service, size, now),
+    });
+    return { pace, forecast };
+  }
+}
--- a/packages/serving/src/routing/LoadTable.ts
+++ b/packages/serving/src/routing/LoadTable.ts
@@ -11,12 +11,28 @@
 }
 
 /** The part of a load report that the table keeps for each host. */
-type HostLoads = Pick<LoadReport, 'loads' | 'silent' | 'waitingItems'>;
+interface HostLoads extends Pick<LoadReport, 'loads' | 'silent' | 'waitingItems'> {
+  /** Monotonic time at which the host wrote the report. Unit: ms. */
+  readonly writtenAt: number;
+}
+
+/** What other hosts have reported of their online requests on one target. */
+export interface ReportedWork {
+  readonly online: number;
+  /** Time for which the requests were expected to hold slots. Unit: ms. */
+  readonly workLeftMs: number;
+  /** Mean age of the reports, weighted by the number of requests; undefined without requests. Unit: ms. */
+  readonly ageMs: number | undefined;
+}
 
 /** Sums over the reports of the other hosts for one target. */
 interface TargetTotal {
   online: number;
   batch: number;
+  /** Unit: ms. */
+  workLeftMs: number;
+  /** Sum over the online requests of the time at which they were reported. Unit: ms. */
+  writtenAtSum: number;
   /** Number of hosts that report the target as unresponsive. */
   unresponsiveReports: number;
   /** Running batch items by host. */
@@ -73,12 +89,15 @@
    * reports arrive.
    *
    * @param report - latest report of the host
+   * @param now - monotonic time. Unit: ms
    */
-  applyReport(report: LoadReport): void {
+  applyReport(report: LoadReport, now = performance.now()): void {
     const previous = this.reportsByHost.get(report.host);
     if (previous) this.accumulate(report.host, previous, -1);
-    this.reportsByHost.set(report.host, report);
-    this.accumulate(report.host, report, 1);
+    const { loads, silent, waitingItems, ageMs } = report;
+    const current = { loads, silent, waitingItems, writtenAt: now - ageMs };
+    this.reportsByHost.set(report.host, current);
+    this.accumulate(report.host, current, 1);
   }
 
   /**
@@ -116,6 +135,22 @@
     return { online: own.online + total.online, batch: own.batch + total.batch };
   }
 
+  /**
+   * Returns what other hosts have reported of their online requests on a target.
+   *
+   * @param target - identity of the target
+   * @param now - monotonic time. Unit: ms
+   * @returns the sum of the reports
+   */
+  reportedWork(target: string, now: number): ReportedWork {
+    const { online = 0, workLeftMs = 0, writtenAtSum = 0 } = this.totalsByTarget.get(target) ?? {};
+    return {
+      online,
+      workLeftMs,
+      ageMs: online > 0 ? Math.max(0, now - writtenAtSum / online) : undefined,
+    };
+  }
+
   /**
    * Counts the other hosts that report a target as unresponsive.
    *
@@ -165,17 +200,29 @@
   /**
    * Lists this host's own loads for a load report.
    *
-   * @returns identity, online requests and batch items of each target that this host uses
+   * @param workLeftOf - returns the time for which the online requests on a target hold slots from now on. Unit: ms
+   * @returns identity, online requests, batch items and work left of each target that this host uses
    */
-  ownLoads(): [string, number, number][] {
-    return [...this.ownByTarget.entries()].map(([id, { online, batch }]) => [id, online, batch]);
+  ownLoads(workLeftOf: (target: string) => number = () => 0): [string, number, number, number][] {
+    return [...this.ownByTarget.entries()].map(([id, { online, batch }]) => [
+      id,
+      online,
+      batch,
+      Math.round(workLeftOf(id)),
+    ]);
   }
 
-  private accumulate(host: string, { loads, silent, waitingItems }: HostLoads, sign: 1 | -1): void {
-    loads.forEach(([target, online, batch]) => {
+  private accumulate(
+    host: string,
+    { loads, silent, waitingItems, writtenAt }: HostLoads,
+    sign: 1 | -1,
+  ): void {
+    loads.forEach(([target, online, batch, workLeftMs]) => {
       const total = this.getOrCreateTotal(target);
       total.online += sign * online;
       total.batch += sign * batch;
+      total.workLeftMs += sign * workLeftMs;
+      total.writtenAtSum += sign * online * writtenAt;
       if (batch === 0) return;
       if (sign > 0) total.holders.set(host, batch);
       else total.holders.delete(host);
@@ -193,6 +240,8 @@
     const total = {
       online: 0,
       batch: 0,
+      workLeftMs: 0,
+      writtenAtSum: 0,
       unresponsiveReports: 0,
       holders: new Map<string, number>(),
     };
--- a/packages/serving/src/routing/TargetHealth.ts
+++ b/packages/serving/src/routing/TargetHealth.ts
@@ -63,8 +63,19 @@
   /** Targets that have failed. An entry is removed with a response after its failures have decayed. */
   private readonly statisticsByTarget = new Map<string, FailureStatistics>();
 
+  private readonly listeners: ((target: string) => void)[] = [];
+
   constructor(private readonly journal: Journal) {}
 
+  /**
+   * Registers a listener for failures.
+   *
+   * @param listener - called with the identity of the target
+   */
+  onFailure(listener: (target: string) => void): void {
+    this.listeners.push(listener);
+  }
+
   /**
    * Records a failure: a refused or failed connection, a request without a response, or a response that reports a
    * failure of the target.
@@ -100,6 +111,7 @@
       failures: statistics.consecutiveFailures,
       pauseMs,
     });
+    this.listeners.forEach((listener) => listener(target));
   }
 
   /**
--- a/packages/serving/src/routing/TargetRouter.ts
+++ b/packages/serving/src/routing/TargetRouter.ts
@@ -4,6 +4,8 @@
 import type { HostIdentity } from '../fleet/HostIdentity.js';
 import type { Target } from '../fleet/Target.js';
 import type { TargetList } from '../fleet/TargetList.js';
+import type { RequestSize } from '../placement/RequestSize.js';
+import type { TargetOutlook } from '../placement/TargetOutlook.js';
 import {
   chooseBatchTarget,
   chooseTarget,
@@ -25,6 +27,8 @@
   readonly drainingTargets: DrainingTargets;
   readonly loadTable: LoadTable;
   readonly health: TargetHealth;
+  /** Predicts times at targets; undefined if they are compared by numbers of requests. */
+  readonly outlook?: TargetOutlook | undefined;
 }
 
 /** A target to which a request may return. */
@@ -65,15 +69,17 @@
    * @param service - name of the service
    * @param excluded - identities of targets on which the request has failed already
    * @param version - version that began the stream which the request continues; undefined if any will do
+   * @param size - size of the request; undefined if its caller states none
    * @returns the target, or why there is none
    */
   chooseForOnline(
     service: string,
     excluded: ReadonlySet<string>,
     version: string | undefined,
+    size?: RequestSize,
   ): TargetChoice {
     const { failureDomain } = this.dependencies.identity;
-    const candidates = this.listCandidates(service, version);
+    const candidates = this.listCandidates(service, version, size);
     const isContinuation = version !== undefined;
     const { random } = Math;
     return chooseTarget({ candidates, failureDomain, excluded, isContinuation, random });
@@ -189,8 +195,13 @@
     return targets.listReady(service).filter((target) => !drainingTargets.includes(target));
   }
 
-  private listCandidates(service: string, version: string | undefined): Candidate[] {
-    const { loadTable, health } = this.dependencies;
+  private listCandidates(
+    service: string,
+    version: string | undefined,
+    size?: RequestSize,
+  ): Candidate[] {
+    const { loadTable, health, outlook } = this.dependencies;
+    const now = performance.now();
     const ready = this.listAccepting(service).filter(
       (target) => version === undefined || target.version === version,
     );
@@ -201,6 +212,7 @@
       usable: health.isUsable(target.id) && !unreliable.has(target.id),
       responsive: health.isResponsive(target.id),
       unresponsiveReports: loadTable.countUnresponsiveReports(target.id),
+      ...outlook?.describe(target, size, now),
     }));
   }
 }
--- a/packages/serving/src/routing/chooseTarget.ts
+++ b/packages/serving/src/routing/chooseTarget.ts
@@ -1,5 +1,11 @@
 /** Selects the target of a request by load, health and failure domain. */
 import type { Target } from '../fleet/Target.js';
+import {
+  chooseByForecast,
+  findShortestWaitMs,
+  selectInTime,
+} from '../placement/chooseByForecast.js';
+import type { TargetForecast } from '../placement/forecastTarget.js';
 import type { TargetLoad } from './LoadTable.js';
 
 /**
@@ -32,6 +38,10 @@
   readonly responsive: boolean;
   /** Number of other hosts that report the target as unresponsive. */
   readonly unresponsiveReports: number;
+  /** Time per event as a multiple of the mean of the service; 1 unless it is learned. */
+  readonly pace?: number;
+  /** Predicted times of one more online request; undefined if targets are compared by numbers of requests. */
+  readonly forecast?: TargetForecast;
 }
 
 /** Criteria for the target of an online request. */
@@ -59,9 +69,19 @@
 
 /** Result of the target selection for an online request. */
 export type TargetChoice =
-  | { readonly kind: 'target'; readonly target: Target }
+  | {
+      readonly kind: 'target';
+      readonly target: Target;
+      /** Time until the request gets a slot of the target; 0 where it is unknown. Unit: ms. */
+      readonly expectedWaitMs: number;
+    }
   /** All slots and queues are taken by online requests. */
-  | { readonly kind: 'full'; readonly counts: CandidateCounts }
+  | {
+      readonly kind: 'full';
+      readonly counts: CandidateCounts;
+      /** Time until a slot is free at one of the targets; undefined where it is unknown. Unit: ms. */
+      readonly expectedWaitMs: number | undefined;
+    }
   /** The service has no targets, or all of them are excluded. */
   | { readonly kind: 'none'; readonly counts: CandidateCounts };
 
@@ -147,6 +167,12 @@
     ? possible
     : possible.filter((candidate) => candidate.responsive && !isReportedUnresponsive(candidate));
 
+/** A candidate whose times are predicted. */
+type ForecastCandidate = Candidate & { readonly forecast: TargetForecast };
+
+const hasForecast = (candidate: Candidate): candidate is ForecastCandidate =>
+  candidate.forecast !== undefined;
+
 /** Lists the candidates to which a request may be sent, and those among them that look healthy. */
 const selectUsable = ({
   candidates,
@@ -171,9 +197,24 @@
   criteria: Pick<OnlineCriteria, 'candidates' | 'excluded' | 'isContinuation'>,
 ): boolean => {
   const { usable } = selectUsable(criteria);
+  if (usable.every(hasForecast)) return selectInTime(usable, criteria.isContinuation).length > 0;
   return findPreferred(usable, criteria.isContinuation).capacityOf !== undefined;
 };
 
+/** Draws a target by predicted times; falls back to the targets that are tried last. */
+const chooseAmongForecasts = (
+  groups: readonly (readonly ForecastCandidate[])[],
+  { failureDomain, isContinuation, random }: OnlineCriteria,
+  counts: CandidateCounts,
+): TargetChoice => {
+  const chosen = groups
+    .map((candidates) => chooseByForecast({ candidates, failureDomain, isContinuation, random }))
+    .find((candidate) => candidate !== undefined);
+  return chosen
+    ? { kind: 'target', target: chosen.target, expectedWaitMs: chosen.forecast.waitMs }
+    : { kind: 'full', counts, expectedWaitMs: findShortestWaitMs(groups.flat()) };
+};
+
 /**
  * Chooses the target of an online request. Load data is about 100 ms old, and in that time a failure domain of twenty
  * hosts places a dozen requests. If all of them went to the target with the most free slots, they would queue there
@@ -182,13 +223,8 @@
  * @param criteria - candidates and properties of the request
  * @returns a target, or why there is none
  */
-export const chooseTarget = ({
-  candidates,
-  failureDomain,
-  excluded,
-  isContinuation,
-  random,
-}: OnlineCriteria): TargetChoice => {
+export const chooseTarget = (criteria: OnlineCriteria): TargetChoice => {
+  const { candidates, failureDomain, excluded, isContinuation, random } = criteria;
   const { possible, usable } = selectUsable({ candidates, excluded });
   const counts = {
     accepting: candidates.length,
@@ -196,14 +232,21 @@
     unhealthy: possible.length - usable.length,
   };
   if (possible.length === 0) return { kind: 'none', counts };
+  if (possible.every(hasForecast)) {
+    const groups = [
+      usable.filter(hasForecast),
+      selectLastResort(possible, usable, isContinuation).filter(hasForecast),
+    ];
+    return chooseAmongForecasts(groups, criteria, counts);
+  }
   const healthy = findPreferred(usable, isContinuation);
   const { preferred, capacityOf } = healthy.capacityOf
     ? healthy
     : findPreferred(selectLastResort(possible, usable, isContinuation), isContinuation);
-  if (!capacityOf) return { kind: 'full', counts };
+  if (!capacityOf) return { kind: 'full', counts, expectedWaitMs: undefined };
   const local = preferred.filter(({ target }) => target.failureDomain === failureDomain);
   const { target } = drawByCapacity(local.length > 0 ? local : preferred, capacityOf, random);
-  return { kind: 'target', target };
+  return { kind: 'target', target, expectedWaitMs: 0 };
 };
 
 /** Criteria for the target of a batch item. */
@@ -230,9 +273,10 @@
   const eligible = candidates
     .filter((candidate) => candidate.usable && !isReportedUnresponsive(candidate))
     .filter((candidate) => allowanceOf(candidate) > 0)
-    .map(({ target, load }) => ({
+    .map(({ target, load, pace = 1 }) => ({
       target,
-      free: target.slots - load.online - load.batch,
+      // An item leaves a fast target before the next requests need its slot.
+      free: (target.slots - load.online - load.batch) / pace,
       distance: target.failureDomain === failureDomain ? 0 : 1,
       draw: random(),
     }));
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -22,6 +22,9 @@
 import { Shutdown } from '../http/Shutdown.js';
 import { TargetClient } from '../http/TargetClient.js';
 import { OnlineRequestHandler } from '../online/OnlineRequestHandler.js';
+import { placementStrategies, type Placement } from '../placement/strategies.js';
+import { TargetOutlook } from '../placement/TargetOutlook.js';
+import { WorkLedger } from '../placement/WorkLedger.js';
 import { AccountRateLimiter } from '../rates/AccountRateLimiter.js';
 import { LoadTable } from '../routing/LoadTable.js';
 import { TargetHealth } from '../routing/TargetHealth.js';
@@ -79,6 +82,8 @@
   readonly isFirstStart: boolean;
   /** Retention of batch jobs after their acceptance. Unit: ms. */
   readonly jobRetentionMs: number;
+  /** How targets are chosen. */
+  readonly placement: Placement;
   readonly store: RecordStore;
   readonly objects: ObjectStore;
   readonly dialect: Dialect;
@@ -191,6 +196,8 @@
   const blockedContent = new BlockedContent({ store, journal });
   const crashGuard = new CrashGuard({ blockedContent, journal });
   const health = new TargetHealth(journal);
+  const strategy = placementStrategies[dependencies.placement];
+  const ledger = new WorkLedger(strategy);
   const members = new Members({ identity, store, journal });
   const client = new TargetClient();
   const router = new TargetRouter({
@@ -199,6 +206,9 @@
     drainingTargets,
     loadTable,
     health,
+    outlook: strategy.predictsTimes
+      ? new TargetOutlook({ strategy, loadTable, ledger })
+      : undefined,
   });
   const retention = new StreamRetention();
   const streamVersions = new StreamVersions(retention);
@@ -266,6 +276,7 @@
     targets,
     router,
     loadTable,
+    ledger,
     health,
     client,
     dialect,
@@ -279,13 +290,17 @@
     timeSinceStoreContact: () => configurationFollower.age,
     timeSinceStoreRecovery: () => configurationFollower.timeSinceRecovery,
   });
+  const estimateWorkLeft = (id: string): number => {
+    const target = strategy.usesCost ? targets.find(id) : undefined;
+    return target ? ledger.workLeftMs(target) : 0;
+  };
   const exchange = new LoadExchange({
     identity,
     members,
     journal,
     createContent: () => ({
       storeAgeMs: Math.min(Math.round(configurationFollower.age), Number.MAX_SAFE_INTEGER),
-      loads: loadTable.ownLoads(),
+      loads: loadTable.ownLoads(estimateWorkLeft),
       rates: rates.listOwnUsage(),
       silent: health.findPaused(targets.size),
       waitingItems: worker.waitingItemCount,
@@ -308,6 +323,7 @@
     view,
     router,
     loadTable,
+    ledger,
     crashGuard,
     health,
     rates,
@@ -328,6 +344,8 @@
     shutdown,
   });
   targets.onChange(() => versionHistory.update(targets.list()));
+  targets.onChange(() => ledger.retainPaces(new Set(targets.list().map(({ id }) => id))));
+  health.onFailure((id) => ledger.forgetPace(id));
   drainingTargets.onAdded(() => exchange.scheduleReport());
   crashGuard.onEvidence(() => exchange.scheduleReport());
   // Callers may take a stream up elsewhere right after its first event. While only one version serves, it has begun every stream.
--- a/packages/serving/test/features/reports.feature
+++ b/packages/serving/test/features/reports.feature
@@ -41,6 +41,8 @@
       | a report with a negative load |
       | a report with a load that no host can have |
       | a report with a name for a load |
+      | a report with a negative work left                   |
+      | a report with a load without work left               |
       | a report with a draining target without a start time |
       | a report with a crash without a service              |
       | a report with a stream without a version             |
--- a/packages/serving/test/steps/reports.steps.ts
+++ b/packages/serving/test/steps/reports.steps.ts
@@ -100,6 +100,9 @@
   );
 });
 
+/** Time at which all reports of a test were written. Unit: ms. */
+const REPORT_WRITTEN_AT = 1000;
+
 Given(
   'hosts that report loads of {int} targets in {int} random steps, seed {int}',
   function (this: ReportsWorld, targets: number, steps: number, seed: number) {
@@ -117,11 +120,13 @@
         const report = createReport(host, step, {
           loads: names
             .filter(() => below(3) === 0)
-            .map((name) => [name, below(4), below(3)] as [string, number, number]),
+            .map(
+              (name) => [name, below(4), below(3), below(900)] as [string, number, number, number],
+            ),
           silent: names.filter(() => below(9) === 0),
           waitingItems: below(2),
         });
-        this.loadTable.applyReport(report);
+        this.loadTable.applyReport(report, REPORT_WRITTEN_AT);
         this.newest.set(host, report);
       }
     }
@@ -134,8 +139,11 @@
   for (let index = 0; index < 12; index += 1) {
     const target = `t-${index}`;
     const loads = reports.flatMap((report) => report.loads.filter(([id]) => id === target));
-    const sum = (field: 1 | 2): number => loads.reduce((total, load) => total + load[field], 0);
+    const sum = (field: 1 | 2 | 3): number => loads.reduce((total, load) => total + load[field], 0);
     assert.deepEqual(loadTable.totalLoad(target), { online: sum(1), batch: sum(2) });
+    const { online, workLeftMs, ageMs } = loadTable.reportedWork(target, REPORT_WRITTEN_AT + 50);
+    assert.deepEqual({ online, workLeftMs }, { online: sum(1), workLeftMs: sum(3) });
+    assert.equal(ageMs, sum(1) > 0 ? 50 : undefined);
     assert.equal(
       loadTable.countUnresponsiveReports(target),
       reports.filter(({ silent }) => silent.includes(target)).length,
@@ -152,7 +160,7 @@
 When('two reports are encoded together', function (this: ReportsWorld) {
   this.reports = [
     createReport('h-1', 7, {
-      loads: [['t-1', 2, 1]],
+      loads: [['t-1', 2, 1, 730]],
       rates: [['a', 40]],
       crashes: [[1, 't', 's', 2, [['c']]]],
       servedContent: [['c', 3]],
@@ -173,7 +181,7 @@
   assert.deepEqual(decodeLoadReports(this.datagram), this.reports);
 });
 
-const FIELDS = ['h-1', 1, 1, 0, 0, 0, [['t-1', 1, 0]], [], [], 0, [], false, [], [], [], []];
+const FIELDS = ['h-1', 1, 1, 0, 0, 0, [['t-1', 1, 0, 0]], [], [], 0, [], false, [], [], [], []];
 
 const withLoads = (loads: unknown): Buffer => pack([FIELDS.with(6, loads as never)]);
 
@@ -181,14 +189,16 @@
   nothing: () => Buffer.alloc(0),
   text: () => Buffer.from('GET / HTTP/1.1'),
   'a report with a field missing': () => pack([FIELDS.slice(0, -1)]),
-  'a report with a negative load': () => withLoads([['t-1', -1, 0]]),
+  'a report with a negative load': () => withLoads([['t-1', -1, 0, 0]]),
   // Batch items are listed one by one to divide them among the hosts, for which no list can be long enough.
-  'a report with a load that no host can have': () => withLoads([['t-1', 0, 2 ** 40]]),
+  'a report with a load that no host can have': () => withLoads([['t-1', 0, 2 ** 40, 0]]),
+  'a report with a negative work left': () => withLoads([['t-1', 1, 0, -1]]),
+  'a report with a load without work left': () => withLoads([['t-1', 1, 0]]),
   'a report with a draining target without a start time': () => pack([FIELDS.with(10, [['t-1']])]),
   'a report with a crash without a service': () =>
     pack([FIELDS.with(12, [[1, 't-1', 5, []]] as never)]),
   'a report with a stream without a version': () => pack([FIELDS.with(15, [['stream']] as never)]),
-  'a report with a name for a load': () => withLoads([['t-1', 'one', 0]]),
+  'a report with a name for a load': () => withLoads([['t-1', 'one', 0, 0]]),
 };
 
 When(/^a datagram holds (.+)$/, function (this: ReportsWorld, content: string) {
