--- a/packages/serving/src/routing/TargetRouter.ts
+++ b/packages/serving/src/routing/TargetRouter.ts
@@ -6,6 +6,8 @@
 import type { HostIdentity } from '../fleet/HostIdentity.js';
 import type { Target } from '../fleet/Target.js';
 import type { TargetList } from '../fleet/TargetList.js';
+import type { RequestSize } from '../placement/RequestSize.js';
+import type { TargetOutlook } from '../placement/TargetOutlook.js';
 import {
   chooseBatchTarget,
   chooseTarget,
@@ -35,6 +37,8 @@
   readonly regions: RegionsByDomain;
   readonly loadTable: LoadTable;
   readonly health: TargetHealth;
+  /** Predicts times at targets; undefined if they are compared by numbers of requests. */
+  readonly outlook?: TargetOutlook | undefined;
 }
 
 /** A target to which a request may return. */
@@ -80,6 +84,7 @@
    * @param service - name of the service
    * @param excluded - identities of targets on which the request has failed already
    * @param version - version that began the stream which the request continues; undefined if any will do
+   * @param size - size of the request; undefined if its caller states none
    * @param allowed - regions in which the request may run; undefined if any will do
    * @returns the target, or why there is none
    */
@@ -87,10 +92,14 @@
     service: string,
     excluded: ReadonlySet<string>,
     version: string | undefined,
+    size?: RequestSize,
     allowed?: AllowedRegions,
   ): TargetChoice {
     const { failureDomain } = this.dependencies.identity;
-    const candidates = this.preferWarm(this.listCandidates(service, version, allowed), excluded);
+    const candidates = this.preferWarm(
+      this.listCandidates(service, version, allowed, size),
+      excluded,
+    );
     const isContinuation = version !== undefined;
     const { random } = Math;
     const choice = chooseTarget({ candidates, failureDomain, excluded, isContinuation, random });
@@ -98,7 +107,7 @@
     if (this.isOnlyForbidden(service, version, allowed)) return { ...choice, kind: 'forbidden' };
     if (!this.hasDeferredTarget(service, excluded, version, allowed)) return choice;
     this.dependencies.coldTargets.recordDeferral();
-    return { ...choice, kind: 'full' };
+    return { ...choice, kind: 'full', expectedWaitMs: undefined };
   }
 
   /**
@@ -294,8 +303,10 @@
     service: string,
     version: string | undefined,
     allowed: AllowedRegions | undefined,
+    size?: RequestSize,
   ): Candidate[] {
-    const { loadTable, health, coldTargets } = this.dependencies;
+    const { loadTable, health, coldTargets, outlook } = this.dependencies;
+    const now = performance.now();
     const ready = this.listAccepting(service, allowed).filter(
       (target) =>
         (version === undefined || target.version === version) && coldTargets.mayReceive(target),
@@ -307,6 +318,7 @@
       usable: health.isUsable(target.id) && !unreliable.has(target.id),
       responsive: health.isResponsive(target.id),
       unresponsiveReports: loadTable.countUnresponsiveReports(target.id),
+      ...outlook?.describe(target, size, now),
     }));
   }
 }
--- a/packages/serving/test/steps/allowedRegions.steps.ts
+++ b/packages/serving/test/steps/allowedRegions.steps.ts
@@ -93,7 +93,13 @@
     const { router, allowed, domains } = this;
     const reached = expected === '' ? [] : readList(expected);
     const send = (excluded: string[]): string | undefined => {
-      const chosen = router.chooseForOnline('chat', new Set(excluded), undefined, allowed);
+      const chosen = router.chooseForOnline(
+        'chat',
+        new Set(excluded),
+        undefined,
+        undefined,
+        allowed,
+      );
       return chosen.kind === 'target' ? chosen.target.id : undefined;
     };
     assert.deepEqual(
@@ -121,7 +127,7 @@
 );
 
 Then('a request is refused as {string}', function (this: RegionsWorld, kind: string) {
-  const chosen = this.router.chooseForOnline('chat', new Set(), undefined, this.allowed);
+  const chosen = this.router.chooseForOnline('chat', new Set(), undefined, undefined, this.allowed);
   assert.equal(chosen.kind, kind);
 });
 
--- a/packages/serving/test/steps/coldTargets.steps.ts
+++ b/packages/serving/test/steps/coldTargets.steps.ts
@@ -144,9 +144,12 @@
     host.update([{ ...target, coldUntil: now + START_MS }], now),
 };
 
-When(/^(the (?:target|evacuation).+|its registration.+) at (\d+) ms$/, function (this: ColdWorld, event: string, time: string) {
-  events[event]!(this.hosts[0]!, this.target, Number(time));
-});
+When(
+  /^(the (?:target|evacuation).+|its registration.+) at (\d+) ms$/,
+  function (this: ColdWorld, event: string, time: string) {
+    events[event]!(this.hosts[0]!, this.target, Number(time));
+  },
+);
 
 Then('the target is warm', function (this: ColdWorld) {
   assert.ok(!this.hosts[0]!.isCold(this.target, 1000));
