Free the memory of bodies that yield at once

Blocks of bodies over 64 KiB grow in place in resizable array buffers and are freed by resizing them, without copies that wait for the garbage collector.

--- a/packages/control/src/bodies/BodyBudget.ts
+++ b/packages/control/src/bodies/BodyBudget.ts
@@ -1,64 +1,18 @@
 /** Memory budget for the request bodies that a process holds, and the choice of the body that yields when it is used up. */
+import { HeldBody } from './HeldBody.js';
 
-/** Maximum size of a body that may use the part of the budget that is reserved for small ones. Unit: bytes. */
-const SMALL_BODY_BYTES = 65_536;
+/** Maximum memory of a body that may use the part of the budget that is reserved for small ones. Unit: bytes. */
+const SMALL_BODY_BYTES = 66_560;
 
 /** Part of the budget that only small bodies use. */
 const SMALL_BODIES_SHARE = 1 / 8;
 
-/** What a process holds for a body besides its bytes. Unit: bytes. */
-const BODY_OVERHEAD_BYTES = 1024;
-
 /** Time without a byte after which an incomplete body counts as stalled. Unit: ms. */
 const STALL_MS = 250;
 
 /** Minimum age for which the rate of a body is computed, as the first bytes of all bodies arrive together. Unit: ms. */
 const MIN_RATE_AGE_MS = 100;
 
-/** One body, from the first byte until its request ends. */
-export class HeldBody {
-  /** Reserved bytes. Unit: bytes. */
-  bytes = 0;
-
-  /** Whether it has been received completely; such a body does not yield. */
-  isComplete = false;
-
-  /** Monotonic time of the latest bytes. Unit: ms. */
-  progressedAt: number;
-
-  /**
-   * Begins with no bytes.
-   *
-   * @param budget - budget that it counts towards
-   * @param holder - client account that sends it, or the address of the sender
-   * @param startedAt - monotonic time. Unit: ms
-   * @param onYield - called when the body yields to another one; its bytes are released
-   */
-  constructor(
-    private readonly budget: BodyBudget,
-    readonly holder: string,
-    readonly startedAt: number,
-    readonly onYield: () => void,
-  ) {
-    this.progressedAt = startedAt;
-  }
-
-  /**
-   * Reserves memory.
-   *
-   * @param bytes - all memory that the body needs from now on. Unit: bytes
-   * @returns whether it fits; bytes reserved before stay reserved otherwise
-   */
-  reserve(bytes: number): boolean {
-    return this.budget.reserve(this, bytes + BODY_OVERHEAD_BYTES);
-  }
-
-  /** Releases the memory. */
-  release(): void {
-    this.budget.release(this);
-  }
-}
-
 /** Compares two bodies: stalled ones first, longest first; then the slowest first. */
 const compareProgress = (a: HeldBody, b: HeldBody, now: number): number => {
   const stalledFor = ({ progressedAt }: HeldBody): number =>
@@ -111,7 +65,7 @@
   reserve(body: HeldBody, bytes: number): boolean {
     if (!this.bodies.has(body)) return false;
     Object.assign(body, { progressedAt: this.now() });
-    const isSmall = bytes <= SMALL_BODY_BYTES + BODY_OVERHEAD_BYTES;
+    const isSmall = bytes <= SMALL_BODY_BYTES;
     const limitBytes = isSmall ? this.limitBytes : this.limitBytes * (1 - SMALL_BODIES_SHARE);
     while (bytes > body.bytes && this.heldBytes + bytes - body.bytes > limitBytes) {
       const yielding = this.chooseYielding(body, bytes);
--- a/packages/serving/src/http/endRefusedRequest.ts
+++ b/packages/serving/src/http/endRefusedRequest.ts
@@ -5,7 +5,10 @@
 const MAX_REUSE_BYTES = 65_536;
 
 /** Maximum rest of a body that is read so that its sender gets the refusal. Unit: bytes. */
-const MAX_REST_BYTES = 4_194_304;
+const MAX_REST_BYTES = 1_048_576;
+
+/** What a chunk counts besides its bytes, as very small ones take as long to read as large ones. Unit: bytes. */
+const CHUNK_OVERHEAD_BYTES = 64;
 
 /** Maximum time for which that rest is read. Unit: ms. */
 const MAX_REST_MS = 1000;
@@ -45,7 +48,7 @@
   };
   timer = setTimeout(end, MAX_REST_MS);
   message.on('data', (bytes: Buffer) => {
-    restBytes += bytes.length;
+    restBytes += bytes.length + CHUNK_OVERHEAD_BYTES;
     if (restBytes > MAX_REST_BYTES) end();
   });
   message.once('end', end);
--- a/packages/serving/src/http/readBody.ts
+++ b/packages/serving/src/http/readBody.ts
@@ -1,7 +1,7 @@
 /** Reads the complete body of a caller's request. */
 import type { IncomingMessage } from 'node:http';
 import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
-import type { HeldBody } from '@jacinthlug/control/bodies/BodyBudget';
+import type { HeldBody } from '@jacinthlug/control/bodies/HeldBody';
 import { GrowingBlock } from '@jacinthlug/control/bodies/GrowingBlock';
 import { err, ok, type Result } from 'neverthrow';
 
@@ -47,6 +47,7 @@
     Math.min(announcedBytes ?? limitBytes, limitBytes),
   );
   const finish = (result: Result<Buffer | undefined, Refusal>): void => {
+    block?.free();
     block = undefined;
     end(result);
   };
@@ -68,7 +69,7 @@
   message.on('data', take);
   message.once('end', () => {
     if (held && block) Object.assign(held, { isComplete: true });
-    finish(ok(block?.getContent()));
+    finish(ok(block?.take()));
   });
   // The only error of a request is that its connection is closed before its end.
   message.once('error', stop);
--- a/packages/serving/src/http/takeBody.ts
+++ b/packages/serving/src/http/takeBody.ts
@@ -1,7 +1,8 @@
 /** Reads the body of a request, unless the host stops taking requests or has no memory for it. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
-import type { BodyBudget, HeldBody } from '@jacinthlug/control/bodies/BodyBudget';
+import type { BodyBudget } from '@jacinthlug/control/bodies/BodyBudget';
+import type { HeldBody } from '@jacinthlug/control/bodies/HeldBody';
 import { err, ok, type Result } from 'neverthrow';
 import { beginReading, type BodyReading } from './readBody.js';
 import { refuseStopping, type Shutdown } from './Shutdown.js';
