Guard targets against content of batch items that crashes them

Items neither asked the guard against crashing content nor told it of lost connections, so that one job whose items share a crashing prompt part took its whole service down: each item was sent again 100 ms after it had crashed a target.

runGuardedAttempt is now the one call to a target of online requests and items: it reports responses that are under way, and connections that are lost before. The guard is asked before each run of an item, once the item has a target, as its keys depend on the service. A blocked item gives its slot back and waits; it is checked again each second, as the block ends early once its content is served, and is dead-lettered only after its retention time. Keys are computed once for each item and service. Counter batch.blocked.

Ruled out: a longer delay after lost connections (sound items fail in the same crashes and are due).

--- a/packages/catalog/src/counterNames.ts
+++ b/packages/catalog/src/counterNames.ts
@@ -19,6 +19,10 @@
   'streams.cut': { description: 'Streams ended early by reason', tags: ['reason'] },
   'batch.items': { description: 'Batch items by outcome', tags: ['outcome'] },
   'batch.preempted': { description: 'Batch streams cancelled for online requests', tags: [] },
+  'batch.blocked': {
+    description: 'Batch items that wait as targets crash on their content',
+    tags: [],
+  },
   'batch.claims': { description: 'Chunk claims by outcome', tags: ['outcome'] },
   'batch.commits': { description: 'Chunk commits by outcome', tags: ['outcome'] },
   'platform.calls': {
--- a/packages/serving/src/batch/BatchWorker.ts
+++ b/packages/serving/src/batch/BatchWorker.ts
@@ -1,6 +1,9 @@
 /** Runs the items of this host's batch jobs on slots that online requests don't use. */
 import type { Metrics } from '@jacinthlug/catalog/Metrics';
 import type { LoadReport } from '@jacinthlug/protocol/loadReport';
+import { computeContentKeys } from '../crashes/contentKeys.js';
+import type { CrashGuard } from '../crashes/CrashGuard.js';
+import { runGuardedAttempt } from '../crashes/runGuardedAttempt.js';
 import type { DrainingTargets } from '../fleet/DrainingTargets.js';
 import { STORE_CONTACT_TIMEOUT_MS } from '../fleet/Members.js';
 import { getPropagationTimeMs } from '../fleet/reportSchedule.js';
@@ -8,7 +11,7 @@
 import type { TargetList } from '../fleet/TargetList.js';
 import type { Dialect } from '../http/Dialect.js';
 import type { TargetClient } from '../http/TargetClient.js';
-import { isTargetFault, runAttempt, type AttemptOutcome } from '../online/runAttempt.js';
+import { isTargetFault, type AttemptOutcome } from '../online/runAttempt.js';
 import { BatchSlotAllocator, type FreeSlots } from '../routing/BatchSlotAllocator.js';
 import type { Candidate } from '../routing/chooseTarget.js';
 import type { LoadTable } from '../routing/LoadTable.js';
@@ -51,6 +54,12 @@
 /** Status of a response that contains output. */
 const COMPLETED_STATUS = 200;
 
+/**
+ * Maximum time after which a blocked item is checked again: the block ends early once its content is served elsewhere.
+ * Unit: ms.
+ */
+const BLOCK_RECHECK_MS = 1000;
+
 /** How long load reports of other hosts are collected before one scheduling pass. Unit: ms. */
 const REPORT_BATCHING_MS = 40;
 
@@ -63,6 +72,7 @@
   readonly router: TargetRouter;
   readonly loadTable: LoadTable;
   readonly health: TargetHealth;
+  readonly crashGuard: CrashGuard;
   readonly client: TargetClient;
   readonly dialect: Dialect;
   readonly metrics: Metrics;
@@ -241,7 +251,9 @@
         avoided: item.task.endedTargets,
         isRestartDue: this.isRestartDue(item.task, now),
       });
-      if (placement) this.startItem(item, placement);
+      if (!placement) return;
+      if (this.isBlocked(item, placement.target, now)) pass.release(placement);
+      else this.startItem(item, placement);
     });
     pass.usedTargets.forEach((id) => {
       const isLocal = targets.find(id)?.failureDomain === identity.failureDomain;
@@ -254,6 +266,28 @@
     this.planNextAllocation(now);
   }
 
+  /** Checks whether targets crash on an item's content, in which case the item waits. */
+  private isBlocked({ job, task }: JobTask, { service }: Target, now: number): boolean {
+    const block = this.dependencies.crashGuard.findBlock(this.getContentKeys(job, task, service));
+    if (!block) return false;
+    Object.assign(task, { notBefore: Math.min(block.until, now + BLOCK_RECHECK_MS) });
+    this.dependencies.metrics.count('batch.blocked');
+    return true;
+  }
+
+  private getContentKeys(job: HeldJob, task: ItemTask, service: string): readonly string[] {
+    const { item } = task;
+    return task.getContentKeys(service, () =>
+      computeContentKeys({
+        service,
+        account: job.record.account,
+        path: item.path,
+        sharedPromptParts: this.dependencies.dialect.readItemPromptParts(item.headers),
+        body: Buffer.from(item.body, 'base64'),
+      }),
+    );
+  }
+
   /**
    * Checks whether an item has waited for targets that can continue its output for as long as it takes to produce the output
    * again. Waiting longer costs more than it saves.
@@ -368,12 +402,14 @@
     target: Target,
     signal: AbortSignal,
   ): Promise<AttemptOutcome> {
-    const { client, dialect, health } = this.dependencies;
+    const { client, dialect, health, crashGuard } = this.dependencies;
     const { item, response } = task;
     const { host, account } = job.record;
     response.origin = { service: target.service, version: target.version };
     const rawHeaders = ['Host', host, ...Object.entries(item.headers).flat()];
-    return runAttempt({
+    return runGuardedAttempt({
+      crashGuard,
+      contentKeys: this.getContentKeys(job, task, target.service),
       client,
       dialect,
       target,
--- a/packages/serving/src/batch/ItemTask.ts
+++ b/packages/serving/src/batch/ItemTask.ts
@@ -53,6 +53,9 @@
   /** Monotonic time before which the item is not run. Unit: ms. */
   notBefore = 0;
 
+  /** Content keys of the item by service. */
+  private readonly contentKeys = new Map<string, readonly string[]>();
+
   constructor(
     readonly index: number,
     readonly item: JobItem,
@@ -135,7 +138,7 @@
     if (attempt.kind === 'given-up') return undefined;
     if (attempt.kind === 'overlong' || this.response.isTooLarge) this.discardOutput();
     if (this.response.resumableEventCount > eventsBefore) this.runsWithoutProgress = 0;
-    // Items don't crash targets, so a lost connection says nothing about the item.
+    // A lost connection says little about one item; the guard against crashing content judges all of them together.
     else if (attempt.kind !== 'broken' || !attempt.connectionLost) this.runsWithoutProgress += 1;
     const delayMs = Math.min(
       MAX_RETRY_DELAY_MS,
@@ -145,6 +148,19 @@
     return undefined;
   }
 
+  /**
+   * Returns the keys by which content that crashes targets is recognized. They are computed once, as that hashes the body.
+   *
+   * @param service - name of the service that runs the item
+   * @param compute - computes the keys
+   * @returns content keys
+   */
+  getContentKeys(service: string, compute: () => readonly string[]): readonly string[] {
+    const keys = this.contentKeys.get(service) ?? compute();
+    this.contentKeys.set(service, keys);
+    return keys;
+  }
+
   /**
    * Lists the targets that have ended a response with its connection after the last event. Another target should be asked to
    * repeat that event.
--- a/packages/serving/src/batch/SchedulingPass.ts
+++ b/packages/serving/src/batch/SchedulingPass.ts
@@ -79,6 +79,17 @@
     return this.placeAtFirst(others, urgency, true);
   }
 
+  /**
+   * Gives back the slot of an item that doesn't run after all.
+   *
+   * @param placement - placement of the item
+   */
+  release({ target: { id } }: Placement): void {
+    const slots = this.usedSlots.get(id) ?? 0;
+    if (slots > 1) this.usedSlots.set(id, slots - 1);
+    else this.usedSlots.delete(id);
+  }
+
   /** Places an item that runs from its beginning at the first service with a slot. */
   private placeAtFirst(
     services: readonly string[],
--- a/packages/serving/src/http/Dialect.ts
+++ b/packages/serving/src/http/Dialect.ts
@@ -84,6 +84,14 @@
     options: TargetRequestOptions,
   ): string[];
 
+  /**
+   * Reads the ids of the parts of an item's prompt that other requests may contain too.
+   *
+   * @param headers - headers of the item
+   * @returns the ids in order; empty when not stated
+   */
+  readItemPromptParts(headers: Readonly<Record<string, string>>): readonly string[];
+
   /**
    * Classifies the head of a response.
    *
--- a/packages/serving/src/online/RequestAttempts.ts
+++ b/packages/serving/src/online/RequestAttempts.ts
@@ -3,6 +3,7 @@
 import type { Metrics } from '@jacinthlug/catalog/Metrics';
 import { systemClock } from '@jacinthlug/control/time/Clock';
 import type { CrashGuard } from '../crashes/CrashGuard.js';
+import { runGuardedAttempt } from '../crashes/runGuardedAttempt.js';
 import type { DrainingTargets } from '../fleet/DrainingTargets.js';
 import type { Target } from '../fleet/Target.js';
 import type { Dialect } from '../http/Dialect.js';
@@ -24,7 +25,7 @@
   refuseAfterFailures,
   type RequestOutcome,
 } from './requestOutcomes.js';
-import { isTargetFault, runAttempt, type AttemptOutcome } from './runAttempt.js';
+import { isTargetFault, type AttemptOutcome } from './runAttempt.js';
 
 /** Number of attempts after which a request is not retried, even if the last attempt provably did not run it. */
 const MAX_ATTEMPTS_NOT_RUN = 4;
@@ -248,8 +249,9 @@
     const running: RunningAttempt = { router, request, target, progress, received };
     const endLoad = loadTable.beginRequest(target.id, 'online');
     this.dependencies.onAttemptStart(target);
-    const sentAt = performance.now();
-    const outcome = await runAttempt({
+    const outcome = await runGuardedAttempt({
+      crashGuard,
+      contentKeys: request.contentKeys,
       client,
       dialect,
       target,
@@ -278,19 +280,11 @@
         if (status === FAILED_STATUS) health.recordFailure(target.id, `status ${status}`);
         else health.recordSuccess(target.id);
       },
-      onUnderWay: () => crashGuard.recordServed(request.service, request.contentKeys),
       onDraining: () => this.dependencies.drainingTargets.add(target),
       shouldRetryStatus: (status) => status === FAILED_STATUS && mayLeaveFailedTarget(running),
       maxResponseBytes: MAX_RESPONSE_BYTES,
     });
     endLoad();
-    if (outcome.kind === 'broken' && outcome.connectionLost && !outcome.wasUnderWay)
-      crashGuard.recordFailure({
-        target: target.id,
-        service: request.service,
-        contentKeys: request.contentKeys,
-        sentAt,
-      });
     return outcome;
   }
 
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -267,6 +267,7 @@
     router,
     loadTable,
     health,
+    crashGuard,
     client,
     dialect,
     jobCache,
