Log why a configuration can't be read

A configuration that a host couldn't read left no trace: the host stayed at an earlier version, or wasn't ready. The decoder now returns the path of the first invalid field and the reason, which the host logs (840, configuration-unreadable). An account with a burst but without a rate is reported too (841, configuration-inconsistent); such a configuration is still taken, as rejecting it would leave hosts without the rest of it.

--- a/packages/catalog/src/logEvents.ts
+++ b/packages/catalog/src/logEvents.ts
@@ -417,6 +417,18 @@
       'A batch item starts again, as no target of the service and version that began it can continue it',
     hint: 'Expected during a release of targets, and while a service of a split route has no free target.',
   },
+  'configuration-unreadable': {
+    number: 840,
+    severity: 'error',
+    message: 'The configuration in the store cannot be read; the last readable one stays in force',
+    hint: 'Correct the field at "path". A host that has read no configuration since its start is not ready.',
+  },
+  'configuration-inconsistent': {
+    number: 841,
+    severity: 'warn',
+    message: 'A setting of the configuration contradicts another one and has no effect',
+    hint: 'Correct the settings of the named accounts.',
+  },
   'stream-version-found': {
     number: 833,
     severity: 'info',
--- a/packages/serving/src/configuration/ConfigurationView.ts
+++ b/packages/serving/src/configuration/ConfigurationView.ts
@@ -37,9 +37,21 @@
       routes: configuration.routes.length,
       accounts: configuration.accounts.length,
     });
+    this.reportUnusedBursts(configuration);
     this.listeners.forEach((listener) => listener(this.current!));
   }
 
+  /** Reports accounts whose burst has no effect: without a rate, their requests are not limited. */
+  private reportUnusedBursts({ version, accounts }: ServingConfiguration): void {
+    const names = accounts.filter(({ rate, burst }) => rate === 0 && burst > 0);
+    if (names.length === 0) return;
+    this.journal.record('configuration-inconsistent', {
+      version,
+      accounts: names.map(({ name }) => name),
+      reason: 'burst without a rate',
+    });
+  }
+
   /**
    * Adds a listener for new versions.
    *
--- a/packages/serving/src/configuration/ServingConfiguration.ts
+++ b/packages/serving/src/configuration/ServingConfiguration.ts
@@ -73,3 +73,10 @@
   readonly services: readonly Service[];
   readonly limits: CallerLimits;
 }
+
+/** Why a configuration can't be read. */
+export interface ConfigurationFault {
+  /** Names and indexes that lead to the invalid field, separated by dots; empty for the whole configuration. */
+  readonly path: string;
+  readonly reason: string;
+}
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -3,13 +3,17 @@
 import type { Journal } from '@jacinthlug/catalog/Journal';
 import type { Metrics } from '@jacinthlug/catalog/Metrics';
 import { systemClock } from '@jacinthlug/control/time/Clock';
+import type { Result } from 'neverthrow';
 import { BatchWorker } from '../batch/BatchWorker.js';
 import { JobCache } from '../batch/JobCache.js';
 import { JOBS_TABLE } from '../batch/jobKeys.js';
 import { JobStore } from '../batch/JobStore.js';
 import { ProgressStore } from '../batch/ProgressStore.js';
 import { ConfigurationView } from '../configuration/ConfigurationView.js';
-import type { ServingConfiguration } from '../configuration/ServingConfiguration.js';
+import type {
+  ConfigurationFault,
+  ServingConfiguration,
+} from '../configuration/ServingConfiguration.js';
 import { BLOCKED_CONTENT_TABLE, BlockedContent } from '../crashes/BlockedContent.js';
 import { CrashGuard } from '../crashes/CrashGuard.js';
 import { DrainingTargets } from '../fleet/DrainingTargets.js';
@@ -65,8 +69,10 @@
   /** Partition of the rows of both tables. Rows of other partitions may have the same keys, and are ignored. */
   readonly partition: string;
   readonly configurationTable: string;
-  /** Decodes the row of the configuration; undefined for other or invalid rows. */
-  readonly decodeConfiguration: (record: StoredRecord) => ServingConfiguration | undefined;
+  /** Decodes the row of the configuration; undefined for other rows. */
+  readonly decodeConfiguration: (
+    record: StoredRecord,
+  ) => Result<ServingConfiguration, ConfigurationFault> | undefined;
   readonly targetsTable: string;
   /** Decodes the row of a target; undefined for invalid rows. */
   readonly decodeTarget: (record: StoredRecord) => Target | undefined;
@@ -130,10 +136,13 @@
 const createConfigurationListener = (
   view: ConfigurationView,
   tables: ExternalTables,
+  journal: Journal,
 ): TableListener => {
   const applyRecord = (record: StoredRecord): void => {
-    const configuration = tables.decodeConfiguration(record);
-    if (configuration) view.apply(configuration);
+    tables.decodeConfiguration(record)?.match(
+      (configuration) => view.apply(configuration),
+      (fault) => journal.record('configuration-unreadable', { ...fault }),
+    );
   };
   return selectPartition(tables.partition, {
     replace: (records) => records.forEach(applyRecord),
@@ -226,7 +235,7 @@
   const followerDependencies = { store, journal, contact: storeContact };
   const configurationFollower = new TableFollower(
     { table: tables.configurationTable, holdMs: URGENT_POLL_TIMEOUT_MS, intervalMs: 0 },
-    createConfigurationListener(view, tables),
+    createConfigurationListener(view, tables, journal),
     followerDependencies,
   );
   view.follower = configurationFollower;
