--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -4,13 +4,17 @@
 import type { Metrics } from '@jacinthlug/catalog/Metrics';
 import { BodyBudget } from '@jacinthlug/control/bodies/BodyBudget';
 import { systemClock } from '@jacinthlug/control/time/Clock';
+import type { Result } from 'neverthrow';
 import { BatchWorker } from '../batch/BatchWorker.js';
 import { JobCache } from '../batch/JobCache.js';
 import { JOBS_TABLE } from '../batch/jobKeys.js';
 import { JobStore } from '../batch/JobStore.js';
 import { ProgressStore } from '../batch/ProgressStore.js';
 import { ConfigurationView } from '../configuration/ConfigurationView.js';
-import type { ServingConfiguration } from '../configuration/ServingConfiguration.js';
+import type {
+  ConfigurationFault,
+  ServingConfiguration,
+} from '../configuration/ServingConfiguration.js';
 import { BLOCKED_CONTENT_TABLE, BlockedContent } from '../crashes/BlockedContent.js';
 import { CrashGuard } from '../crashes/CrashGuard.js';
 import { ColdTargets } from '../fleet/ColdTargets.js';
@@ -80,8 +84,10 @@
   /** Partition of the rows of both tables. Rows of other partitions may have the same keys, and are ignored. */
   readonly partition: string;
   readonly configurationTable: string;
-  /** Decodes the row of the configuration; undefined for other or invalid rows. */
-  readonly decodeConfiguration: (record: StoredRecord) => ServingConfiguration | undefined;
+  /** Decodes the row of the configuration; undefined for other rows. */
+  readonly decodeConfiguration: (
+    record: StoredRecord,
+  ) => Result<ServingConfiguration, ConfigurationFault> | undefined;
   /**
    * Decodes the key of a row of the configuration's table that requests an evacuation.
    *
@@ -166,8 +172,10 @@
   journal: Journal,
 ): TableListener => {
   const applyRecord = (record: StoredRecord): void => {
-    const configuration = tables.decodeConfiguration(record);
-    if (configuration) view.apply(configuration);
+    tables.decodeConfiguration(record)?.match(
+      (configuration) => view.apply(configuration),
+      (fault) => journal.record('configuration-unreadable', { ...fault }),
+    );
   };
   const findEvacuated = (key: string): string | undefined => {
     const decoded = tables.decodeEvacuation(key);
@@ -335,6 +343,7 @@
     loadTable,
     ledger,
     health,
+    crashGuard,
     client,
     dialect,
     jobCache,
