Queue online requests at the host and bound accounts to fair shares

A request that finds all targets full was refused at once, in order of arrival and whatever its account. With serving.admission = queue it waits at the host while it can still begin its response within the objective, ordered by precedence, priority, fair share and deadline; a wait that is known to be too long is refused at once, with a return time from the rate at which slots become free. With serving.shares = fair, an account above its max-min share (by rate limit, from the admitted requests in the load reports, weighed by mean work) gets free slots only and waits behind the others while room is short.

--- a/packages/catalog/src/counterNames.ts
+++ b/packages/catalog/src/counterNames.ts
@@ -15,6 +15,10 @@
   'requests.completed': { description: 'Requests with a complete response', tags: ['route'] },
   'requests.refused': { description: 'Refused requests by result code', tags: ['code'] },
   'requests.retried': { description: 'Retries by reason', tags: ['reason'] },
+  'queue.left': {
+    description: 'Requests that left the queue of the host, by outcome',
+    tags: ['outcome'],
+  },
   'requests.replayed': { description: 'Responses replayed from a claim', tags: ['route'] },
   'streams.cut': { description: 'Streams ended early by reason', tags: ['reason'] },
   'batch.items': { description: 'Batch items by outcome', tags: ['outcome'] },
@@ -43,6 +47,7 @@
   'requests.total': {
     description: 'Time from the arrival of a request to the end of its response',
   },
+  'queue.wait': { description: 'Time of a request in the queue of the host' },
   'items.run': { description: 'Duration of a run of a batch item on a target' },
 } as const satisfies Readonly<Record<string, Timing>>;
 
--- a/packages/catalog/src/resultCodes.ts
+++ b/packages/catalog/src/resultCodes.ts
@@ -134,6 +134,15 @@
     run: 'not run',
     retryAfterSeconds: 1,
   },
+  'share-exceeded': {
+    number: 1105,
+    title: 'Share exceeded',
+    message: 'The client account uses more than its fair share while there is no room for all.',
+    hint: 'Retry after the time given.',
+    status: 503,
+    run: 'not run',
+    retryAfterSeconds: 1,
+  },
   'job-over-limit': {
     number: 1104,
     title: 'Too many tokens waiting',
--- /dev/null
+++ b/packages/serving/src/admission/AccountShares.ts
@@ -0,0 +1,148 @@
+/** Tracks which client accounts use more than their fair share of the fleet. */
+import type { Account } from '../configuration/ServingConfiguration.js';
+import { computeFairLevel } from './computeFairLevel.js';
+
+/** Time in which a recorded request loses all but a third of its weight. Unit: ms. */
+const DECAY_MS = 1500;
+
+/** Use below which an account is within its share, whatever the others use. Unit: requests of mean work. */
+const MIN_SHARE = 2;
+
+/** Tolerated ratio of use to share; covers requests that were recorded late. */
+const TOLERANCE = 1.15;
+
+/** How long a computed level is used. Unit: ms. */
+const LEVEL_LIFETIME_MS = 50;
+
+/** Weight of the latest request in the mean work of an account. */
+const WORK_SAMPLE_WEIGHT = 0.1;
+
+/** Limits of an account's mean work, as a ratio of the mean of all requests. */
+const RELATIVE_WORK = { min: 0.25, max: 4 } as const;
+
+/** Decides which accounts are above their fair share while room is short. */
+export interface ShareTable {
+  /**
+   * Records requests that any host has admitted.
+   *
+   * @param account - name of the account
+   * @param requests - number of requests; negative if they did not run
+   * @param now - monotonic time. Unit: ms
+   */
+  recordUse(account: string, requests: number, now: number): void;
+
+  /**
+   * Records the work of one request.
+   *
+   * @param account - name of the account
+   * @param workMs - time for which it used a slot. Unit: ms
+   */
+  recordWork(account: string, workMs: number): void;
+
+  /**
+   * Compares the use of an account with its fair share.
+   *
+   * @param account - the account; undefined on open routes
+   * @param now - monotonic time. Unit: ms
+   * @returns ratio of use to share; 1 if the account is within its share
+   */
+  getRatio(account: Account | undefined, now: number): number;
+}
+
+interface Usage {
+  /** Decaying number of requests. */
+  requests: number;
+  /** Monotonic time of the last decay. Unit: ms. */
+  decayedAt: number;
+  /** Mean work of a request; undefined before the first one. Unit: ms. */
+  meanWorkMs: number | undefined;
+}
+
+const mix = (mean: number | undefined, value: number): number =>
+  mean === undefined ? value : mean + (value - mean) * WORK_SAMPLE_WEIGHT;
+
+/**
+ * Fair shares by recent use. An account's share is in proportion to its rate limit, and what some accounts leave unused is
+ * divided among the others. Accounts without a rate limit have no share to exceed.
+ */
+export class AccountShares implements ShareTable {
+  private readonly usages = new Map<string, Usage>();
+
+  private weights: ReadonlyMap<string, number> = new Map();
+
+  private meanWorkMs: number | undefined;
+
+  private level = Number.POSITIVE_INFINITY;
+
+  private levelExpiresAt = Number.NEGATIVE_INFINITY;
+
+  /**
+   * Applies the accounts of a new configuration.
+   *
+   * @param accounts - all accounts
+   */
+  configure(accounts: readonly Account[]): void {
+    this.weights = new Map(accounts.map(({ name, rate }) => [name, rate]));
+    [...this.usages.keys()]
+      .filter((name) => !this.weights.has(name))
+      .forEach((name) => this.usages.delete(name));
+    this.levelExpiresAt = Number.NEGATIVE_INFINITY;
+  }
+
+  recordUse(account: string, requests: number, now: number): void {
+    const usage = this.decay(account, now);
+    usage.requests = Math.max(0, usage.requests + requests);
+  }
+
+  recordWork(account: string, workMs: number): void {
+    const usage = this.usages.get(account);
+    this.meanWorkMs = mix(this.meanWorkMs, workMs);
+    if (usage) usage.meanWorkMs = mix(usage.meanWorkMs, workMs);
+  }
+
+  getRatio(account: Account | undefined, now: number): number {
+    const weight = account && this.weights.get(account.name);
+    if (!account || !weight) return 1;
+    const work = this.getWork(account.name, now);
+    if (work <= MIN_SHARE) return 1;
+    const ratio = work / (this.getLevel(now) * weight);
+    return ratio > TOLERANCE ? ratio : 1;
+  }
+
+  private getLevel(now: number): number {
+    if (now < this.levelExpiresAt) return this.level;
+    this.levelExpiresAt = now + LEVEL_LIFETIME_MS;
+    this.level = computeFairLevel(
+      [...this.weights].map(([name, weight]) => ({ weight, work: this.getWork(name, now) })),
+    );
+    return this.level;
+  }
+
+  /** Returns the recent work of an account. Unit: requests of mean work. */
+  private getWork(account: string, now: number): number {
+    if (!this.usages.has(account)) return 0;
+    const { requests, meanWorkMs } = this.decay(account, now);
+    if (meanWorkMs === undefined || !this.meanWorkMs) return requests;
+    const relativeWork = meanWorkMs / this.meanWorkMs;
+    return requests * Math.min(RELATIVE_WORK.max, Math.max(RELATIVE_WORK.min, relativeWork));
+  }
+
+  private decay(account: string, now: number): Usage {
+    const usage = this.usages.get(account) ?? {
+      requests: 0,
+      decayedAt: now,
+      meanWorkMs: undefined,
+    };
+    this.usages.set(account, usage);
+    usage.requests *= Math.exp(Math.min(0, usage.decayedAt - now) / DECAY_MS);
+    usage.decayedAt = Math.max(usage.decayedAt, now);
+    return usage;
+  }
+}
+
+/** Shares for a deployment that serves accounts in order of arrival. */
+export const equalStanding: ShareTable = {
+  recordUse: () => undefined,
+  recordWork: () => undefined,
+  getRatio: () => 1,
+};
--- /dev/null
+++ b/packages/serving/src/admission/Admission.ts
@@ -0,0 +1,66 @@
+/** Decides when an online request gets a target, and when it is refused because there is no room for it. */
+import type { Refusal } from '@jacinthlug/catalog/resultCodes';
+import type { Account } from '../configuration/ServingConfiguration.js';
+import type { Target } from '../fleet/Target.js';
+import type { CandidateCounts, TargetChoice } from '../routing/chooseTarget.js';
+
+/** A request that needs a target. */
+export interface PlacementRequest {
+  readonly service: string;
+  /** Undefined on open routes. */
+  readonly account: Account | undefined;
+  /** Priority of the route; 0 is the most urgent. */
+  readonly routePriority: number;
+  /** Whether no target has had the request, and it continues no stream. */
+  readonly isNew: boolean;
+  /** Monotonic time at which the response must continue, or begin to meet the objective of the route. Unit: ms. */
+  readonly responseDeadline: number;
+  /** Monotonic time until which the caller waits, retries included. Unit: ms. */
+  readonly callerDeadline: number;
+  /** Aborted when the request needs no target any more. */
+  readonly signal: AbortSignal;
+  /** Chooses a target by the present load. */
+  readonly chooseTarget: () => TargetChoice;
+}
+
+/** Target of a request, or why it has none. */
+export type Placement =
+  | { readonly kind: 'target'; readonly target: Target }
+  | {
+      readonly kind: 'full';
+      readonly counts?: CandidateCounts;
+      /** Refusal for a request that has not run; undefined for the usual one. */
+      readonly refusal?: Refusal;
+    }
+  | { readonly kind: 'none'; readonly counts: CandidateCounts }
+  /** The request was aborted while it waited. */
+  | { readonly kind: 'aborted' };
+
+/**
+ * Records the end of an attempt.
+ *
+ * @param firstMs - time until the response began; undefined if it did not. Unit: ms
+ */
+export type AttemptEnd = (firstMs: number | undefined) => void;
+
+/** Admits online requests to targets. */
+export interface Admission {
+  /**
+   * Finds a target for a request, or refuses it.
+   *
+   * @param request - the request
+   * @returns the placement; a promise if the request waits
+   */
+  place(request: PlacementRequest): Placement | Promise<Placement>;
+
+  /** Tries the waiting requests again, because there may be room by now. */
+  retryWaiting(): void;
+
+  /**
+   * Records that a request is sent to a target.
+   *
+   * @param request - the request
+   * @returns function to call at the end of the attempt
+   */
+  beginAttempt(request: Pick<PlacementRequest, 'service' | 'account'>): AttemptEnd;
+}
--- a/packages/serving/src/online/IdleTimeout.ts
+++ b/packages/serving/src/online/IdleTimeout.ts
@@ -23,7 +23,8 @@
   afterReads(callback: () => void): () => void;
 }
 
-const systemTimers: Timers = {
+/** Timers of the process. */
+export const systemTimers: Timers = {
   now: () => performance.now(),
   after(ms, callback) {
     const timer = setTimeout(callback, ms);
--- a/packages/serving/src/online/OnlineRequestHandler.ts
+++ b/packages/serving/src/online/OnlineRequestHandler.ts
@@ -240,6 +240,7 @@
       configuration: view.index?.configuration.version,
       configurationAgeMs: Math.round(view.age),
       firstMs: Math.round(callerResponse.timeToFirstWriteMs(arrivedAt) ?? -1),
+      ...(progress.queuedMs > 0 && { queuedMs: Math.round(progress.queuedMs) }),
       longestPauseMs: Math.round(callerResponse.longestPauseMs),
       tookMs: Math.round(performance.now() - arrivedAt),
     };
--- a/packages/serving/src/online/RequestAttempts.ts
+++ b/packages/serving/src/online/RequestAttempts.ts
@@ -2,6 +2,7 @@
 import type { Journal } from '@jacinthlug/catalog/Journal';
 import type { Metrics } from '@jacinthlug/catalog/Metrics';
 import { systemClock } from '@jacinthlug/control/time/Clock';
+import type { Admission, Placement } from '../admission/Admission.js';
 import type { CrashGuard } from '../crashes/CrashGuard.js';
 import type { DrainingTargets } from '../fleet/DrainingTargets.js';
 import type { Target } from '../fleet/Target.js';
@@ -10,11 +11,11 @@
 import type { TargetClient } from '../http/TargetClient.js';
 import type { LoadTable } from '../routing/LoadTable.js';
 import type { TargetHealth } from '../routing/TargetHealth.js';
-import type { TargetChoice } from '../routing/chooseTarget.js';
 import type { ReturnTarget, TargetRouter } from '../routing/TargetRouter.js';
 import { getBodyIdleTimeoutMs, getHeadTimeoutMs } from './attemptTimeouts.js';
 import type { CallerResponse } from './CallerResponse.js';
 import { mayLeaveFailedTarget, mayLeaveSilentTarget, type RunningAttempt } from './leaveTarget.js';
+import { describePlacement } from './describePlacement.js';
 import type { OnlineRequest } from './OnlineRequest.js';
 import type { CompletedAttempt, RequestProgress } from './RequestProgress.js';
 import {
@@ -44,6 +45,7 @@
 /** Dependencies of {@link RequestAttempts}. */
 export interface RequestAttemptsDependencies {
   readonly router: TargetRouter;
+  readonly admission: Admission;
   readonly loadTable: LoadTable;
   readonly crashGuard: CrashGuard;
   readonly health: TargetHealth;
@@ -80,6 +82,28 @@
   progress: RequestProgress,
 ): boolean => outcome.kind === 'not-run' && !outcome.unreachable && progress.hasReturnedTo(id);
 
+/** Waits for a placement in the queue of the host. */
+const awaitPlacement = async (
+  placement: Promise<Placement>,
+  progress: RequestProgress,
+): Promise<Placement> => {
+  const enqueuedAt = performance.now();
+  const settled = await placement;
+  progress.recordQueued(performance.now() - enqueuedAt);
+  return settled;
+};
+
+/** Ends a request without a target; without a placement if no further target may run it. */
+const endUnplaced = (
+  request: OnlineRequest,
+  placement: Exclude<Placement, { kind: 'target' | 'aborted' }> | undefined,
+  progress: RequestProgress,
+): RequestOutcome => {
+  if (placement?.counts) progress.recordNoTarget(placement.counts);
+  const refusal = placement?.kind === 'full' ? placement.refusal : undefined;
+  return endWithoutTarget(placement?.kind ?? 'none', request, progress, refusal);
+};
+
 /** Tries targets for the requests of callers. */
 export class RequestAttempts {
   constructor(private readonly dependencies: RequestAttemptsDependencies) {}
@@ -96,7 +120,11 @@
       if (request.lifetime.abortReason) return endAborted(request, progress);
       if (this.isTooLateToRun(request, progress))
         return { kind: 'refused', refusal: refuseStopping() };
-      const chosen = this.chooseTarget(request, progress);
+      const placement = this.placeRequest(request, progress);
+      // Awaiting a placement that is known would let other requests choose before this one is counted.
+      const chosen =
+        placement instanceof Promise ? await awaitPlacement(placement, progress) : placement;
+      if (chosen?.kind === 'aborted') return endAborted(request, progress);
       if (chosen?.kind === 'target') {
         const ended = await this.tryTarget(request, chosen.target, progress);
         if (ended) return ended;
@@ -105,8 +133,7 @@
       } else if (chosen && progress.version !== undefined && progress.readmitRecovering()) {
         await systemClock.sleep(SAME_TARGET_RETRY_DELAY_MS, request.lifetime.signal);
       } else {
-        if (chosen) progress.recordNoTarget(chosen.counts);
-        return endWithoutTarget(chosen?.kind ?? 'none', request, progress);
+        return endUnplaced(request, chosen, progress);
       }
     }
   }
@@ -126,13 +153,13 @@
   }
 
   /**
-   * Chooses the next target; undefined if no further target may run the request. If the request has left a silent target, it
+   * Finds the next target; undefined if no further target may run the request. If the request has left a silent target, it
    * returns there unless another one that looks healthy can run it.
    */
-  private chooseTarget(
+  private placeRequest(
     request: OnlineRequest,
     progress: RequestProgress,
-  ): TargetChoice | undefined {
+  ): Placement | Promise<Placement> | undefined {
     const { router } = this.dependencies;
     const { service, route } = request;
     const { excludedTargets, version, unconfirmedEnd } = progress;
@@ -143,7 +170,12 @@
       progress.attempts < Math.max(MAX_ATTEMPTS_NOT_RUN, route.attempts) &&
       router.hasAlternative(service, excludedTargets, version);
     if (!left && !mayRunFurther) return undefined;
-    if (!left || prefersFurther) return router.chooseForOnline(service, excludedTargets, version);
+    if (!left || prefersFurther)
+      return this.dependencies.admission.place(
+        describePlacement(request, progress, () =>
+          router.chooseForOnline(service, excludedTargets, version),
+        ),
+      );
     progress.recordReturn(left.target.id);
     return { kind: 'target', target: left.target };
   }
@@ -246,9 +278,11 @@
     const { head, route, account, lifetime, callerResponse, message, body } = request;
     const { progress: received } = callerResponse;
     const running: RunningAttempt = { router, request, target, progress, received };
+    const endAdmitted = this.dependencies.admission.beginAttempt(request);
     const endLoad = loadTable.beginRequest(target.id, 'online');
     this.dependencies.onAttemptStart(target);
     const sentAt = performance.now();
+    let firstAt: number | undefined;
     const outcome = await runAttempt({
       client,
       dialect,
@@ -275,6 +309,7 @@
       },
       onResumed: () => health.recordSuccess(target.id),
       onResponse: (status) => {
+        firstAt ??= performance.now();
         if (status === FAILED_STATUS) health.recordFailure(target.id, `status ${status}`);
         else health.recordSuccess(target.id);
       },
@@ -283,6 +318,7 @@
       shouldRetryStatus: (status) => status === FAILED_STATUS && mayLeaveFailedTarget(running),
       maxResponseBytes: MAX_RESPONSE_BYTES,
     });
+    endAdmitted(firstAt === undefined ? undefined : firstAt - sentAt);
     endLoad();
     if (outcome.kind === 'broken' && outcome.connectionLost && !outcome.wasUnderWay)
       crashGuard.recordFailure({
--- a/packages/serving/src/online/RequestProgress.ts
+++ b/packages/serving/src/online/RequestProgress.ts
@@ -36,6 +36,9 @@
 
   attempts = 0;
 
+  /** Time in the queue of the host. Unit: ms. */
+  queuedMs = 0;
+
   /** Version of the targets that can continue the stream; undefined while none has begun. */
   version: string | undefined;
 
@@ -72,6 +75,11 @@
     return hasAny;
   }
 
+  /** Records a wait in the queue of the host. Unit: ms. */
+  recordQueued(ms: number): void {
+    this.queuedMs += ms;
+  }
+
   /** Records the targets of a request for which none could be used. */
   recordNoTarget(counts: CandidateCounts): void {
     this.unavailable = counts;
--- a/packages/serving/src/online/requestOutcomes.ts
+++ b/packages/serving/src/online/requestOutcomes.ts
@@ -109,15 +109,16 @@
  * @param kind - why there is no target
  * @param request - the request
  * @param progress - its attempts
+ * @param notRun - refusal if it has not run; the usual one if undefined
  * @returns outcome of the request
  */
 export const endWithoutTarget = (
   kind: keyof typeof refusalsWithoutTarget,
   { callerResponse }: OnlineRequest,
   progress: RequestProgress,
+  notRun: Refusal = refusalsWithoutTarget[kind](),
 ): RequestOutcome => {
   if (callerResponse.started) return { kind: 'cut', cause: 'no other target' };
-  const refusal =
-    progress.possibleRuns > 0 ? refuseAfterFailures(progress) : refusalsWithoutTarget[kind]();
+  const refusal = progress.possibleRuns > 0 ? refuseAfterFailures(progress) : notRun;
   return { kind: 'refused', refusal };
 };
--- a/packages/serving/src/rates/AccountRateLimiter.ts
+++ b/packages/serving/src/rates/AccountRateLimiter.ts
@@ -44,6 +44,14 @@
   readonly startedAt: number;
   /** Whether the fleet starts for the first time, so that there is no earlier usage. */
   readonly isFirstStart: boolean;
+  /**
+   * Called for the requests that this or another host has admitted.
+   *
+   * @param account - name of the account
+   * @param requests - number of requests; negative if they did not run
+   * @param now - monotonic time. Unit: ms
+   */
+  readonly onUse?: (account: string, requests: number, now: number) => void;
 }
 
 const getEffectiveLimit = ({ rate, burst }: Account): RateLimit => ({
@@ -92,7 +100,10 @@
    */
   take(account: Account, now = performance.now()): number {
     const bucket = this.buckets.get(account.name);
-    return bucket ? bucket.take(this.fleet.share(), now) : 0;
+    if (!bucket) return 0;
+    const waitMs = bucket.take(this.fleet.share(), now);
+    if (waitMs === 0) this.fleet.onUse?.(account.name, 1, now);
+    return waitMs;
   }
 
   /**
@@ -102,7 +113,10 @@
    * @param now - monotonic time. Unit: ms
    */
   refund(account: Account, now = performance.now()): void {
-    this.buckets.get(account.name)?.refund(now);
+    const bucket = this.buckets.get(account.name);
+    if (!bucket) return;
+    bucket.refund(now);
+    this.fleet.onUse?.(account.name, -1, now);
   }
 
   /**
@@ -125,7 +139,10 @@
     rates.forEach(([account, count]) => {
       const previous = admitted.get(account) ?? (isOlder ? count : 0);
       admitted.set(account, count);
-      if (count !== previous) this.buckets.get(account)?.debit(count - previous);
+      const bucket = this.buckets.get(account);
+      if (count === previous || !bucket) return;
+      bucket.debit(count - previous);
+      this.fleet.onUse?.(account, count - previous, now);
     });
   }
 
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -3,6 +3,9 @@
 import type { Journal } from '@jacinthlug/catalog/Journal';
 import type { Metrics } from '@jacinthlug/catalog/Metrics';
 import { systemClock } from '@jacinthlug/control/time/Clock';
+import { AccountShares } from '../admission/AccountShares.js';
+import { createAdmission, type AdmissionPolicies } from '../admission/createAdmission.js';
+import { RoomGauge } from '../admission/RoomGauge.js';
 import { BatchWorker } from '../batch/BatchWorker.js';
 import { JobCache } from '../batch/JobCache.js';
 import { JOBS_TABLE } from '../batch/jobKeys.js';
@@ -79,6 +82,7 @@
   readonly isFirstStart: boolean;
   /** Retention of batch jobs after their acceptance. Unit: ms. */
   readonly jobRetentionMs: number;
+  readonly policies: AdmissionPolicies;
   readonly store: RecordStore;
   readonly objects: ObjectStore;
   readonly dialect: Dialect;
@@ -212,11 +216,18 @@
     countHosts: () => members.fleetSize.local + members.fleetSize.remote + 1,
     journal,
   });
+  const accountShares = new AccountShares();
+  const admission = createAdmission(dependencies.policies, {
+    accountShares,
+    gauge: new RoomGauge({ targets, loadTable }),
+    metrics,
+  });
   const rates = new AccountRateLimiter({
     share: () => members.share(),
     // Monotonic time counts from the start of the process.
     startedAt: 0,
     isFirstStart: dependencies.isFirstStart,
+    onUse: (account, requests, now) => accountShares.recordUse(account, requests, now),
   });
   const jobCache = new JobCache(journal);
   const jobs = new JobStore({ store, objects, jobCache, journal });
@@ -300,6 +311,7 @@
       crashGuard.applyReport(report);
       drainingTargets.applyReport(report);
       streamVersions.applyReport(report);
+      admission.retryWaiting();
       if (worker.mustPreempt(report)) worker.queueScheduling();
       else worker.queueDelayedScheduling();
     },
@@ -310,6 +322,7 @@
     loadTable,
     crashGuard,
     health,
+    admission,
     rates,
     client,
     dialect,
@@ -327,7 +340,10 @@
     }),
     shutdown,
   });
-  targets.onChange(() => versionHistory.update(targets.list()));
+  targets.onChange(() => {
+    versionHistory.update(targets.list());
+    admission.retryWaiting();
+  });
   drainingTargets.onAdded(() => exchange.scheduleReport());
   crashGuard.onEvidence(() => exchange.scheduleReport());
   // Callers may take a stream up elsewhere right after its first event. While only one version serves, it has begun every stream.
@@ -336,11 +352,13 @@
   });
   view.onChange(({ configuration }) => {
     rates.configure(configuration);
+    accountShares.configure(configuration.accounts);
     retention.configure(configuration);
   });
   loadTable.onOwnLoadChange(() => {
     exchange.scheduleReport();
     worker.queueScheduling();
+    admission.retryWaiting();
   });
 
   let maintenanceTimer: NodeJS.Timeout | undefined;
