--- a/packages/serving/src/online/RequestAttempts.ts
+++ b/packages/serving/src/online/RequestAttempts.ts
@@ -118,13 +118,13 @@
   async run(request: OnlineRequest, progress: RequestProgress): Promise<RequestOutcome> {
     for (;;) {
       if (request.lifetime.abortReason) return endAborted(request, progress);
-      if (this.isTooLateToRun(request, progress))
-        return { kind: 'refused', refusal: refuseStopping() };
       const placement = this.placeRequest(request, progress);
       // Awaiting a placement that is known would let other requests choose before this one is counted.
       const chosen =
         placement instanceof Promise ? await awaitPlacement(placement, progress) : placement;
       if (chosen?.kind === 'aborted') return endAborted(request, progress);
+      if (this.isTooLateToRun(request, progress))
+        return { kind: 'refused', refusal: refuseStopping() };
       if (chosen?.kind === 'target') {
         const ended = await this.tryTarget(request, chosen.target, progress);
         if (ended) return ended;
