--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -5,6 +5,9 @@
 import { BodyBudget } from '@jacinthlug/control/bodies/BodyBudget';
 import { systemClock } from '@jacinthlug/control/time/Clock';
 import type { Result } from 'neverthrow';
+import { AccountShares } from '../admission/AccountShares.js';
+import { createAdmission, type AdmissionPolicies } from '../admission/createAdmission.js';
+import { RoomGauge } from '../admission/RoomGauge.js';
 import { BatchWorker } from '../batch/BatchWorker.js';
 import { JobCache } from '../batch/JobCache.js';
 import { JOBS_TABLE } from '../batch/jobKeys.js';
@@ -110,6 +113,7 @@
   readonly jobRetentionMs: number;
   /** How targets are chosen. */
   readonly placement: Placement;
+  readonly policies: AdmissionPolicies;
   readonly store: RecordStore;
   readonly objects: ObjectStore;
   /** Memory for the bodies of callers' requests. Unit: bytes. */
@@ -287,11 +291,18 @@
     countHosts: () => members.fleetSize.local + members.fleetSize.remote + 1,
     journal,
   });
+  const accountShares = new AccountShares();
+  const admission = createAdmission(dependencies.policies, {
+    accountShares,
+    gauge: new RoomGauge({ targets, loadTable }),
+    metrics,
+  });
   const rates = new AccountRateLimiter({
     share: () => members.share(),
     // Monotonic time counts from the start of the process.
     startedAt: 0,
     isFirstStart: dependencies.isFirstStart,
+    onUse: (account, requests, now) => accountShares.recordUse(account, requests, now),
   });
   const jobCache = new JobCache(journal);
   const jobs = new JobStore({ store, objects, jobCache, journal });
@@ -385,6 +396,7 @@
       crashGuard.applyReport(report);
       drainingTargets.applyReport(report);
       streamVersions.applyReport(report);
+      admission.retryWaiting();
       if (worker.mustPreempt(report)) worker.queueScheduling();
       else worker.queueDelayedScheduling();
     },
@@ -397,6 +409,7 @@
     ledger,
     crashGuard,
     health,
+    admission,
     rates,
     bodies,
     client,
@@ -415,7 +428,10 @@
     }),
     shutdown,
   });
-  targets.onChange(() => versionHistory.update(targets.list()));
+  targets.onChange(() => {
+    versionHistory.update(targets.list());
+    admission.retryWaiting();
+  });
   targets.onChange(() => ledger.retainPaces(new Set(targets.list().map(({ id }) => id))));
   health.onFailure((id) => ledger.forgetPace(id));
   drainingTargets.onAdded(() => exchange.scheduleReport());
@@ -431,6 +447,7 @@
   });
   view.onChange(({ configuration }) => {
     rates.configure(configuration);
+    accountShares.configure(configuration.accounts);
     retention.configure(configuration);
     findUnknownRegions(configuration, regions).forEach((unknown) =>
       journal.record('region-unknown', { ...unknown, version: configuration.version }),
@@ -439,6 +456,7 @@
   loadTable.onOwnLoadChange(() => {
     exchange.scheduleReport();
     worker.queueScheduling();
+    admission.retryWaiting();
   });
 
   let maintenanceTimer: NodeJS.Timeout | undefined;
