Give log events and result codes of the merged parts unique numbers

Parts that were written side by side had taken the same free numbers. 1105 stays share-exceeded, bodies over memory are 1106; evacuations keep 840 to 845, unreadable and inconsistent configurations are 846 and 847.

--- a/packages/catalog/src/logEvents.ts
+++ b/packages/catalog/src/logEvents.ts
@@ -418,13 +418,13 @@
     hint: 'Expected during a release of targets, and while a service of a split route has no free target.',
   },
   'configuration-unreadable': {
-    number: 840,
+    number: 846,
     severity: 'error',
     message: 'The configuration in the store cannot be read; the last readable one stays in force',
     hint: 'Correct the field at "path". A host that has read no configuration since its start is not ready.',
   },
   'configuration-inconsistent': {
-    number: 841,
+    number: 847,
     severity: 'warn',
     message: 'A setting of the configuration contradicts another one and has no effect',
     hint: 'Correct the settings of the named accounts.',
--- a/packages/catalog/src/resultCodes.ts
+++ b/packages/catalog/src/resultCodes.ts
@@ -154,7 +154,7 @@
     retryAfterSeconds: 2,
   },
   'bodies-over-memory': {
-    number: 1105,
+    number: 1106,
     title: 'No memory for the body',
     message: 'The host has no memory for the body beside those of other requests.',
     hint: 'Retry after the time given; another host may have memory.',
--- a/packages/serving/src/online/RequestAttempts.ts
+++ b/packages/serving/src/online/RequestAttempts.ts
@@ -186,7 +186,7 @@
         ),
       );
     progress.recordReturn(left.target.id);
-    return { kind: 'target', target: left.target, expectedWaitMs: 0 };
+    return { kind: 'target', target: left.target };
   }
 
   /** Finds a target that the request has left while it was silent, and that can still run the request. */
--- a/packages/serving/test/steps/admission.steps.ts
+++ b/packages/serving/test/steps/admission.steps.ts
@@ -108,8 +108,12 @@
     signal: controller.signal,
     chooseTarget: () =>
       world.free > 0
-        ? { kind: 'target', target: createListedTarget('t-1') }
-        : { kind: 'full', counts: { accepting: 1, excluded: 0, unhealthy: 0 } },
+        ? { kind: 'target', target: createListedTarget('t-1'), expectedWaitMs: 0 }
+        : {
+            kind: 'full',
+            counts: { accepting: 1, excluded: 0, unhealthy: 0 },
+            expectedWaitMs: undefined,
+          },
     ...details,
   });
   const settled = Promise.resolve(placement).then((result) => {
