Compare uses and fair shares of one moment

The fair level was kept for 50 ms while the use of an account was that of the request, so that each burst of an account that was alone on the fleet was above its share, and got no place in the queue of a target. Both are computed together now.

Deployments without shares no longer record uses.

--- a/packages/serving/src/admission/AccountShares.ts
+++ b/packages/serving/src/admission/AccountShares.ts
@@ -11,8 +11,8 @@
 /** Tolerated ratio of use to share; covers requests that were recorded late. */
 const TOLERANCE = 1.15;
 
-/** How long a computed level is used. Unit: ms. */
-const LEVEL_LIFETIME_MS = 50;
+/** How long computed ratios are used. Unit: ms. */
+const RATIOS_LIFETIME_MS = 50;
 
 /** Weight of the latest request in the mean work of an account. */
 const WORK_SAMPLE_WEIGHT = 0.1;
@@ -22,6 +22,13 @@
 
 /** Decides which accounts are above their fair share while room is short. */
 export interface ShareTable {
+  /**
+   * Applies the accounts of a new configuration.
+   *
+   * @param accounts - all accounts
+   */
+  configure(accounts: readonly Account[]): void;
+
   /**
    * Records requests that any host has admitted.
    *
@@ -72,21 +79,17 @@
 
   private meanWorkMs: number | undefined;
 
-  private level = Number.POSITIVE_INFINITY;
+  /** Ratios of use to share of the accounts above their shares. */
+  private ratios: ReadonlyMap<string, number> = new Map();
 
-  private levelExpiresAt = Number.NEGATIVE_INFINITY;
+  private ratiosExpireAt = Number.NEGATIVE_INFINITY;
 
-  /**
-   * Applies the accounts of a new configuration.
-   *
-   * @param accounts - all accounts
-   */
   configure(accounts: readonly Account[]): void {
     this.weights = new Map(accounts.map(({ name, rate }) => [name, rate]));
     [...this.usages.keys()]
       .filter((name) => !this.weights.has(name))
       .forEach((name) => this.usages.delete(name));
-    this.levelExpiresAt = Number.NEGATIVE_INFINITY;
+    this.ratiosExpireAt = Number.NEGATIVE_INFINITY;
   }
 
   recordUse(account: string, requests: number, now: number): void {
@@ -101,21 +104,25 @@
   }
 
   getRatio(account: Account | undefined, now: number): number {
-    const weight = account && this.weights.get(account.name);
-    if (!account || !weight) return 1;
-    const work = this.getWork(account.name, now);
-    if (work <= MIN_SHARE) return 1;
-    const ratio = work / (this.getLevel(now) * weight);
-    return ratio > TOLERANCE ? ratio : 1;
+    if (!account) return 1;
+    if (now >= this.ratiosExpireAt) this.computeRatios(now);
+    return this.ratios.get(account.name) ?? 1;
   }
 
-  private getLevel(now: number): number {
-    if (now < this.levelExpiresAt) return this.level;
-    this.levelExpiresAt = now + LEVEL_LIFETIME_MS;
-    this.level = computeFairLevel(
-      [...this.weights].map(([name, weight]) => ({ weight, work: this.getWork(name, now) })),
-    );
-    return this.level;
+  /** Computes the ratios of all accounts above their shares from the uses at one moment. */
+  private computeRatios(now: number): void {
+    const uses = [...this.weights].map(([name, weight]) => ({
+      name,
+      weight,
+      work: this.getWork(name, now),
+    }));
+    const level = computeFairLevel(uses);
+    const above = uses
+      .filter(({ work, weight }) => weight > 0 && work > MIN_SHARE)
+      .map(({ name, work, weight }) => [name, work / (level * weight)] as const)
+      .filter(([, ratio]) => ratio > TOLERANCE);
+    this.ratios = new Map(above);
+    this.ratiosExpireAt = now + RATIOS_LIFETIME_MS;
   }
 
   /** Returns the recent work of an account. Unit: requests of mean work. */
@@ -142,6 +149,7 @@
 
 /** Shares for a deployment that serves accounts in order of arrival. */
 export const equalStanding: ShareTable = {
+  configure: () => undefined,
   recordUse: () => undefined,
   recordWork: () => undefined,
   getRatio: () => 1,
--- a/packages/serving/src/admission/createAdmission.ts
+++ b/packages/serving/src/admission/createAdmission.ts
@@ -1,8 +1,7 @@
 /** Creates the admission of a host from its policies. */
 import type { Metrics } from '@jacinthlug/catalog/Metrics';
 import { systemTimers } from '../online/IdleTimeout.js';
-import type { AccountShares, ShareTable } from './AccountShares.js';
-import { equalStanding } from './AccountShares.js';
+import { AccountShares, equalStanding, type ShareTable } from './AccountShares.js';
 import type { Admission } from './Admission.js';
 import { AdmissionQueue } from './AdmissionQueue.js';
 import { immediateAdmission } from './immediateAdmission.js';
@@ -23,21 +22,21 @@
 
 /** Dependencies of {@link createAdmission}. */
 export interface AdmissionDependencies {
-  readonly accountShares: AccountShares;
+  readonly shares: ShareTable;
   readonly gauge: RoomGauge;
   readonly metrics: Metrics;
 }
 
-const shareTables: Readonly<Record<SharePolicy, (shares: AccountShares) => ShareTable>> = {
+const shareTables: Readonly<Record<SharePolicy, () => ShareTable>> = {
   none: () => equalStanding,
-  fair: (shares) => shares,
+  fair: () => new AccountShares(),
 };
 
 const admissions: Readonly<
-  Record<AdmissionPolicy, (shares: ShareTable, dependencies: AdmissionDependencies) => Admission>
+  Record<AdmissionPolicy, (dependencies: AdmissionDependencies) => Admission>
 > = {
   immediate: () => immediateAdmission,
-  queue: (shares, { gauge, metrics }) =>
+  queue: ({ shares, gauge, metrics }) =>
     new AdmissionQueue({
       shares,
       isRoomShort: (service) => gauge.isShort(service),
@@ -48,15 +47,22 @@
     }),
 };
 
+/**
+ * Creates the shares of the client accounts.
+ *
+ * @param policy - policy of the deployment
+ * @returns the shares, without accounts
+ */
+export const createShares = (policy: SharePolicy): ShareTable => shareTables[policy]();
+
 /**
  * Creates the admission of a host.
  *
- * @param policies - policies of the deployment
+ * @param policy - policy of the deployment
  * @param dependencies - state of the host
  * @returns the admission
  */
 export const createAdmission = (
-  { admission, shares }: AdmissionPolicies,
+  policy: AdmissionPolicy,
   dependencies: AdmissionDependencies,
-): Admission =>
-  admissions[admission](shareTables[shares](dependencies.accountShares), dependencies);
+): Admission => admissions[policy](dependencies);
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -3,8 +3,11 @@
 import type { Journal } from '@jacinthlug/catalog/Journal';
 import type { Metrics } from '@jacinthlug/catalog/Metrics';
 import { systemClock } from '@jacinthlug/control/time/Clock';
-import { AccountShares } from '../admission/AccountShares.js';
-import { createAdmission, type AdmissionPolicies } from '../admission/createAdmission.js';
+import {
+  createAdmission,
+  createShares,
+  type AdmissionPolicies,
+} from '../admission/createAdmission.js';
 import { RoomGauge } from '../admission/RoomGauge.js';
 import { BatchWorker } from '../batch/BatchWorker.js';
 import { JobCache } from '../batch/JobCache.js';
@@ -216,9 +219,9 @@
     countHosts: () => members.fleetSize.local + members.fleetSize.remote + 1,
     journal,
   });
-  const accountShares = new AccountShares();
-  const admission = createAdmission(dependencies.policies, {
-    accountShares,
+  const shares = createShares(dependencies.policies.shares);
+  const admission = createAdmission(dependencies.policies.admission, {
+    shares,
     gauge: new RoomGauge({ targets, loadTable }),
     metrics,
   });
@@ -227,7 +230,7 @@
     // Monotonic time counts from the start of the process.
     startedAt: 0,
     isFirstStart: dependencies.isFirstStart,
-    onUse: (account, requests, now) => accountShares.recordUse(account, requests, now),
+    onUse: (account, requests, now) => shares.recordUse(account, requests, now),
   });
   const jobCache = new JobCache(journal);
   const jobs = new JobStore({ store, objects, jobCache, journal });
@@ -352,7 +355,7 @@
   });
   view.onChange(({ configuration }) => {
     rates.configure(configuration);
-    accountShares.configure(configuration.accounts);
+    shares.configure(configuration.accounts);
     retention.configure(configuration);
   });
   loadTable.onOwnLoadChange(() => {
--- a/packages/serving/test/features/admission.feature
+++ b/packages/serving/test/features/admission.feature
@@ -88,6 +88,12 @@
       | 1     | 4    | 20    | 0    | above    |
       | 2     | 0.5  | 20    | 0    | within   |
 
+  # Guards against uses and shares of different moments, with which each burst is above the share.
+  Scenario: An account that is alone on the fleet is within its share
+    Given a host that has just started
+    When account "large" sends bursts of 4 requests, 10 ms apart
+    Then it is within its share at each of them
+
   # Guards against a host that starts and refuses accounts of which it knows nothing.
   Scenario: A host that has heard no reports takes all accounts as within their share
     Given a host that has just started
--- a/packages/serving/test/steps/admission.steps.ts
+++ b/packages/serving/test/steps/admission.steps.ts
@@ -355,6 +355,7 @@
   load: { readonly times: number; readonly work: number };
   others: readonly string[];
   now: number;
+  ratios: number[];
 }
 
 Given(
@@ -408,3 +409,18 @@
   this.shares.recordUse(name, 1, this.now);
   assert.equal(this.shares.getRatio(createAccount(name), this.now), 1);
 });
+
+When(
+  'account {string} sends bursts of {int} requests, 10 ms apart',
+  function (this: SharesWorld, name: string, count: number) {
+    this.ratios = [];
+    for (; this.now < 200; this.now += 10) {
+      this.shares.recordUse(name, count, this.now);
+      this.ratios.push(this.shares.getRatio(createAccount(name), this.now));
+    }
+  },
+);
+
+Then('it is within its share at each of them', function (this: SharesWorld) {
+  assert.deepEqual([...new Set(this.ratios)], [1]);
+});
