--- a/packages/catalog/src/counterNames.ts
+++ b/packages/catalog/src/counterNames.ts
@@ -17,6 +17,10 @@
   'requests.retried': { description: 'Retries by reason', tags: ['reason'] },
   'requests.replayed': { description: 'Responses replayed from a claim', tags: ['route'] },
   'streams.cut': { description: 'Streams ended early by reason', tags: ['reason'] },
+  'placement.choices': {
+    description: 'Choices of a target by predicted times, by outcome',
+    tags: ['outcome'],
+  },
   'batch.items': { description: 'Batch items by outcome', tags: ['outcome'] },
   'batch.preempted': { description: 'Batch streams cancelled for online requests', tags: [] },
   'batch.claims': { description: 'Chunk claims by outcome', tags: ['outcome'] },
@@ -43,6 +47,7 @@
   'requests.total': {
     description: 'Time from the arrival of a request to the end of its response',
   },
+  'placement.wait': { description: 'Predicted wait for a slot of the chosen target' },
   'items.run': { description: 'Duration of a run of a batch item on a target' },
 } as const satisfies Readonly<Record<string, Timing>>;
 
--- a/packages/serving/src/batch/SchedulingPass.ts
+++ b/packages/serving/src/batch/SchedulingPass.ts
@@ -97,6 +97,7 @@
       service,
       version,
       (candidate) => allowanceOf(candidate) - (this.usedSlots.get(candidate.target.id) ?? 0),
+      urgency === 'urgent',
     );
     if (target) this.usedSlots.set(target.id, (this.usedSlots.get(target.id) ?? 0) + 1);
     else this.exhausted.add(kind);
--- a/packages/serving/src/http/Dialect.ts
+++ b/packages/serving/src/http/Dialect.ts
@@ -65,12 +65,12 @@
   readCallerHead(message: IncomingMessage): CallerHead;
 
   /**
-   * Reads the size of a batch item.
+   * Reads the size that a request states.
    *
-   * @param headers - headers of the item
+   * @param headers - headers of a request or batch item, with names in lower or mixed case
    * @returns the size; undefined when not stated
    */
-  readItemSize(headers: Readonly<Record<string, string>>): RequestSize | undefined;
+  readSize(headers: ResponseHeaders): RequestSize | undefined;
 
   /**
    * Builds the headers of a request to a target.
--- a/packages/serving/src/placement/TargetOutlook.ts
+++ b/packages/serving/src/placement/TargetOutlook.ts
@@ -1,6 +1,8 @@
 /** Combines what this host knows of a target into a prediction for one more request. */
+import type { Metrics } from '@jacinthlug/catalog/Metrics';
 import type { Target } from '../fleet/Target.js';
 import type { LoadTable } from '../routing/LoadTable.js';
+import type { TargetChoice } from '../routing/chooseTarget.js';
 import { forecastTarget, type TargetForecast } from './forecastTarget.js';
 import type { RequestSize } from './RequestSize.js';
 import type { PlacementStrategy } from './strategies.js';
@@ -11,6 +13,7 @@
   readonly strategy: PlacementStrategy;
   readonly loadTable: LoadTable;
   readonly ledger: WorkLedger;
+  readonly metrics: Pick<Metrics, 'count' | 'observe'>;
 }
 
 /** What is expected of a target. */
@@ -53,4 +56,15 @@
     });
     return { pace, forecast };
   }
+
+  /**
+   * Counts a choice and the wait that it expects.
+   *
+   * @param choice - result of the selection
+   */
+  recordChoice(choice: TargetChoice): void {
+    const { metrics } = this.dependencies;
+    metrics.count('placement.choices', { outcome: choice.kind });
+    if (choice.kind === 'target') metrics.observe('placement.wait', choice.expectedWaitMs);
+  }
 }
--- a/packages/serving/src/placement/chooseByForecast.ts
+++ b/packages/serving/src/placement/chooseByForecast.ts
@@ -15,6 +15,12 @@
 /** Difference in time that outweighs the price of traffic between failure domains. Unit: ms. */
 const REMOTE_PENALTY_MS = 60;
 
+/**
+ * Difference in time that outweighs a preempted batch item, which reads its prompt again. More than
+ * {@link REMOTE_PENALTY_MS}: a free slot in another failure domain goes first. Unit: ms.
+ */
+const PREEMPTION_PENALTY_MS = 80;
+
 /**
  * Difference in predicted time at which a target is chosen e times as often as another. Hosts see the same idle target at the
  * same time, so that none of them may always choose the best one. Unit: ms.
@@ -75,6 +81,7 @@
     ({ target, forecast }) =>
       forecast.firstMs +
       forecast.holdMs * HOLD_WEIGHT +
+      forecast.preemptions * PREEMPTION_PENALTY_MS +
       (target.failureDomain === failureDomain ? 0 : REMOTE_PENALTY_MS),
   );
   const best = Math.min(...scores);
--- a/packages/serving/src/placement/forecastTarget.ts
+++ b/packages/serving/src/placement/forecastTarget.ts
@@ -1,9 +1,6 @@
 /** Predicts the time to the first event at a target. Answers pulses of requests at targets of different paces. */
 
-/**
- * Time until a batch item has left its slot, with the message to the host that holds it. The item runs again from its last
- * event, which costs more than a short time in a queue. Unit: ms.
- */
+/** Time until a batch item has left its slot, with the message to the host that holds it. Unit: ms. */
 const PREEMPTION_MS = 40;
 
 /** Age of what is known of other hosts when none of them has reported requests on the target. Unit: ms. */
@@ -46,6 +43,8 @@
   readonly firstMs: number;
   /** Time for which it holds the slot. Unit: ms. */
   readonly holdMs: number;
+  /** Number of batch items that have to leave for it, between 0 and 1. */
+  readonly preemptions: number;
 }
 
 /** Expected value of the positive part of a number that is known with an error. */
@@ -77,9 +76,10 @@
   const replaced = (Math.max(1, reportedOnline) * (reportAgeMs ?? DEFAULT_AGE_MS)) / meanHoldMs;
   const width = Math.max(MIN_COUNT_ERROR, TRANSITION_WIDTH * Math.sqrt(2 * replaced));
   const queued = softPositive(online + 1 - slots, width);
-  const toPreempt = Math.min(1, softPositive(online + batch + 1 - slots, width) - queued);
+  const excess = softPositive(online + batch + 1 - slots, width) - queued;
+  const preemptions = batch > 0 ? Math.min(1, excess) : 0;
   // The first of N residual times that are spread evenly ends after 1 / (N + 1) of the longest one.
   const slotEndIntervalMs = (2 * getMeanResidualMs(knowledge)) / (slots + 1);
-  const waitMs = queued * slotEndIntervalMs + (batch > 0 ? toPreempt * PREEMPTION_MS : 0);
-  return { waitMs, firstMs: waitMs + meanFirstMs * pace, holdMs: ownHoldMs * pace };
+  const waitMs = queued * slotEndIntervalMs + preemptions * PREEMPTION_MS;
+  return { waitMs, firstMs: waitMs + meanFirstMs * pace, holdMs: ownHoldMs * pace, preemptions };
 };
--- a/packages/serving/src/routing/TargetRouter.ts
+++ b/packages/serving/src/routing/TargetRouter.ts
@@ -4,6 +4,7 @@
 import type { HostIdentity } from '../fleet/HostIdentity.js';
 import type { Target } from '../fleet/Target.js';
 import type { TargetList } from '../fleet/TargetList.js';
+import { explainChoice, type TargetExplanation } from '../placement/explainChoice.js';
 import type { RequestSize } from '../placement/RequestSize.js';
 import type { TargetOutlook } from '../placement/TargetOutlook.js';
 import {
@@ -16,7 +17,7 @@
   type TargetChoice,
   type TargetOccupancy,
 } from './chooseTarget.js';
-import type { LoadTable } from './LoadTable.js';
+import type { LoadTable, WorkClass } from './LoadTable.js';
 import { orderServices } from './orderServices.js';
 import type { TargetHealth } from './TargetHealth.js';
 
@@ -82,7 +83,9 @@
     const candidates = this.listCandidates(service, version, size);
     const isContinuation = version !== undefined;
     const { random } = Math;
-    return chooseTarget({ candidates, failureDomain, excluded, isContinuation, random });
+    const choice = chooseTarget({ candidates, failureDomain, excluded, isContinuation, random });
+    this.dependencies.outlook?.recordChoice(choice);
+    return choice;
   }
 
   /**
@@ -91,16 +94,47 @@
    * @param service - name of the service
    * @param version - version that the target must have; undefined if any will do
    * @param allowanceOf - returns the number of slots of a target that this host may use now
+   * @param isUrgent - whether the item has little time left
    * @returns the target; undefined when this host may use no slot
    */
   chooseForBatch(
     service: string,
     version: string | undefined,
     allowanceOf: (candidate: Candidate) => number,
+    isUrgent = false,
   ): Target | undefined {
     const { failureDomain } = this.dependencies.identity;
     const candidates = this.listCandidates(service, version);
-    return chooseBatchTarget({ candidates, failureDomain, allowanceOf, random: Math.random });
+    const { random } = Math;
+    return chooseBatchTarget({ candidates, failureDomain, allowanceOf, isUrgent, random });
+  }
+
+  /**
+   * Explains where a request or batch item of a service would go now. An item may also have to wait until this host may use
+   * one of the free slots.
+   *
+   * @param service - name of the service
+   * @param work - class of the request
+   * @param size - size of the request; undefined if its caller states none
+   * @returns the targets that accept requests, the most likely one first
+   */
+  explain(service: string, work: WorkClass, size: RequestSize | undefined): TargetExplanation[] {
+    const { failureDomain } = this.dependencies.identity;
+    const candidates = this.listCandidates(service, undefined, size);
+    const { random } = Math;
+    const choosers: Readonly<Record<WorkClass, () => Target | undefined>> = {
+      online: () => {
+        const criteria = { candidates, failureDomain, excluded: NO_TARGETS, random };
+        const choice = chooseTarget({ ...criteria, isContinuation: false });
+        return choice.kind === 'target' ? choice.target : undefined;
+      },
+      batch: () => {
+        const allowanceOf = ({ target, load }: Candidate): number =>
+          target.slots - load.online - load.batch;
+        return chooseBatchTarget({ candidates, failureDomain, allowanceOf, random });
+      },
+    };
+    return explainChoice(candidates, choosers[work]);
   }
 
   /**
--- a/packages/serving/src/routing/chooseTarget.ts
+++ b/packages/serving/src/routing/chooseTarget.ts
@@ -255,6 +255,11 @@
   readonly failureDomain: string;
   /** Returns the number of slots of a target that this host may use now. */
   readonly allowanceOf: (candidate: Candidate) => number;
+  /**
+   * Whether the item has little time left, so that it prefers fast targets. Others leave these to online requests, which
+   * would preempt them there.
+   */
+  readonly isUrgent?: boolean;
   readonly random: () => number;
 }
 
@@ -268,6 +273,7 @@
   candidates,
   failureDomain,
   allowanceOf,
+  isUrgent = false,
   random,
 }: BatchCriteria): Target | undefined => {
   const eligible = candidates
@@ -275,8 +281,7 @@
     .filter((candidate) => allowanceOf(candidate) > 0)
     .map(({ target, load, pace = 1 }) => ({
       target,
-      // An item leaves a fast target before the next requests need its slot.
-      free: (target.slots - load.online - load.batch) / pace,
+      free: (target.slots - load.online - load.batch) / (isUrgent ? pace : 1),
       distance: target.failureDomain === failureDomain ? 0 : 1,
       draw: random(),
     }));
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -22,6 +22,11 @@
 import { Shutdown } from '../http/Shutdown.js';
 import { TargetClient } from '../http/TargetClient.js';
 import { OnlineRequestHandler } from '../online/OnlineRequestHandler.js';
+import {
+  explainRoute,
+  type DescribedRequest,
+  type RouteExplanation,
+} from '../placement/explainRoute.js';
 import { placementStrategies, type Placement } from '../placement/strategies.js';
 import { TargetOutlook } from '../placement/TargetOutlook.js';
 import { WorkLedger } from '../placement/WorkLedger.js';
@@ -104,6 +109,8 @@
   readonly holderOf: (job: string) => [string, number] | null;
   /** Returns the time since the known jobs were confirmed as current. Unit: ms. */
   readonly jobsAge: () => number;
+  /** Tells where a request or batch item would go now, without sending it; undefined if no route has it. */
+  readonly explainPlacement: (request: DescribedRequest) => RouteExplanation | undefined;
   /** Checks whether load balancers should send callers to this host. */
   readonly isReady: () => boolean;
   /** Waits until configuration and targets are loaded, at most until a monotonic deadline in ms. */
@@ -207,7 +214,7 @@
     loadTable,
     health,
     outlook: strategy.predictsTimes
-      ? new TargetOutlook({ strategy, loadTable, ledger })
+      ? new TargetOutlook({ strategy, loadTable, ledger, metrics })
       : undefined,
   });
   const retention = new StreamRetention();
@@ -378,6 +385,7 @@
     jobCache,
     holderOf: (job) => members.assignHolder(job),
     jobsAge: () => jobsFollower.age,
+    explainPlacement: (request) => explainRoute(request, { view, router }),
     isReady: () => !members.isStopping && view.index !== undefined && view.age < MAX_READY_AGE_MS,
     async waitUntilLoaded(deadline) {
       const loaded = [configurationFollower, targetsFollower, blockedContentFollower].map(
--- a/packages/serving/test/features/forecasts.feature
+++ b/packages/serving/test/features/forecasts.feature
@@ -76,3 +76,26 @@
     Given 2 targets with 0 online requests each, and an idle one
     When 300 requests are placed by a host in the failure domain of target 1 only, seed 9
     Then target 1 gets at least half of them
+
+  # Guards against items on fast targets, where online requests preempt them, and against late items on slow ones.
+  Scenario Outline: <item> goes to target <number>
+    Given targets whose events take 25, 25 and 60 ms
+    When <item> is placed while targets 1 and 2 have 5 free slots and target 3 has 6
+    Then it is at target <number>
+
+    Examples:
+      | item                                | number |
+      | an item that has time               | 3      |
+      | an item that has little time left   | 1      |
+
+  # Guards against an explanation that differs from where requests go.
+  Scenario: The explanation of a choice has the shares with which targets are chosen
+    Given 2 targets with 8 online requests each, and an idle one
+    When an operator asks where an online request of the service goes
+    Then nearly all of them go to target 3, and each target has its load and its predicted wait
+
+  # Guards against batch items that are preempted although another failure domain has a free slot.
+  Scenario: A free slot in another failure domain goes before that of a batch item
+    Given two targets in two failure domains with 4 online requests each, of which the nearer one has 4 batch items
+    When 300 requests are placed, seed 2
+    Then target 2 gets more of them than target 1
--- a/packages/serving/test/steps/forecasts.steps.ts
+++ b/packages/serving/test/steps/forecasts.steps.ts
@@ -5,8 +5,10 @@
 import { placementStrategies, type Placement } from '@jacinthlug/serving/placement/strategies';
 import { TargetOutlook } from '@jacinthlug/serving/placement/TargetOutlook';
 import { WorkLedger } from '@jacinthlug/serving/placement/WorkLedger';
+import { explainChoice, type TargetExplanation } from '@jacinthlug/serving/placement/explainChoice';
 import type { Target } from '@jacinthlug/serving/fleet/Target';
 import {
+  chooseBatchTarget,
   chooseTarget,
   type Candidate,
   type TargetChoice,
@@ -25,6 +27,8 @@
   now: number;
   placed: Map<string, number>;
   pace: number;
+  item: string | undefined;
+  explanations: TargetExplanation[];
 }
 
 const EVENTS = 30;
@@ -58,11 +62,12 @@
 };
 
 const describe = ({ ledger, loadTable, now }: ForecastsWorld, target: Target) =>
-  new TargetOutlook({ strategy: placementStrategies.work, loadTable, ledger }).describe(
-    target,
-    undefined,
-    now,
-  );
+  new TargetOutlook({
+    strategy: placementStrategies.work,
+    loadTable,
+    ledger,
+    metrics: { count: () => undefined, observe: () => undefined },
+  }).describe(target, undefined, now);
 
 const listCandidates = (world: ForecastsWorld): Candidate[] =>
   world.targets.map((target) => ({
@@ -309,3 +314,72 @@
   const total = [...this.placed.values()].reduce((sum, count) => sum + count, 0);
   assert.ok(placedOn(this, 1) >= total / 2, JSON.stringify([...this.placed]));
 });
+
+When(
+  /^an item that has (time|little time left) is placed while targets 1 and 2 have 5 free slots and target 3 has 6$/,
+  function (this: ForecastsWorld, time: string) {
+    report(this, [
+      ['t-1', 3, 0, 1000],
+      ['t-2', 3, 0, 1000],
+      ['t-3', 2, 0, 1000],
+    ]);
+    this.item = chooseBatchTarget({
+      candidates: listCandidates(this),
+      failureDomain: 'a',
+      allowanceOf: () => 1,
+      isUrgent: time !== 'time',
+      random: () => 0,
+    })?.id;
+  },
+);
+
+Then('it is at target {int}', function (this: ForecastsWorld, number: number) {
+  assert.equal(this.item, `t-${number}`);
+});
+
+When(
+  'an operator asks where an online request of the service goes',
+  function (this: ForecastsWorld) {
+    const candidates = listCandidates(this);
+    const random = createRandom(1);
+    this.explanations = explainChoice(candidates, () => {
+      const chosen = choose(candidates, random);
+      return chosen.kind === 'target' ? chosen.target : undefined;
+    });
+  },
+);
+
+Then(
+  'nearly all of them go to target 3, and each target has its load and its predicted wait',
+  function (this: ForecastsWorld) {
+    const [first, ...others] = this.explanations;
+    assert.ok(first?.target === 't-3' && first.share > 0.9, JSON.stringify(first));
+    others.forEach(({ online, waitMs = 0 }) => {
+      assert.equal(online, 8);
+      assert.ok(waitMs > (first.waitMs ?? 0), `${waitMs}`);
+    });
+  },
+);
+
+Given(
+  'two targets in two failure domains with 4 online requests each, of which the nearer one has 4 batch items',
+  function (this: ForecastsWorld) {
+    const [near, far] = createTargets(2) as [Target, Target];
+    prepare(this, [near, { ...far, failureDomain: 'b' }]);
+    report(this, [
+      ['t-1', 4, 4, 1400],
+      ['t-2', 4, 0, 1400],
+    ]);
+  },
+);
+
+When(
+  '{int} requests are placed, seed {int}',
+  function (this: ForecastsWorld, count: number, seed: number) {
+    placeAll(this, count, createRandom(seed));
+  },
+);
+
+Then('target 2 gets more of them than target 1', function (this: ForecastsWorld) {
+  assert.ok(placedOn(this, 2) > placedOn(this, 1), JSON.stringify([...this.placed]));
+});
