--- a/packages/catalog/src/counterNames.ts
+++ b/packages/catalog/src/counterNames.ts
@@ -25,6 +25,10 @@
     tags: [],
   },
   'streams.cut': { description: 'Streams ended early by reason', tags: ['reason'] },
+  'placement.choices': {
+    description: 'Choices of a target by predicted times, by outcome',
+    tags: ['outcome'],
+  },
   'batch.items': { description: 'Batch items by outcome', tags: ['outcome'] },
   'batch.preempted': { description: 'Batch streams cancelled for online requests', tags: [] },
   'batch.blocked': {
@@ -62,6 +66,7 @@
     description: 'Time from the arrival of a request to the end of its response',
   },
   'queue.wait': { description: 'Time of a request in the queue of the host' },
+  'placement.wait': { description: 'Predicted wait for a slot of the chosen target' },
   'items.run': { description: 'Duration of a run of a batch item on a target' },
 } as const satisfies Readonly<Record<string, Timing>>;
 
--- a/packages/serving/src/batch/SchedulingPass.ts
+++ b/packages/serving/src/batch/SchedulingPass.ts
@@ -130,6 +130,7 @@
           ? 0
           : allowanceOf(candidate) - (this.usedSlots.get(candidate.target.id) ?? 0),
       allowedRegions,
+      urgency === 'urgent',
     );
     if (target) this.usedSlots.set(target.id, (this.usedSlots.get(target.id) ?? 0) + 1);
     else this.exhausted.add(kind);
--- a/packages/serving/src/routing/TargetRouter.ts
+++ b/packages/serving/src/routing/TargetRouter.ts
@@ -6,6 +6,7 @@
 import type { HostIdentity } from '../fleet/HostIdentity.js';
 import type { Target } from '../fleet/Target.js';
 import type { TargetList } from '../fleet/TargetList.js';
+import { explainChoice, type TargetExplanation } from '../placement/explainChoice.js';
 import type { RequestSize } from '../placement/RequestSize.js';
 import type { TargetOutlook } from '../placement/TargetOutlook.js';
 import {
@@ -19,7 +20,7 @@
   type TargetOccupancy,
 } from './chooseTarget.js';
 import { isAllowed, type AllowedRegions, type RegionsByDomain } from './allowedRegions.js';
-import type { LoadTable } from './LoadTable.js';
+import type { LoadTable, WorkClass } from './LoadTable.js';
 import { orderServices } from './orderServices.js';
 import type { TargetHealth } from './TargetHealth.js';
 
@@ -103,6 +104,7 @@
     const isContinuation = version !== undefined;
     const { random } = Math;
     const choice = chooseTarget({ candidates, failureDomain, excluded, isContinuation, random });
+    this.dependencies.outlook?.recordChoice(choice);
     if (choice.kind !== 'none') return choice;
     if (this.isOnlyForbidden(service, version, allowed)) return { ...choice, kind: 'forbidden' };
     if (!this.hasDeferredTarget(service, excluded, version, allowed)) return choice;
@@ -117,6 +119,7 @@
    * @param version - version that the target must have; undefined if any will do
    * @param allowanceOf - returns the number of slots of a target that this host may use now
    * @param allowed - regions in which the item may run; undefined if any will do
+   * @param isUrgent - whether the item has little time left
    * @returns the target; undefined when this host may use no slot
    */
   chooseForBatch(
@@ -124,11 +127,12 @@
     version: string | undefined,
     allowanceOf: (candidate: Candidate) => number,
     allowed?: AllowedRegions,
+    isUrgent = false,
   ): Target | undefined {
     const { failureDomain } = this.dependencies.identity;
     const candidates = this.listCandidates(service, version, allowed);
     const warm = candidates.filter(({ target }) => !this.dependencies.coldTargets.isCold(target));
-    const criteria = { failureDomain, allowanceOf, random: Math.random };
+    const criteria = { failureDomain, allowanceOf, isUrgent, random: Math.random };
     return (
       chooseBatchTarget({ candidates: warm, ...criteria }) ??
       chooseBatchTarget({ candidates, ...criteria })
@@ -144,6 +148,34 @@
     this.dependencies.coldTargets.recordSend(target);
   }
 
+  /**
+   * Explains where a request or batch item of a service would go now. An item may also have to wait until this host may use
+   * one of the free slots.
+   *
+   * @param service - name of the service
+   * @param work - class of the request
+   * @param size - size of the request; undefined if its caller states none
+   * @returns the targets that accept requests, the most likely one first
+   */
+  explain(service: string, work: WorkClass, size: RequestSize | undefined): TargetExplanation[] {
+    const { failureDomain } = this.dependencies.identity;
+    const candidates = this.listCandidates(service, undefined, undefined, size);
+    const { random } = Math;
+    const choosers: Readonly<Record<WorkClass, () => Target | undefined>> = {
+      online: () => {
+        const criteria = { candidates, failureDomain, excluded: NO_TARGETS, random };
+        const choice = chooseTarget({ ...criteria, isContinuation: false });
+        return choice.kind === 'target' ? choice.target : undefined;
+      },
+      batch: () => {
+        const allowanceOf = ({ target, load }: Candidate): number =>
+          target.slots - load.online - load.batch;
+        return chooseBatchTarget({ candidates, failureDomain, allowanceOf, random });
+      },
+    };
+    return explainChoice(candidates, choosers[work]);
+  }
+
   /**
    * Finds the other hosts whose batch items keep online requests waiting on a target.
    *
