--- a/packages/serving/test/steps/coldTargets.steps.ts
+++ b/packages/serving/test/steps/coldTargets.steps.ts
@@ -144,9 +144,12 @@
     host.update([{ ...target, coldUntil: now + START_MS }], now),
 };
 
-When(/^(.+) at (\d+) ms$/, function (this: ColdWorld, event: string, time: string) {
-  events[event]!(this.hosts[0]!, this.target, Number(time));
-});
+When(
+  /^(the target restarts|the target is removed and returns|the evacuation of its domain ends|its registration says 3000 ms more) at (\d+) ms$/,
+  function (this: ColdWorld, event: string, time: string) {
+    events[event]!(this.hosts[0]!, this.target, Number(time));
+  },
+);
 
 Then('the target is warm', function (this: ColdWorld) {
   assert.ok(!this.hosts[0]!.isCold(this.target, 1000));
