--- a/packages/serving/test/steps/coldTargets.steps.ts
+++ b/packages/serving/test/steps/coldTargets.steps.ts
@@ -145,7 +145,7 @@
 };
 
 When(
-  /^(the (?:target|evacuation).+|its registration.+) at (\d+) ms$/,
+  /^(the target restarts|the target is removed and returns|the evacuation of its domain ends|its registration says 3000 ms more) at (\d+) ms$/,
   function (this: ColdWorld, event: string, time: string) {
     events[event]!(this.hosts[0]!, this.target, Number(time));
   },
