--- a/packages/serving/src/http/CallerConnection.ts
+++ b/packages/serving/src/http/CallerConnection.ts
@@ -57,6 +57,11 @@
     return [...this.responses].some(({ req }) => req.complete);
   }
 
+  /** Address of the caller; undefined once the connection is closed. */
+  get address(): string | undefined {
+    return this.socket.remoteAddress;
+  }
+
   /** Closes the connection and ends what is in progress on it. */
   close(): void {
     this.socket.destroy();
--- a/packages/serving/src/http/CallerServer.ts
+++ b/packages/serving/src/http/CallerServer.ts
@@ -208,6 +208,7 @@
     metrics.count('connections.replaced');
     journal.record('connection-replaced', {
       connections: this.connections.size,
+      address: replaced?.address,
       idleMs: replaced && Math.round(performance.now() - replaced.receivedAt),
       hadRequest: replaced?.hasHadRequest,
     });
--- a/packages/serving/src/http/endRefusedRequest.ts
+++ b/packages/serving/src/http/endRefusedRequest.ts
@@ -1,9 +1,15 @@
 /** Ends the response to a request that is refused before it has been received completely. */
 import type { ServerResponse } from 'node:http';
+import type { ResultName } from '@jacinthlug/catalog/resultCodes';
 
 /** Maximum announced size of a body whose rest is read so that the connection can be used again. Unit: bytes. */
 const MAX_REUSE_BYTES = 65_536;
 
+/** That size by result code, where it differs: callers send bodies somewhat over the limit by mistake. Unit: bytes. */
+const maxReuseBytes: Readonly<Partial<Record<ResultName, number>>> = {
+  'body-too-large': 8_388_608,
+};
+
 /** Maximum rest of a body that is read so that its sender gets the refusal. Unit: bytes. */
 const MAX_REST_BYTES = 1_048_576;
 
@@ -18,12 +24,13 @@
  * have no end.
  *
  * @param response - the response
+ * @param code - result code of the refusal
  * @returns whether the connection is closed
  */
-export const mustCloseAfterRefusal = ({ req }: ServerResponse): boolean => {
+export const mustCloseAfterRefusal = ({ req }: ServerResponse, code: ResultName): boolean => {
   if (req.complete) return false;
   const { 'content-length': length, 'transfer-encoding': encoding } = req.headers;
-  return encoding !== undefined || Number(length ?? 0) > MAX_REUSE_BYTES;
+  return encoding !== undefined || Number(length ?? 0) > (maxReuseBytes[code] ?? MAX_REUSE_BYTES);
 };
 
 /**
@@ -32,10 +39,15 @@
  *
  * @param response - response whose head has been written, with the length of the content
  * @param content - body of the response
+ * @param code - result code of the refusal
  */
-export const endRefusedRequest = (response: ServerResponse, content: string): void => {
+export const endRefusedRequest = (
+  response: ServerResponse,
+  content: string,
+  code: ResultName,
+): void => {
   const { req: message } = response;
-  if (!mustCloseAfterRefusal(response)) {
+  if (!mustCloseAfterRefusal(response, code)) {
     response.end(content);
     return;
   }
--- a/packages/serving/src/http/writeRefusal.ts
+++ b/packages/serving/src/http/writeRefusal.ts
@@ -50,8 +50,8 @@
   response.writeHead(status, {
     ...headers,
     ...(seconds !== undefined && { 'retry-after': dialect.renderRetryAfter(seconds) }),
-    ...(mustCloseAfterRefusal(response) && { connection: 'close' }),
+    ...(mustCloseAfterRefusal(response, refusal.code) && { connection: 'close' }),
     'content-length': Buffer.byteLength(content),
   });
-  endRefusedRequest(response, content);
+  endRefusedRequest(response, content, refusal.code);
 };
