--- a/packages/serving/src/http/CallerConnection.ts
+++ b/packages/serving/src/http/CallerConnection.ts
@@ -20,7 +20,7 @@
   /** Responses in progress, in the order of their requests. */
   readonly responses = new Set<ServerResponse>();
 
-  /** Monotonic time of the latest bytes from the caller, or of the begin of the connection. Unit: ms. */
+  /** Monotonic time of the latest bytes from the caller, or of the start of the connection. Unit: ms. */
   receivedAt = performance.now();
 
   /** Whether a complete request has been received. */
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -87,7 +87,7 @@
 /** Maximum age of the configuration at which a host reports that it is ready. Unit: ms. */
 const MAX_READY_AGE_MS = 3000;
 
-/** Content of the key of a row. */
+/** What the key of a row in the configuration table says of an evacuation. */
 export type EvacuationKey = { readonly failureDomain: string } | 'unreadable' | undefined;
 
 /** Tables of the deployment that are written by other processes. */
