Run items again soon whose own content was blocked after failures by chance

Callers saw: an accepted item that was not listed 90 s after the end of all faults.

Cause: since batch items ask the guard against crashing content, an item whose runs three targets have broken off waits for the block of its content, 120 s, or until that content is served elsewhere. Nobody else sends the content of one item.

Ruled out: the item's holder (alive, its other items went on), its retry delay (0.2 s), slots (targets idle for the last 60 s).

Fix: an item whose own content is blocked runs again 4, 8 and 16 s after each block, at most three times over all hosts, as each crash in such a run blocks the content again, for longer, in the store. Items with a blocked part of their prompt wait as before.

--- a/packages/serving/src/batch/BatchWorker.ts
+++ b/packages/serving/src/batch/BatchWorker.ts
@@ -18,6 +18,7 @@
 import type { LoadTable } from '../routing/LoadTable.js';
 import type { TargetHealth } from '../routing/TargetHealth.js';
 import type { TargetRouter } from '../routing/TargetRouter.js';
+import { findItemRelease } from './findItemRelease.js';
 import type { HeldJob } from './HeldJob.js';
 import { HeldJobs, type HeldJobsDependencies } from './HeldJobs.js';
 import { MAX_OUTPUT_LENGTH } from './ItemResponse.js';
@@ -272,8 +273,9 @@
   /** Checks whether targets crash on an item's content, in which case the item waits. */
   private isBlocked({ job, task }: JobTask, { service }: Target, now: number): boolean {
     const block = this.dependencies.crashGuard.findBlock(this.getContentKeys(job, task, service));
-    if (!block) return false;
-    Object.assign(task, { notBefore: Math.min(block.until, now + BLOCK_RECHECK_MS) });
+    const releasedAt = block && findItemRelease(block);
+    if (releasedAt === undefined || releasedAt <= now) return false;
+    Object.assign(task, { notBefore: Math.min(releasedAt, now + BLOCK_RECHECK_MS) });
     this.dependencies.metrics.count('batch.blocked');
     return true;
   }
--- a/packages/serving/src/crashes/BlockedContent.ts
+++ b/packages/serving/src/crashes/BlockedContent.ts
@@ -41,6 +41,11 @@
   readonly isOwn: boolean;
 }
 
+/** A block that was found, with its content key. */
+export interface FoundBlock extends Block {
+  readonly key: string;
+}
+
 /** Dependencies of {@link BlockedContent}. */
 export interface BlockedContentDependencies {
   readonly store: RecordStore;
@@ -77,15 +82,12 @@
    *
    * @param contentKeys - content keys of the request
    * @param now - monotonic time. Unit: ms
-   * @returns the blocked key and the end of the block; undefined if none is blocked
+   * @returns the block of the first key that is blocked; undefined if none is blocked
    */
-  find(
-    contentKeys: readonly string[],
-    now: number,
-  ): { readonly key: string; readonly until: number } | undefined {
+  find(contentKeys: readonly string[], now: number): FoundBlock | undefined {
     if (this.blocks.size === 0) return undefined;
     const key = contentKeys.find((each) => this.isBlocked(each, now));
-    return key === undefined ? undefined : { key, until: this.blocks.get(key)!.until };
+    return key === undefined ? undefined : { key, ...this.blocks.get(key)! };
   }
 
   /**
@@ -189,8 +191,9 @@
       this.dependencies.journal.record('record-unreadable', { table: BLOCKED_CONTENT_TABLE, key });
       return;
     }
-    const { since = now, isOwn = false } = this.blocks.get(key) ?? {};
+    const known = this.blocks.get(key);
+    const since = known && known.count >= row.count ? known.since : now;
     const until = now + row.blockedUntil - storeNow;
-    this.blocks.set(key, { until, count: row.count, since, isOwn });
+    this.blocks.set(key, { until, count: row.count, since, isOwn: known?.isOwn ?? false });
   }
 }
--- a/packages/serving/src/crashes/CrashGuard.ts
+++ b/packages/serving/src/crashes/CrashGuard.ts
@@ -1,7 +1,8 @@
 /** Keeps content on which targets crash from reaching further targets. */
 import type { Journal } from '@jacinthlug/catalog/Journal';
 import type { LoadReport } from '@jacinthlug/protocol/loadReport';
-import type { BlockedContent } from './BlockedContent.js';
+import type { BlockedContent, FoundBlock } from './BlockedContent.js';
+import { isRequestKey } from './contentKeys.js';
 import { CrashLog, type FailedRequest } from './CrashLog.js';
 import { findCulprit } from './findCulprit.js';
 
@@ -33,12 +34,9 @@
    *
    * @param contentKeys - content keys of the request
    * @param now - monotonic time. Unit: ms
-   * @returns the blocked key and the monotonic time at which the block ends, in ms; undefined if none is blocked
+   * @returns the block; undefined if none of the keys is blocked
    */
-  findBlock(
-    contentKeys: readonly string[],
-    now = performance.now(),
-  ): { readonly key: string; readonly until: number } | undefined {
+  findBlock(contentKeys: readonly string[], now = performance.now()): FoundBlock | undefined {
     // More requests may have been served since the last crash, which makes the evidence clearer.
     if (contentKeys.some((key) => this.log.hasFailedSinceServed(key))) this.blockCulprit(now);
     return this.dependencies.blockedContent.find(contentKeys, now);
@@ -52,6 +50,7 @@
    */
   recordFailure(request: FailedRequest, now = performance.now()): void {
     this.log.recordFailure(request, now);
+    this.blockAgain(request, now);
     this.blockCulprit(now);
     this.notifyListeners();
   }
@@ -103,6 +102,21 @@
     if (isOwn) this.notifyListeners();
   }
 
+  /** Extends the block of a batch item's own content, on which a target has crashed in a run after the block. */
+  private blockAgain({ contentKeys, sentAt }: FailedRequest, now: number): void {
+    const { blockedContent, journal } = this.dependencies;
+    const block = blockedContent.find(contentKeys.filter(isRequestKey), now);
+    if (!block || sentAt <= block.since) return;
+    const { until, count } = blockedContent.block(block.key, now, true);
+    journal.record('content-blocked', {
+      content: block.key,
+      crashes: 1,
+      sinceMs: Math.round(now - block.since),
+      blockMs: Math.round(until - now),
+      blocks: count,
+    });
+  }
+
   /** Blocks the content that explains the crashes, if any. Hosts that observed its failures save the block. */
   private blockCulprit(now: number): void {
     const { blockedContent, journal } = this.dependencies;
--- a/packages/serving/test/features/crashes.feature
+++ b/packages/serving/test/features/crashes.feature
@@ -128,3 +128,20 @@
     And chats with the parts "base,mended" are served
     And 1 target crashes under a chat with the parts "base,mended" on the second host
     Then chats with the parts "base,mended" are accepted on every host
+
+  # Guards against a sound item that waits for minutes: only a run of the item can show that its own content is sound.
+  Scenario: A batch item whose own content is blocked runs again soon, but only a few times
+    Given chats with the parts "base,topic" are served all the time
+    When 3 targets crash under the same request without parts, each on another host
+    Then a batch item with that request runs 3 times within 120 s, if each run crashes its target
+
+  Scenario: A batch item whose own content is blocked is accepted everywhere once a run has served it
+    Given chats with the parts "base,topic" are served all the time
+    When 3 targets crash under the same request without parts, each on another host
+    And a batch item with that request runs and is served
+    Then this request is accepted on every host
+
+  Scenario: A batch item with a blocked part of its prompt waits for the end of the block
+    Given chats with the parts "base,topic" are served all the time
+    When 4 targets crash under chats with the parts "base,dead", each on another host
+    Then a batch item with the parts "base,dead" waits until the block ends
--- a/packages/serving/test/steps/crashes.steps.ts
+++ b/packages/serving/test/steps/crashes.steps.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '@jacinthlug/control/time/Clock';
 import { silentJournal } from '@jacinthlug/catalog/Journal';
 import { BLOCKED_CONTENT_TABLE, BlockedContent } from '@jacinthlug/serving/crashes/BlockedContent';
+import { findItemRelease } from '@jacinthlug/serving/batch/findItemRelease';
 import { computeContentKeys } from '@jacinthlug/serving/crashes/contentKeys';
 import { CrashGuard } from '@jacinthlug/serving/crashes/CrashGuard';
 import { createReport } from '../fakes/createReport.js';
@@ -91,6 +92,8 @@
     body: Buffer.from('hello'),
   });
 
+const SAME_REQUEST = plainRequest('/same');
+
 const startHost = async (world: CrashWorld, name: string): Promise<HostUnderTest> => {
   Object.assign(world, { incarnations: world.incarnations + 1 });
   const blockedContent = new BlockedContent({ store: world.store, journal: silentJournal });
@@ -258,7 +261,7 @@
 When(
   '{int} targets crash under the same request without parts, each on another host',
   function (this: CrashWorld, count: number) {
-    crashOnHosts(this, count, () => plainRequest('/same'));
+    crashOnHosts(this, count, () => SAME_REQUEST);
   },
 );
 
@@ -379,9 +382,52 @@
 );
 
 Then('this request is refused on every host', function (this: CrashWorld) {
-  assertOnAllHosts(this, plainRequest('/same'), 'refused');
+  assertOnAllHosts(this, SAME_REQUEST, 'refused');
+});
+
+Then('this request is accepted on every host', function (this: CrashWorld) {
+  assertOnAllHosts(this, SAME_REQUEST, 'accepted');
+});
+
+/** Lets time pass until an item with blocked content may run at the first host. */
+const waitForItem = (world: CrashWorld, contentKeys: string[]): void => {
+  const { guard } = world.hosts[0]!;
+  const now = (): number => world.clock.now();
+  for (
+    let block = guard.findBlock(contentKeys, now());
+    block && findItemRelease(block) > now();
+    block = guard.findBlock(contentKeys, now())
+  )
+    pass(world, CRASH_INTERVAL_MS);
+};
+
+Then(
+  'a batch item with that request runs {int} times within {int} s, if each run crashes its target',
+  function (this: CrashWorld, count: number, seconds: number) {
+    const endsAt = this.clock.now() + seconds * 1000;
+    let runs = 0;
+    for (waitForItem(this, SAME_REQUEST); this.clock.now() < endsAt; runs += 1) {
+      crash(this, [[this.hosts[0]!, SAME_REQUEST]]);
+      waitForItem(this, SAME_REQUEST);
+    }
+    assert.equal(runs, count);
+  },
+);
+
+When('a batch item with that request runs and is served', function (this: CrashWorld) {
+  waitForItem(this, SAME_REQUEST);
+  this.hosts[0]!.guard.recordServed(SERVICE, SAME_REQUEST, this.clock.now());
+  pass(this, CRASH_INTERVAL_MS);
 });
 
+Then(
+  'a batch item with the parts {string} waits until the block ends',
+  function (this: CrashWorld, parts: string) {
+    const block = this.hosts[0]!.guard.findBlock(createChat(this, parts), this.clock.now())!;
+    assert.equal(findItemRelease(block), block.until);
+  },
+);
+
 Then('another request of its caller is accepted on every host', function (this: CrashWorld) {
   assertOnAllHosts(this, plainRequest('/other'), 'accepted');
 });
