Use one rule for cold targets in choices and their explanation

The choice of a batch item's target was made a second time over the same targets when none was cold and none had a slot, and online requests had a rule of their own for the same purpose. explain() used neither, so that it showed cold targets as likely ones while warm ones had free slots. preferWarm now serves online requests, batch items and the explanation, and takes all targets without a second choice if none is cold. A warm target that two other hosts report as unresponsive no longer counts as one with room.

chooseForOnline takes an object instead of five positional arguments; the steps of the tests are changed for that only.

Ruled out: changing chooseForBatch's arguments too, as the batch package calls it.

Tests: cold targets, 18 scenarios passed, with a new one on the explanation (online and batch).

--- a/packages/serving/src/online/RequestAttempts.ts
+++ b/packages/serving/src/online/RequestAttempts.ts
@@ -176,13 +176,13 @@
     if (!left || prefersFurther)
       return this.dependencies.admission.place(
         describePlacement(request, progress, () =>
-          router.chooseForOnline(
+          router.chooseForOnline({
             service,
-            excludedTargets,
+            excluded: excludedTargets,
             version,
-            request.head.size,
-            allowedRegions,
-          ),
+            size: request.head.size,
+            allowed: allowedRegions,
+          }),
         ),
       );
     progress.recordReturn(left.target.id);
--- a/packages/serving/src/routing/TargetRouter.ts
+++ b/packages/serving/src/routing/TargetRouter.ts
@@ -15,7 +15,10 @@
   findHoldersToNotify,
   countItemsToCancel,
   hasUsableTarget,
+  looksHealthy,
+  type BatchCriteria,
   type Candidate,
+  type OnlineCriteria,
   type TargetChoice,
   type TargetOccupancy,
 } from './chooseTarget.js';
@@ -49,8 +52,25 @@
   readonly responsive: boolean;
 }
 
+/** An online request that needs a target. */
+export interface RoutedRequest {
+  /** Name of the service. */
+  readonly service: string;
+  /** Identities of targets on which the request has failed already. */
+  readonly excluded?: ReadonlySet<string>;
+  /** Version that began the stream which the request continues; undefined if any will do. */
+  readonly version?: string | undefined;
+  /** Undefined if its caller states none. */
+  readonly size?: RequestSize | undefined;
+  /** Regions in which the request may run; undefined if any will do. */
+  readonly allowed?: AllowedRegions | undefined;
+}
+
 const NO_TARGETS: ReadonlySet<string> = new Set();
 
+const countFreeSlots = ({ target, load }: Candidate): number =>
+  target.slots - load.online - load.batch;
+
 /** Chooses the targets of online requests and batch items. */
 export class TargetRouter {
   constructor(private readonly dependencies: TargetRouterDependencies) {}
@@ -82,29 +102,15 @@
   /**
    * Chooses the target of an online request.
    *
-   * @param service - name of the service
-   * @param excluded - identities of targets on which the request has failed already
-   * @param version - version that began the stream which the request continues; undefined if any will do
-   * @param size - size of the request; undefined if its caller states none
-   * @param allowed - regions in which the request may run; undefined if any will do
+   * @param request - the request
    * @returns the target, or why there is none
    */
-  chooseForOnline(
-    service: string,
-    excluded: ReadonlySet<string>,
-    version: string | undefined,
-    size?: RequestSize,
-    allowed?: AllowedRegions,
-  ): TargetChoice {
-    const { failureDomain } = this.dependencies.identity;
-    const candidates = this.preferWarm(
-      this.listCandidates(service, version, allowed, size),
-      excluded,
-    );
-    const isContinuation = version !== undefined;
-    const { random } = Math;
-    const choice = chooseTarget({ candidates, failureDomain, excluded, isContinuation, random });
-    this.dependencies.outlook?.recordChoice(choice);
+  chooseForOnline(request: RoutedRequest): TargetChoice {
+    const { service, excluded = NO_TARGETS, version, size, allowed } = request;
+    const candidates = this.listCandidates(service, version, allowed, size);
+    const choice = this.drawForOnline(candidates, excluded, version !== undefined);
+    if (candidates.some(({ forecast }) => forecast))
+      this.dependencies.outlook?.recordChoice(choice);
     if (choice.kind !== 'none') return choice;
     if (this.isOnlyForbidden(service, version, allowed)) return { ...choice, kind: 'forbidden' };
     if (!this.hasDeferredTarget(service, excluded, version, allowed)) return choice;
@@ -129,14 +135,8 @@
     allowed?: AllowedRegions,
     isUrgent = false,
   ): Target | undefined {
-    const { failureDomain } = this.dependencies.identity;
     const candidates = this.listCandidates(service, version, allowed);
-    const warm = candidates.filter(({ target }) => !this.dependencies.coldTargets.isCold(target));
-    const criteria = { failureDomain, allowanceOf, isUrgent, random: Math.random };
-    return (
-      chooseBatchTarget({ candidates: warm, ...criteria }) ??
-      chooseBatchTarget({ candidates, ...criteria })
-    );
+    return this.drawForBatch(candidates, { allowanceOf, isUrgent });
   }
 
   /**
@@ -158,20 +158,13 @@
    * @returns the targets that accept requests, the most likely one first
    */
   explain(service: string, work: WorkClass, size: RequestSize | undefined): TargetExplanation[] {
-    const { failureDomain } = this.dependencies.identity;
     const candidates = this.listCandidates(service, undefined, undefined, size);
-    const { random } = Math;
     const choosers: Readonly<Record<WorkClass, () => Target | undefined>> = {
       online: () => {
-        const criteria = { candidates, failureDomain, excluded: NO_TARGETS, random };
-        const choice = chooseTarget({ ...criteria, isContinuation: false });
+        const choice = this.drawForOnline(candidates, NO_TARGETS, false);
         return choice.kind === 'target' ? choice.target : undefined;
       },
-      batch: () => {
-        const allowanceOf = ({ target, load }: Candidate): number =>
-          target.slots - load.online - load.batch;
-        return chooseBatchTarget({ candidates, failureDomain, allowanceOf, random });
-      },
+      batch: () => this.drawForBatch(candidates, { allowanceOf: countFreeSlots }),
     };
     return explainChoice(candidates, choosers[work]);
   }
@@ -300,18 +293,50 @@
     );
   }
 
-  /** Leaves out cold targets while a warm one that looks healthy has a free slot. */
+  private drawForOnline(
+    candidates: readonly Candidate[],
+    excluded: OnlineCriteria['excluded'],
+    isContinuation: boolean,
+  ): TargetChoice {
+    const { failureDomain } = this.dependencies.identity;
+    const preferred = this.preferWarm(
+      candidates,
+      (candidate) => !excluded.has(candidate.target.id) && countFreeSlots(candidate) > 0,
+    );
+    const { random } = Math;
+    return chooseTarget({
+      candidates: preferred,
+      failureDomain,
+      excluded,
+      isContinuation,
+      random,
+    });
+  }
+
+  private drawForBatch(
+    candidates: readonly Candidate[],
+    criteria: Pick<BatchCriteria, 'allowanceOf' | 'isUrgent'>,
+  ): Target | undefined {
+    const { failureDomain } = this.dependencies.identity;
+    const preferred = this.preferWarm(
+      candidates,
+      (candidate) => criteria.allowanceOf(candidate) > 0,
+    );
+    const { random } = Math;
+    return chooseBatchTarget({ candidates: preferred, failureDomain, random, ...criteria });
+  }
+
+  /** Leaves out cold targets while a warm one that looks healthy has room. */
   private preferWarm(
     candidates: readonly Candidate[],
-    excluded: ReadonlySet<string>,
+    hasRoom: (candidate: Candidate) => boolean,
   ): readonly Candidate[] {
     const { coldTargets } = this.dependencies;
     const warm = candidates.filter(({ target }) => !coldTargets.isCold(target));
-    const hasRoom = warm.some(
-      ({ target, load, usable }) =>
-        usable && !excluded.has(target.id) && load.online + load.batch < target.slots,
-    );
-    return hasRoom ? warm : candidates;
+    return warm.length === candidates.length ||
+      warm.some((candidate) => looksHealthy(candidate) && hasRoom(candidate))
+      ? warm
+      : candidates;
   }
 
   /** Checks whether a request could be sent to a cold target if this host had not used up its share. */
--- a/packages/serving/src/routing/chooseTarget.ts
+++ b/packages/serving/src/routing/chooseTarget.ts
@@ -155,6 +155,15 @@
 const isReportedUnresponsive = ({ unresponsiveReports }: Candidate): boolean =>
   unresponsiveReports >= 2;
 
+/**
+ * Checks whether a target looks healthy to this host and to the others.
+ *
+ * @param candidate - the target
+ * @returns whether it is among the first choices
+ */
+export const looksHealthy = (candidate: Candidate): boolean =>
+  candidate.usable && !isReportedUnresponsive(candidate);
+
 /**
  * Selects the targets that are tried before a request is refused. Many unhealthy targets have only broken off a response.
  * Unresponsive ones would hold a new request that might be served elsewhere after a refusal. If all look unhealthy, the
@@ -183,10 +192,7 @@
   Record<'possible' | 'usable', readonly Candidate[]>
 > => {
   const possible = candidates.filter(({ target }) => !excluded.has(target.id));
-  const usable = possible.filter(
-    (candidate) => candidate.usable && !isReportedUnresponsive(candidate),
-  );
-  return { possible, usable };
+  return { possible, usable: possible.filter(looksHealthy) };
 };
 
 /**
@@ -279,8 +285,7 @@
   random,
 }: BatchCriteria): Target | undefined => {
   const eligible = candidates
-    .filter((candidate) => candidate.usable && !isReportedUnresponsive(candidate))
-    .filter((candidate) => allowanceOf(candidate) > 0)
+    .filter((candidate) => looksHealthy(candidate) && allowanceOf(candidate) > 0)
     .map(({ target, load, pace = 1 }) => ({
       target,
       free: (target.slots - load.online - load.batch) / (isUrgent ? pace : 1),
--- a/packages/serving/test/features/coldTargets.feature
+++ b/packages/serving/test/features/coldTargets.feature
@@ -68,3 +68,9 @@
     And the last request was refused as "full"
     When the host sends 3 items
     Then none of them was sent
+
+  # Guards against an explanation that differs from where requests go.
+  Scenario: The explanation of a choice leaves out cold targets while a warm one has a free slot
+    Given a host that knows warm target "t-1" of 8 slots, and 3 targets that have just started
+    When the host sends 4 requests
+    Then an operator is told that requests and items would go to "t-1"
--- a/packages/serving/test/steps/allowedRegions.steps.ts
+++ b/packages/serving/test/steps/allowedRegions.steps.ts
@@ -93,13 +93,11 @@
     const { router, allowed, domains } = this;
     const reached = expected === '' ? [] : readList(expected);
     const send = (excluded: string[]): string | undefined => {
-      const chosen = router.chooseForOnline(
-        'chat',
-        new Set(excluded),
-        undefined,
-        undefined,
+      const chosen = router.chooseForOnline({
+        service: 'chat',
+        excluded: new Set(excluded),
         allowed,
-      );
+      });
       return chosen.kind === 'target' ? chosen.target.id : undefined;
     };
     assert.deepEqual(
@@ -127,7 +125,7 @@
 );
 
 Then('a request is refused as {string}', function (this: RegionsWorld, kind: string) {
-  const chosen = this.router.chooseForOnline('chat', new Set(), undefined, undefined, this.allowed);
+  const chosen = this.router.chooseForOnline({ service: 'chat', allowed: this.allowed });
   assert.equal(chosen.kind, kind);
 });
 
--- a/packages/serving/test/steps/coldTargets.steps.ts
+++ b/packages/serving/test/steps/coldTargets.steps.ts
@@ -186,7 +186,7 @@
 
 When('the host sends {int} requests', function (this: ColdWorld, count: number) {
   this.choices = Array.from({ length: count }, () => {
-    const chosen = this.router.chooseForOnline('chat', new Set(), undefined);
+    const chosen = this.router.chooseForOnline({ service: 'chat' });
     if (chosen.kind !== 'target') return chosen.kind;
     this.loadTable.beginRequest(chosen.target.id, 'online');
     this.router.recordSend(chosen.target);
@@ -222,3 +222,13 @@
 Then('none of them was sent', function (this: ColdWorld) {
   assert.equal(this.choices.join(''), '');
 });
+
+Then(
+  'an operator is told that requests and items would go to {string}',
+  function (this: ColdWorld, id: string) {
+    (['online', 'batch'] as const).forEach((work) => {
+      const [first] = this.router.explain('chat', work, undefined);
+      assert.deepEqual({ target: first?.target, share: first?.share }, { target: id, share: 1 });
+    });
+  },
+);
--- a/packages/serving/test/steps/drainingTargets.steps.ts
+++ b/packages/serving/test/steps/drainingTargets.steps.ts
@@ -60,7 +60,7 @@
 const collectChosenTargets = ({ router }: DrainingTargetsWorld): string[] => {
   const chosenIds = new Set<string>();
   for (let choice = 0; choice < 50; choice += 1) {
-    const chosen = router.chooseForOnline('chat', new Set(), undefined);
+    const chosen = router.chooseForOnline({ service: 'chat' });
     if (chosen.kind === 'target') chosenIds.add(chosen.target.id);
     const item = router.chooseForBatch('chat', undefined, () => 1);
     if (item) chosenIds.add(item.id);
@@ -84,7 +84,7 @@
 
 Then('requests and items are sent to no target', function (this: DrainingTargetsWorld) {
   assert.deepEqual(collectChosenTargets(this), []);
-  assert.equal(this.router.chooseForOnline('chat', new Set(), undefined).kind, 'none');
+  assert.equal(this.router.chooseForOnline({ service: 'chat' }).kind, 'none');
 });
 
 When(
--- a/packages/serving/test/steps/evacuations.steps.ts
+++ b/packages/serving/test/steps/evacuations.steps.ts
@@ -88,7 +88,7 @@
   excluded: string[],
   version?: string,
 ): string => {
-  const chosen = router.chooseForOnline('chat', new Set(excluded), version);
+  const chosen = router.chooseForOnline({ service: 'chat', excluded: new Set(excluded), version });
   return chosen.kind === 'target' ? chosen.target.id : chosen.kind;
 };
 
