Let one ledger learn the times that placement and admission read

FirstEventTime, RoomRate and the mean work in AccountShares learned what WorkLedger learned too, with averages of their own. WorkLedger now owns the times of the services (ServiceTimes: first event, hold, running requests) and the mean work of the accounts' requests (AccountWork), all with DecayingMean; AdmissionQueue and AccountShares read them. Admission has no beginAttempt any more. Placement's times are by service, as admission's were.

The ledger records only what is read: nothing with placement by count and admission without a queue (a request then costs no reading of the clock per event), the first event and the end of online requests with a queue, and each event only where times are predicted.

The hold is that of completed requests, not of all attempts.

Tests: the steps of admission record responses in the ledger's parts instead of the queue, with the same times; no expectation has changed.

--- a/packages/serving/src/admission/AccountShares.ts
+++ b/packages/serving/src/admission/AccountShares.ts
@@ -1,5 +1,6 @@
 /** Tracks which client accounts use more than their fair share of the fleet. */
 import type { Account } from '../configuration/ServingConfiguration.js';
+import type { AccountWork } from '../placement/AccountWork.js';
 import { computeFairLevel } from './computeFairLevel.js';
 
 /** Time in which a recorded request loses all but a third of its weight. Unit: ms. */
@@ -14,12 +15,6 @@
 /** How long computed ratios are used. Unit: ms. */
 const RATIOS_LIFETIME_MS = 50;
 
-/** Weight of the latest request in the mean work of an account. */
-const WORK_SAMPLE_WEIGHT = 0.1;
-
-/** Limits of an account's mean work, as a ratio of the mean of all requests. */
-const RELATIVE_WORK = { min: 0.25, max: 4 } as const;
-
 /** Decides which accounts are above their fair share while room is short. */
 export interface ShareTable {
   /**
@@ -38,14 +33,6 @@
    */
   recordUse(account: string, requests: number, now: number): void;
 
-  /**
-   * Records the work of one request.
-   *
-   * @param account - name of the account
-   * @param workMs - time for which it used a slot. Unit: ms
-   */
-  recordWork(account: string, workMs: number): void;
-
   /**
    * Compares the use of an account with its fair share.
    *
@@ -61,13 +48,8 @@
   requests: number;
   /** Monotonic time of the last decay. Unit: ms. */
   decayedAt: number;
-  /** Mean work of a request; undefined before the first one. Unit: ms. */
-  meanWorkMs: number | undefined;
 }
 
-const mix = (mean: number | undefined, value: number): number =>
-  mean === undefined ? value : mean + (value - mean) * WORK_SAMPLE_WEIGHT;
-
 /**
  * Fair shares by recent use. An account's share is in proportion to its rate limit, and what some accounts leave unused is
  * divided among the others. Accounts without a rate limit have no share to exceed.
@@ -77,13 +59,13 @@
 
   private weights: ReadonlyMap<string, number> = new Map();
 
-  private meanWorkMs: number | undefined;
-
   /** Ratios of use to share of the accounts above their shares. */
   private ratios: ReadonlyMap<string, number> = new Map();
 
   private ratiosExpireAt = Number.NEGATIVE_INFINITY;
 
+  constructor(private readonly work: Pick<AccountWork, 'relativeWork'>) {}
+
   configure(accounts: readonly Account[]): void {
     this.weights = new Map(accounts.map(({ name, rate }) => [name, rate]));
     [...this.usages.keys()]
@@ -97,12 +79,6 @@
     usage.requests = Math.max(0, usage.requests + requests);
   }
 
-  recordWork(account: string, workMs: number): void {
-    const usage = this.usages.get(account);
-    this.meanWorkMs = mix(this.meanWorkMs, workMs);
-    if (usage) usage.meanWorkMs = mix(usage.meanWorkMs, workMs);
-  }
-
   getRatio(account: Account | undefined, now: number): number {
     if (!account) return 1;
     if (now >= this.ratiosExpireAt) this.computeRatios(now);
@@ -128,17 +104,13 @@
   /** Returns the recent work of an account. Unit: requests of mean work. */
   private getWork(account: string, now: number): number {
     if (!this.usages.has(account)) return 0;
-    const { requests, meanWorkMs } = this.decay(account, now);
-    if (meanWorkMs === undefined || !this.meanWorkMs) return requests;
-    const relativeWork = meanWorkMs / this.meanWorkMs;
-    return requests * Math.min(RELATIVE_WORK.max, Math.max(RELATIVE_WORK.min, relativeWork));
+    return this.decay(account, now).requests * this.work.relativeWork(account, now);
   }
 
   private decay(account: string, now: number): Usage {
     const usage = this.usages.get(account) ?? {
       requests: 0,
       decayedAt: now,
-      meanWorkMs: undefined,
     };
     this.usages.set(account, usage);
     usage.requests *= Math.exp(Math.min(0, usage.decayedAt - now) / DECAY_MS);
@@ -151,6 +123,5 @@
 export const equalStanding: ShareTable = {
   configure: () => undefined,
   recordUse: () => undefined,
-  recordWork: () => undefined,
   getRatio: () => 1,
 };
--- a/packages/serving/src/admission/Admission.ts
+++ b/packages/serving/src/admission/Admission.ts
@@ -36,13 +36,6 @@
   /** The request was aborted while it waited. */
   | { readonly kind: 'aborted' };
 
-/**
- * Records the end of an attempt.
- *
- * @param firstMs - time until the response began; undefined if it did not. Unit: ms
- */
-export type AttemptEnd = (firstMs: number | undefined) => void;
-
 /** Admits online requests to targets. */
 export interface Admission {
   /**
@@ -55,12 +48,4 @@
 
   /** Tries the waiting requests again, because there may be room by now. */
   retryWaiting(): void;
-
-  /**
-   * Records that a request is sent to a target.
-   *
-   * @param request - the request
-   * @returns function to call at the end of the attempt
-   */
-  beginAttempt(request: Pick<PlacementRequest, 'service' | 'account'>): AttemptEnd;
 }
--- a/packages/serving/src/admission/AdmissionQueue.ts
+++ b/packages/serving/src/admission/AdmissionQueue.ts
@@ -3,13 +3,12 @@
 import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
 import type { Target } from '../fleet/Target.js';
 import type { Timers } from '../online/IdleTimeout.js';
+import type { ServiceTimes } from '../placement/ServiceTimes.js';
 import type { CandidateCounts, TargetChoice } from '../routing/chooseTarget.js';
 import type { ShareTable } from './AccountShares.js';
-import type { Admission, AttemptEnd, Placement, PlacementRequest } from './Admission.js';
-import { FirstEventTime } from './FirstEventTime.js';
+import type { Admission, Placement, PlacementRequest } from './Admission.js';
 import { compareWaiting, type WaitingPosition } from './orderWaiting.js';
 import { ReturnSchedule, type PredictedRoom } from './ReturnSchedule.js';
-import { RoomRate } from './RoomRate.js';
 
 /** Maximum number of waiting requests of a host; bounds the memory for their bodies. */
 const MAX_WAITING = 64;
@@ -23,6 +22,7 @@
 /** Dependencies of {@link AdmissionQueue}. */
 export interface AdmissionQueueDependencies {
   readonly shares: ShareTable;
+  readonly times: Pick<ServiceTimes, 'meanFirstMs' | 'slotIntervalMs'>;
   /** Checks whether online requests use most slots of a service. */
   readonly isRoomShort: (service: string) => boolean;
   /** Checks whether an online request would get a slot of a target at once. */
@@ -52,12 +52,6 @@
       readonly expectedWaitMs?: number | undefined;
     };
 
-/** What is known of a service from the requests of this host. */
-interface ServiceHistory {
-  readonly roomRate: RoomRate;
-  readonly firstEventTime: FirstEventTime;
-}
-
 /**
  * Lets requests that find no room wait at the host, in order of priority, fair share and deadline, as long as they can
  * still be served in time. Load answered: peaks in which all targets are full for a moment, so that a request refused at
@@ -66,8 +60,6 @@
 export class AdmissionQueue implements Admission {
   private waiting: WaitingRequest[] = [];
 
-  private readonly histories = new Map<string, ServiceHistory>();
-
   private readonly returns: ReturnSchedule;
 
   private sequence = 0;
@@ -98,7 +90,7 @@
       : { kind: 'full' };
     if (choice.kind !== 'full') return choice;
     const startDeadline = request.isNew
-      ? request.responseDeadline - this.getHistory(request.service).firstEventTime.value
+      ? request.responseDeadline - this.dependencies.times.meanFirstMs(request.service, now)
       : request.responseDeadline;
     const room = this.predictRoom(request.service, position, choice.expectedWaitMs);
     if (now + (room?.waitMs ?? 0) >= startDeadline)
@@ -137,19 +129,6 @@
     this.scheduleDeadline();
   }
 
-  beginAttempt({ service, account }: Pick<PlacementRequest, 'service' | 'account'>): AttemptEnd {
-    const { timers, shares } = this.dependencies;
-    const { roomRate, firstEventTime } = this.getHistory(service);
-    const begunAt = timers.now();
-    roomRate.begin();
-    return (firstMs) => {
-      const heldMs = timers.now() - begunAt;
-      roomRate.end(heldMs);
-      if (firstMs !== undefined) firstEventTime.record(firstMs);
-      if (account) shares.recordWork(account.name, heldMs);
-    };
-  }
-
   private createPosition(request: PlacementRequest, now: number): WaitingPosition {
     const { account, routePriority, isNew, responseDeadline } = request;
     this.sequence += 1;
@@ -239,7 +218,8 @@
     position: WaitingPosition | undefined,
     routedWaitMs: number | undefined,
   ): PredictedRoom | undefined {
-    const { intervalMs } = this.getHistory(service).roomRate;
+    const { times, timers } = this.dependencies;
+    const intervalMs = times.slotIntervalMs(service, timers.now());
     if (intervalMs === undefined) return undefined;
     const ahead = this.waiting.filter(
       (other) =>
@@ -257,12 +237,4 @@
     const next = Math.min(...this.waiting.map(({ startDeadline }) => startDeadline));
     this.cancelTimer = timers.after(Math.max(0, next - timers.now()), () => this.retryWaiting());
   }
-
-  private getHistory(service: string): ServiceHistory {
-    const existing = this.histories.get(service);
-    if (existing) return existing;
-    const history = { roomRate: new RoomRate(), firstEventTime: new FirstEventTime() };
-    this.histories.set(service, history);
-    return history;
-  }
 }
--- a/packages/serving/src/admission/createAdmission.ts
+++ b/packages/serving/src/admission/createAdmission.ts
@@ -1,6 +1,8 @@
 /** Creates the admission of a host from its policies. */
 import type { Metrics } from '@jacinthlug/catalog/Metrics';
 import { systemTimers } from '../online/IdleTimeout.js';
+import type { AccountWork } from '../placement/AccountWork.js';
+import type { ServiceTimes } from '../placement/ServiceTimes.js';
 import { AccountShares, equalStanding, type ShareTable } from './AccountShares.js';
 import type { Admission } from './Admission.js';
 import { AdmissionQueue } from './AdmissionQueue.js';
@@ -23,22 +25,24 @@
 /** Dependencies of {@link createAdmission}. */
 export interface AdmissionDependencies {
   readonly shares: ShareTable;
+  readonly times: ServiceTimes;
   readonly gauge: RoomGauge;
   readonly metrics: Metrics;
 }
 
-const shareTables: Readonly<Record<SharePolicy, () => ShareTable>> = {
+const shareTables: Readonly<Record<SharePolicy, (work: AccountWork) => ShareTable>> = {
   none: () => equalStanding,
-  fair: () => new AccountShares(),
+  fair: (work) => new AccountShares(work),
 };
 
 const admissions: Readonly<
   Record<AdmissionPolicy, (dependencies: AdmissionDependencies) => Admission>
 > = {
   immediate: () => immediateAdmission,
-  queue: ({ shares, gauge, metrics }) =>
+  queue: ({ shares, times, gauge, metrics }) =>
     new AdmissionQueue({
       shares,
+      times,
       isRoomShort: (service) => gauge.isShort(service),
       hasSlot: (target) => gauge.hasSlot(target),
       timers: systemTimers,
@@ -51,9 +55,11 @@
  * Creates the shares of the client accounts.
  *
  * @param policy - policy of the deployment
+ * @param work - mean work of the accounts' requests
  * @returns the shares, without accounts
  */
-export const createShares = (policy: SharePolicy): ShareTable => shareTables[policy]();
+export const createShares = (policy: SharePolicy, work: AccountWork): ShareTable =>
+  shareTables[policy](work);
 
 /**
  * Creates the admission of a host.
--- a/packages/serving/src/admission/immediateAdmission.ts
+++ b/packages/serving/src/admission/immediateAdmission.ts
@@ -4,5 +4,4 @@
 export const immediateAdmission: Admission = {
   place: ({ chooseTarget }) => chooseTarget(),
   retryWaiting: () => undefined,
-  beginAttempt: () => () => undefined,
 };
--- a/packages/serving/src/online/RequestAttempts.ts
+++ b/packages/serving/src/online/RequestAttempts.ts
@@ -292,13 +292,15 @@
     const { head, route, account, lifetime, callerResponse, message, body } = request;
     const { progress: received } = callerResponse;
     const running: RunningAttempt = { router, request, target, progress, received };
-    const work = this.dependencies.ledger.begin({ target, size: head.size, work: 'online' });
-    const endAdmitted = this.dependencies.admission.beginAttempt(request);
+    const work = this.dependencies.ledger.begin({
+      target,
+      size: head.size,
+      work: 'online',
+      account: account?.name,
+    });
     const endLoad = loadTable.beginRequest(target.id, 'online');
     router.recordSend(target);
     this.dependencies.onAttemptStart(target);
-    const sentAt = performance.now();
-    let firstAt: number | undefined;
     const outcome = await runGuardedAttempt({
       crashGuard,
       contentKeys: request.contentKeys,
@@ -327,7 +329,6 @@
       },
       onResumed: () => health.recordSuccess(target.id),
       onResponse: (status) => {
-        firstAt ??= performance.now();
         if (status === FAILED_STATUS) health.recordFailure(target.id, `status ${status}`);
         else health.recordSuccess(target.id);
       },
@@ -337,7 +338,6 @@
       maxResponseBytes: MAX_RESPONSE_BYTES,
     });
     work.end(outcome.kind === 'complete');
-    endAdmitted(firstAt === undefined ? undefined : firstAt - sentAt);
     endLoad();
     return outcome;
   }
--- a/packages/serving/src/placement/DecayingMean.ts
+++ b/packages/serving/src/placement/DecayingMean.ts
@@ -38,6 +38,17 @@
     return (this.sum + prior * priorWeight) / (this.weight + priorWeight);
   }
 
+  /**
+   * Returns the mean of the observations alone.
+   *
+   * @param now - monotonic time. Unit: ms
+   * @returns the mean; undefined without observations
+   */
+  getObserved(now: number): number | undefined {
+    this.decay(now);
+    return this.weight > 0 ? this.sum / this.weight : undefined;
+  }
+
   private decay(now: number): void {
     const factor = 0.5 ** (Math.max(0, now - this.decayedAt) / this.halfLifeMs);
     this.sum *= factor;
--- a/packages/serving/src/placement/TargetOutlook.ts
+++ b/packages/serving/src/placement/TargetOutlook.ts
@@ -37,6 +37,7 @@
    */
   describe(target: Target, size: RequestSize | undefined, now: number): Outlook {
     const { strategy, loadTable, ledger } = this.dependencies;
+    const { service } = target;
     const load = loadTable.totalLoad(target.id);
     const reported = loadTable.reportedWork(target.id, now);
     const pace = ledger.relativePace(target, now);
@@ -50,9 +51,9 @@
         ? reported.workLeftMs + ledger.workLeftMs(target, now)
         : undefined,
       pace,
-      meanHoldMs: ledger.meanHoldMs(now),
-      meanFirstMs: ledger.meanFirstMs(now),
-      ownHoldMs: ledger.estimateHoldMs(target.service, size, now),
+      meanHoldMs: ledger.times.meanHoldMs(service, now),
+      meanFirstMs: ledger.times.meanFirstMs(service, now),
+      ownHoldMs: ledger.estimateHoldMs(service, size, now),
     });
     return { pace, forecast };
   }
--- a/packages/serving/src/placement/WorkLedger.ts
+++ b/packages/serving/src/placement/WorkLedger.ts
@@ -1,23 +1,12 @@
 /** Records this host's requests on each target: what they still have to do, and what their responses show of the target. */
 import type { Target } from '../fleet/Target.js';
-import { DecayingMean } from './DecayingMean.js';
+import { AccountWork } from './AccountWork.js';
 import { OutputEstimator } from './OutputEstimator.js';
 import type { RequestSize } from './RequestSize.js';
+import { ServiceTimes } from './ServiceTimes.js';
 import type { PlacementStrategy } from './strategies.js';
 import { TargetPaces } from './TargetPaces.js';
 
-/** Half-life of the mean time to the first event and of the mean duration of responses. Unit: ms. */
-const HALF_LIFE_MS = 10_000;
-
-/** Weight of the initial means. Unit: responses. */
-const INITIAL_WEIGHT = 5;
-
-/** Time to the first event of a request that waits for no slot, before any response. Unit: ms. */
-const INITIAL_FIRST_MS = 80;
-
-/** Time for which an online request holds a slot, before any response. Unit: ms. */
-const INITIAL_HOLD_MS = 750;
-
 /** Part of the estimated events that a response which has reached its estimate is expected to still have. */
 const OVERDUE_FRACTION = 0.2;
 
@@ -28,6 +17,16 @@
   readonly size: RequestSize | undefined;
   /** Items yield their slot to online requests, so that none waits for them. */
   readonly work: 'online' | 'batch';
+  /** Name of the client account of an online request; undefined on open routes. */
+  readonly account?: string | undefined;
+}
+
+/** What is read from a ledger. Nothing else is recorded. */
+export interface LedgerUse {
+  /** Strategy by which targets are chosen. */
+  readonly strategy: PlacementStrategy;
+  /** Whether admission reads the times of services and the work of accounts. */
+  readonly informsAdmission: boolean;
 }
 
 /** A request on a target. */
@@ -36,22 +35,26 @@
    * Records the events of its response.
    *
    * @param events - number of events so far
-   * @param now - monotonic time. Unit: ms
+   * @param at - monotonic time; now if it is absent. Unit: ms
    */
-  recordEvents(events: number, now?: number): void;
+  recordEvents(events: number, at?: number): void;
 
   /**
    * Removes the request. Further calls have no effect.
    *
    * @param isComplete - whether the response had all of its events
-   * @param now - monotonic time. Unit: ms
+   * @param at - monotonic time; now if it is absent. Unit: ms
    */
-  end(isComplete: boolean, now?: number): void;
+  end(isComplete: boolean, at?: number): void;
 }
 
+const UNRECORDED_WORK: RunningWork = { recordEvents: () => undefined, end: () => undefined };
+
 interface Run {
   readonly estimatedEvents: number;
   events: number;
+  /** Monotonic time. Unit: ms. */
+  readonly begunAt: number;
   /** Monotonic time of the latest event. Unit: ms. */
   lastEventAt: number;
 }
@@ -67,11 +70,20 @@
 
   private readonly runsByTarget = new Map<string, Set<Run>>();
 
-  private readonly firstMs = new DecayingMean(HALF_LIFE_MS);
+  /** Times of the services. */
+  readonly times = new ServiceTimes();
+
+  /** Work of the accounts' requests. */
+  readonly accounts = new AccountWork();
 
-  private readonly holdMs = new DecayingMean(HALF_LIFE_MS);
+  private readonly strategy: PlacementStrategy;
 
-  constructor(private readonly strategy: PlacementStrategy) {}
+  private readonly informsAdmission: boolean;
+
+  constructor({ strategy, informsAdmission }: LedgerUse) {
+    this.strategy = strategy;
+    this.informsAdmission = informsAdmission;
+  }
 
   /**
    * Records that a request is sent to a target.
@@ -80,31 +92,34 @@
    * @param now - monotonic time. Unit: ms
    * @returns the request on the target
    */
-  begin({ target, size, work }: WorkDescription, now = performance.now()): RunningWork {
+  begin(description: WorkDescription, now = performance.now()): RunningWork {
+    const { target, size, work } = description;
+    const { predictsTimes } = this.strategy;
+    const isOnline = work === 'online';
+    if (!predictsTimes && !(this.informsAdmission && isOnline)) return UNRECORDED_WORK;
     const run: Run = {
       estimatedEvents: this.outputs.estimateEvents(target.service, size),
       events: 0,
+      begunAt: now,
       lastEventAt: now,
     };
-    if (work === 'online') this.addRun(target.id, run);
+    if (isOnline) {
+      this.times.begin(target.service);
+      if (predictsTimes) this.addRun(target.id, run);
+    }
     let hasEnded = false;
     return {
-      recordEvents: (events, at = performance.now()) => {
+      recordEvents: (events, at) => {
         if (events <= run.events) return;
-        const elapsedMs = at - run.lastEventAt;
-        // The time to the first event contains that in the queue and that for the prompt.
-        if (run.events > 0) this.paces.record(target, events - run.events, elapsedMs, at);
-        else if (work === 'online') this.recordFirstEvent(target, elapsedMs, at);
-        Object.assign(run, { events, lastEventAt: at });
+        if (run.events === 0) this.recordFirstEvent(description, run, at ?? performance.now());
+        else if (predictsTimes)
+          this.recordPace(target, run, events - run.events, at ?? performance.now());
+        run.events = events;
       },
       end: (isComplete, at = performance.now()) => {
         if (hasEnded) return;
         hasEnded = true;
-        this.removeRun(target.id, run);
-        // An item is mostly completed in several runs, of which this is only the last one.
-        if (!isComplete || work === 'batch') return;
-        this.outputs.record(target.service, size, run.events);
-        this.holdMs.add(at - now, 1, at);
+        this.endRun(description, run, isComplete, at);
       },
     };
   }
@@ -144,9 +159,9 @@
    * @returns the time; the mean if costs are not taken into account. Unit: ms
    */
   estimateHoldMs(service: string, size: RequestSize | undefined, now: number): number {
-    if (!this.strategy.usesCost) return this.meanHoldMs(now);
+    if (!this.strategy.usesCost) return this.times.meanHoldMs(service, now);
     return (
-      this.meanFirstMs(now) +
+      this.times.meanFirstMs(service, now) +
       this.outputs.estimateEvents(service, size) * this.paces.meanMsPerEvent(service, now)
     );
   }
@@ -169,31 +184,34 @@
     this.paces.retain(ids);
   }
 
-  /**
-   * Returns the mean time to the first event of a request at a target of the mean pace, without the time in a queue.
-   *
-   * @param now - monotonic time. Unit: ms
-   * @returns the time. Unit: ms
-   */
-  meanFirstMs(now: number): number {
-    return this.firstMs.get(INITIAL_FIRST_MS, INITIAL_WEIGHT, now);
+  private recordFirstEvent({ target, work }: WorkDescription, run: Run, now: number): void {
+    Object.assign(run, { lastEventAt: now });
+    if (work === 'batch') return;
+    const atMeanPace = (now - run.begunAt) / this.relativePace(target, now);
+    this.times.recordFirst(target.service, atMeanPace, now);
   }
 
-  /**
-   * Returns the mean time for which an online request holds a slot.
-   *
-   * @param now - monotonic time. Unit: ms
-   * @returns the time. Unit: ms
-   */
-  meanHoldMs(now: number): number {
-    return this.holdMs.get(INITIAL_HOLD_MS, INITIAL_WEIGHT, now);
+  /** Records the time between events. That before the first one contains the time in a queue and that for the prompt. */
+  private recordPace(target: Target, run: Run, events: number, now: number): void {
+    this.paces.record(target, events, now - run.lastEventAt, now);
+    Object.assign(run, { lastEventAt: now });
   }
 
-  /** Records a time to the first event. One that is far above the mean contains time in a queue. */
-  private recordFirstEvent(target: Target, elapsedMs: number, now: number): void {
-    const mean = this.meanFirstMs(now);
-    const atMeanPace = elapsedMs / this.relativePace(target, now);
-    if (atMeanPace < 2 * mean) this.firstMs.add(atMeanPace, 1, now);
+  private endRun(
+    { target, size, work, account }: WorkDescription,
+    run: Run,
+    isComplete: boolean,
+    now: number,
+  ): void {
+    const { service } = target;
+    // An item is mostly completed in several runs, of which this is only the last one.
+    if (work === 'batch') return;
+    this.removeRun(target.id, run);
+    this.times.end(service);
+    if (account !== undefined) this.accounts.record(account, now - run.begunAt, now);
+    if (!isComplete) return;
+    if (this.strategy.predictsTimes) this.outputs.record(service, size, run.events);
+    this.times.recordHold(service, now - run.begunAt, now);
   }
 
   private addRun(target: string, run: Run): void {
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -265,7 +265,10 @@
   const crashGuard = new CrashGuard({ blockedContent, journal });
   const health = new TargetHealth(journal);
   const strategy = placementStrategies[dependencies.placement];
-  const ledger = new WorkLedger(strategy);
+  const ledger = new WorkLedger({
+    strategy,
+    informsAdmission: dependencies.policies.admission === 'queue',
+  });
   const members = new Members({ identity, store, journal });
   const client = new TargetClient();
   const coldTargets = new ColdTargets({
@@ -301,9 +304,10 @@
     countHosts: () => members.fleetSize.local + members.fleetSize.remote + 1,
     journal,
   });
-  const shares = createShares(dependencies.policies.shares);
+  const shares = createShares(dependencies.policies.shares, ledger.accounts);
   const admission = createAdmission(dependencies.policies.admission, {
     shares,
+    times: ledger.times,
     gauge: new RoomGauge({ targets, loadTable }),
     metrics,
   });
@@ -458,6 +462,7 @@
   view.onChange(({ configuration }) => {
     rates.configure(configuration);
     shares.configure(configuration.accounts);
+    ledger.accounts.retain(new Set(configuration.accounts.map(({ name }) => name)));
     retention.configure(configuration);
     findUnknownRegions(configuration, regions).forEach((unknown) =>
       journal.record('region-unknown', { ...unknown, version: configuration.version }),
--- a/packages/serving/test/steps/admission.steps.ts
+++ b/packages/serving/test/steps/admission.steps.ts
@@ -1,16 +1,14 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { AccountShares, equalStanding } from '@jacinthlug/serving/admission/AccountShares';
-import type {
-  AttemptEnd,
-  Placement,
-  PlacementRequest,
-} from '@jacinthlug/serving/admission/Admission';
+import type { Placement, PlacementRequest } from '@jacinthlug/serving/admission/Admission';
 import {
   AdmissionQueue,
   type AdmissionQueueDependencies,
 } from '@jacinthlug/serving/admission/AdmissionQueue';
 import type { Account } from '@jacinthlug/serving/configuration/ServingConfiguration';
+import { AccountWork } from '@jacinthlug/serving/placement/AccountWork';
+import { ServiceTimes } from '@jacinthlug/serving/placement/ServiceTimes';
 import { createListedTarget } from '../fakes/createListedTarget.js';
 import { SteppedTimers } from '../fakes/SteppedTimers.js';
 
@@ -32,6 +30,7 @@
 interface AdmissionWorld {
   timers: SteppedTimers;
   queue: AdmissionQueue;
+  times: ServiceTimes;
   shares: AccountShares;
   /** Slots and places in the queue of the target that are free. */
   free: number;
@@ -42,7 +41,7 @@
   placed: number[];
   pressing: string | undefined;
   /** Ends of the attempts in progress, the oldest first. */
-  ends: AttemptEnd[];
+  ends: (() => void)[];
 }
 
 const createAccount = (name: string, rate = 10): Account => ({
@@ -64,20 +63,29 @@
 ): AdmissionQueue =>
   new AdmissionQueue({
     ...dependencies,
+    times: world.times,
     timers: world.timers,
     random: () => 0.5,
     metrics: { count: () => undefined, observe: () => undefined },
   });
 
-const beginAttempts = (world: AdmissionWorld, count: number): void => {
-  for (let attempt = 0; attempt < count; attempt += 1)
-    world.ends.push(world.queue.beginAttempt({ service: 'chat', account: undefined }));
+const beginAttempts = ({ times, timers, ends }: AdmissionWorld, count: number): void => {
+  const begunAt = timers.now();
+  for (let attempt = 0; attempt < count; attempt += 1) {
+    times.begin('chat');
+    ends.push(() => {
+      times.end('chat');
+      times.recordFirst('chat', FIRST_EVENT_MS, timers.now());
+      times.recordHold('chat', timers.now() - begunAt, timers.now());
+    });
+  }
 };
 
 const open = (world: AdmissionWorld, free: number, queueing = 0): void => {
   const timers = new SteppedTimers();
   Object.assign(world, { timers, free, queueing, requests: [], placed: [], ends: [] });
-  Object.assign(world, { shares: new AccountShares(), pressing: undefined });
+  Object.assign(world, { shares: new AccountShares(new AccountWork()), pressing: undefined });
+  Object.assign(world, { times: new ServiceTimes() });
   const queue = createQueue(world, {
     shares: {
       ...equalStanding,
@@ -132,7 +140,7 @@
 
 const freeSlot = async (world: AdmissionWorld): Promise<void> => {
   Object.assign(world, { free: world.free + 1 });
-  world.ends.shift()?.(FIRST_EVENT_MS);
+  world.ends.shift()?.();
   world.queue.retryWaiting();
   await settle(world);
 };
@@ -158,7 +166,7 @@
     open(this, 0);
     beginAttempts(this, 8);
     await advance(this, 800);
-    this.ends.shift()?.(FIRST_EVENT_MS);
+    this.ends.shift()?.();
     beginAttempts(this, 1);
   },
 );
@@ -356,6 +364,7 @@
 
 interface SharesWorld {
   shares: AccountShares;
+  work: AccountWork;
   load: { readonly times: number; readonly work: number };
   others: readonly string[];
   now: number;
@@ -365,7 +374,8 @@
 Given(
   'an account that sends {float} times the rate of its limit, with requests of {float} times the work',
   function (this: SharesWorld, times: number, work: number) {
-    this.shares = new AccountShares();
+    this.work = new AccountWork();
+    this.shares = new AccountShares(this.work);
     this.load = { times, work };
   },
 );
@@ -384,10 +394,10 @@
     const reporting = this.now < 2000 ? 9 : 9 - lost;
     const part = reporting / 9;
     this.shares.recordUse('large', times * part, this.now);
-    this.shares.recordWork('large', 800 * work);
+    this.work.record('large', 800 * work, this.now);
     this.others.forEach((name) => {
       this.shares.recordUse(name, part, this.now);
-      this.shares.recordWork(name, 800);
+      this.work.record(name, 800, this.now);
     });
   }
 });
@@ -404,7 +414,7 @@
 );
 
 Given('a host that has just started', function (this: SharesWorld) {
-  this.shares = new AccountShares();
+  this.shares = new AccountShares(new AccountWork());
   this.shares.configure([createAccount('large'), createAccount('a')]);
   this.now = 0;
 });
--- a/packages/serving/test/steps/forecasts.steps.ts
+++ b/packages/serving/test/steps/forecasts.steps.ts
@@ -41,7 +41,7 @@
 
 const prepare = (world: ForecastsWorld, targets: Target[]): void => {
   const strategy = placementStrategies[world.strategy ?? 'work'];
-  const ledger = new WorkLedger(strategy);
+  const ledger = new WorkLedger({ strategy, informsAdmission: false });
   Object.assign(world, { targets, ledger, loadTable: new LoadTable(), now: 0, placed: new Map() });
 };
 
