Predict times only where targets or requests differ, with placement auto

serving.placement takes a fifth value, auto. Each host estimates for each service what a wrong comparison costs a caller in time to the first event, from the differences between targets in pace and between requests in expected cost. From 30 ms on (a tenth of the usual objective of 300 ms) its targets are compared by predicted times as with work, below 15 ms by numbers of requests again; until ten responses more than targets are known, as with count. An analysis of variance with a margin of three standard errors tells differences between targets from pauses and noise. Event 860 tells each change. Batch items follow the paces where times are predicted.

Ruled out: one decision for the fleet, and trials of both ways on callers; see docs/design/placement.md.

--- a/packages/catalog/src/logEvents.ts
+++ b/packages/catalog/src/logEvents.ts
@@ -483,6 +483,13 @@
     message: 'The configuration allows a region in which no failure domain is',
     hint: 'Correct the region of the routes and accounts in allowedBy; requests that no other region allows are refused.',
   },
+  // 860: choice of targets.
+  'placement-comparison-changed': {
+    number: 860,
+    severity: 'info',
+    message: 'Targets of a service are compared in another way',
+    hint: 'Nothing to do; with predicts, they are compared by predicted times, as they or their requests differ, else by numbers of requests. waitMs is what callers would wait for a wrong comparison.',
+  },
 });
 
 /** Name of a log event. */
--- a/packages/serving/src/placement/TargetOutlook.ts
+++ b/packages/serving/src/placement/TargetOutlook.ts
@@ -4,6 +4,7 @@
 import type { LoadTable } from '../routing/LoadTable.js';
 import type { TargetChoice } from '../routing/chooseTarget.js';
 import { forecastTarget, type TargetForecast } from './forecastTarget.js';
+import type { PredictionSwitch } from './PredictionSwitch.js';
 import type { RequestSize } from './RequestSize.js';
 import type { PlacementStrategy } from './strategies.js';
 import type { WorkLedger } from './WorkLedger.js';
@@ -13,6 +14,8 @@
   readonly strategy: PlacementStrategy;
   readonly loadTable: LoadTable;
   readonly ledger: WorkLedger;
+  /** Decides for which services times are predicted; undefined if they are for all. */
+  readonly predictionSwitch: Pick<PredictionSwitch, 'predicts'> | undefined;
   readonly metrics: Pick<Metrics, 'count' | 'observe'>;
 }
 
@@ -33,10 +36,11 @@
    * @param target - the target
    * @param size - size of the request; undefined if its caller states none
    * @param now - monotonic time. Unit: ms
-   * @returns the prediction
+   * @returns the prediction; undefined if the targets of its service are compared by numbers of requests
    */
-  describe(target: Target, size: RequestSize | undefined, now: number): Outlook {
-    const { strategy, loadTable, ledger } = this.dependencies;
+  describe(target: Target, size: RequestSize | undefined, now: number): Outlook | undefined {
+    const { strategy, loadTable, ledger, predictionSwitch } = this.dependencies;
+    if (predictionSwitch?.predicts(target, now) === false) return undefined;
     const { service } = target;
     const load = loadTable.totalLoad(target.id);
     const reported = loadTable.reportedWork(target.id, now);
--- a/packages/serving/src/placement/WorkLedger.ts
+++ b/packages/serving/src/placement/WorkLedger.ts
@@ -6,10 +6,14 @@
 import { ServiceTimes } from './ServiceTimes.js';
 import type { PlacementStrategy } from './strategies.js';
 import { TargetPaces } from './TargetPaces.js';
+import { TimeDifferences } from './TimeDifferences.js';
 
 /** Part of the estimated events that a response which has reached its estimate is expected to still have. */
 const OVERDUE_FRACTION = 0.2;
 
+/** Number of events of a response from which its time per event is compared with that of others. */
+const MIN_PACED_EVENTS = 5;
+
 /** A request that is sent to a target. */
 export interface WorkDescription {
   readonly target: Target;
@@ -53,9 +57,9 @@
 interface Run {
   readonly estimatedEvents: number;
   events: number;
-  /** Monotonic time. Unit: ms. */
   readonly begunAt: number;
-  /** Monotonic time of the latest event. Unit: ms. */
+  /** Monotonic times of the first and the latest event. Unit: ms. */
+  firstEventAt: number;
   lastEventAt: number;
 }
 
@@ -70,6 +74,9 @@
 
   private readonly runsByTarget = new Map<string, Set<Run>>();
 
+  /** By how much targets and requests of a service differ. */
+  readonly differences = new TimeDifferences();
+
   /** Times of the services. */
   readonly times = new ServiceTimes();
 
@@ -101,6 +108,7 @@
       estimatedEvents: this.outputs.estimateEvents(target.service, size),
       events: 0,
       begunAt: now,
+      firstEventAt: now,
       lastEventAt: now,
     };
     if (isOnline) {
@@ -173,6 +181,7 @@
    */
   forgetPace(id: string): void {
     this.paces.forget(id);
+    this.differences.forget(id);
   }
 
   /**
@@ -182,10 +191,11 @@
    */
   retainPaces(ids: ReadonlySet<string>): void {
     this.paces.retain(ids);
+    this.differences.retain(ids);
   }
 
   private recordFirstEvent({ target, work }: WorkDescription, run: Run, now: number): void {
-    Object.assign(run, { lastEventAt: now });
+    Object.assign(run, { firstEventAt: now, lastEventAt: now });
     if (work === 'batch') return;
     const atMeanPace = (now - run.begunAt) / this.relativePace(target, now);
     this.times.recordFirst(target.service, atMeanPace, now);
@@ -204,6 +214,8 @@
     now: number,
   ): void {
     const { service } = target;
+    const { isAdaptive } = this.strategy;
+    if (isAdaptive) this.recordDifferences(target, run, now);
     // An item is mostly completed in several runs, of which this is only the last one.
     if (work === 'batch') return;
     this.removeRun(target.id, run);
@@ -212,6 +224,14 @@
     if (!isComplete) return;
     if (this.strategy.predictsTimes) this.outputs.record(service, size, run.events);
     this.times.recordHold(service, now - run.begunAt, now);
+    if (isAdaptive) this.differences.recordCost(service, run.estimatedEvents, now);
+  }
+
+  /** Records the pace of a response, or of the part of it that has been received. */
+  private recordDifferences(target: Target, { events, ...run }: Run, now: number): void {
+    if (events < MIN_PACED_EVENTS) return;
+    const msPerEvent = (run.lastEventAt - run.firstEventAt) / (events - 1);
+    this.differences.recordPace(target, msPerEvent, now);
   }
 
   private addRun(target: string, run: Run): void {
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -40,6 +40,7 @@
   type DescribedRequest,
   type RouteExplanation,
 } from '../placement/explainRoute.js';
+import { PredictionSwitch } from '../placement/PredictionSwitch.js';
 import { placementStrategies, type Placement } from '../placement/strategies.js';
 import { TargetOutlook } from '../placement/TargetOutlook.js';
 import { WorkLedger } from '../placement/WorkLedger.js';
@@ -269,6 +270,9 @@
     strategy,
     informsAdmission: dependencies.policies.admission === 'queue',
   });
+  const predictionSwitch = strategy.isAdaptive
+    ? new PredictionSwitch({ ledger, journal })
+    : undefined;
   const members = new Members({ identity, store, journal });
   const client = new TargetClient();
   const coldTargets = new ColdTargets({
@@ -289,7 +293,7 @@
     loadTable,
     health,
     outlook: strategy.predictsTimes
-      ? new TargetOutlook({ strategy, loadTable, ledger, metrics })
+      ? new TargetOutlook({ strategy, loadTable, ledger, predictionSwitch, metrics })
       : undefined,
   });
   const retention = new StreamRetention();
--- a/packages/serving/test/steps/forecasts.steps.ts
+++ b/packages/serving/test/steps/forecasts.steps.ts
@@ -66,8 +66,9 @@
     strategy: placementStrategies.work,
     loadTable,
     ledger,
+    predictionSwitch: undefined,
     metrics: { count: () => undefined, observe: () => undefined },
-  }).describe(target, undefined, now);
+  }).describe(target, undefined, now)!;
 
 const listCandidates = (world: ForecastsWorld): Candidate[] =>
   world.targets.map((target) => ({
