--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -40,6 +40,7 @@
   type DescribedRequest,
   type RouteExplanation,
 } from '../placement/explainRoute.js';
+import { PredictionSwitch } from '../placement/PredictionSwitch.js';
 import { placementStrategies, type Placement } from '../placement/strategies.js';
 import { TargetOutlook } from '../placement/TargetOutlook.js';
 import { WorkLedger } from '../placement/WorkLedger.js';
@@ -265,7 +266,13 @@
   const crashGuard = new CrashGuard({ blockedContent, journal });
   const health = new TargetHealth(journal);
   const strategy = placementStrategies[dependencies.placement];
-  const ledger = new WorkLedger(strategy);
+  const ledger = new WorkLedger({
+    strategy,
+    informsAdmission: dependencies.policies.admission === 'queue',
+  });
+  const predictionSwitch = strategy.isAdaptive
+    ? new PredictionSwitch({ ledger, journal })
+    : undefined;
   const members = new Members({ identity, store, journal });
   const client = new TargetClient();
   const coldTargets = new ColdTargets({
@@ -286,7 +293,7 @@
     loadTable,
     health,
     outlook: strategy.predictsTimes
-      ? new TargetOutlook({ strategy, loadTable, ledger, metrics })
+      ? new TargetOutlook({ strategy, loadTable, ledger, predictionSwitch, metrics })
       : undefined,
   });
   const retention = new StreamRetention();
@@ -301,9 +308,10 @@
     countHosts: () => members.fleetSize.local + members.fleetSize.remote + 1,
     journal,
   });
-  const shares = createShares(dependencies.policies.shares);
+  const shares = createShares(dependencies.policies.shares, ledger.accounts);
   const admission = createAdmission(dependencies.policies.admission, {
     shares,
+    times: ledger.times,
     gauge: new RoomGauge({ targets, loadTable }),
     metrics,
   });
@@ -458,6 +466,7 @@
   view.onChange(({ configuration }) => {
     rates.configure(configuration);
     shares.configure(configuration.accounts);
+    ledger.accounts.retain(new Set(configuration.accounts.map(({ name }) => name)));
     retention.configure(configuration);
     findUnknownRegions(configuration, regions).forEach((unknown) =>
       journal.record('region-unknown', { ...unknown, version: configuration.version }),
