Pass free batch slots on to the next hosts while the first ones leave them free

Cause: free slots of a target are dealt out, in an order, to all hosts with waiting items. Load reports state that a host has waiting items, not for which service, so that hosts with items of other services (or versions, or regions) take places in the order. A host that alone waits for a target gets none of its slots while its place is beyond the number of free slots, for as long as the others wait.

Figures, without a network, all hosts waiting, only one with items for the target (hosts that never get a slot): 6 of 8 with 2 free slots, 34 of 40 with 6; after: none, the last one after 3 and 6 turns. A turn is the time until all hosts know of a taken slot.

Ruled out: services in the load reports (a change of the format between hosts, for a rare case; it would not cover versions and regions).

A turn ends as another host takes a slot, so that hosts whose items fit the target keep the order.

--- a/packages/serving/src/batch/BatchWorker.ts
+++ b/packages/serving/src/batch/BatchWorker.ts
@@ -13,6 +13,7 @@
 import type { TargetClient } from '../http/TargetClient.js';
 import { isTargetFault, type AttemptOutcome } from '../online/runAttempt.js';
 import { BatchSlotAllocator, type FreeSlots } from '../routing/BatchSlotAllocator.js';
+import { SlotTurns } from '../routing/SlotTurns.js';
 import type { Candidate } from '../routing/chooseTarget.js';
 import type { RunningWork, WorkLedger } from '../placement/WorkLedger.js';
 import type { LoadTable } from '../routing/LoadTable.js';
@@ -104,6 +105,11 @@
 
   private readonly slotAllocator: BatchSlotAllocator;
 
+  private readonly slotTurns: Readonly<Record<Urgency, SlotTurns>> = {
+    relaxed: new SlotTurns(),
+    urgent: new SlotTurns(),
+  };
+
   private readonly paceEstimator = new PaceEstimator();
 
   private allocationTimer: NodeJS.Timeout | undefined;
@@ -238,8 +244,8 @@
     const pass = new SchedulingPass({
       router,
       allowances: {
-        relaxed: this.createAllowanceLookup(now, RESERVED_SLOTS.relaxed),
-        urgent: this.createAllowanceLookup(now, RESERVED_SLOTS.urgent),
+        relaxed: this.createAllowanceLookup(now, 'relaxed'),
+        urgent: this.createAllowanceLookup(now, 'urgent'),
       },
       random: Math.random,
     });
@@ -321,19 +327,23 @@
   /** Returns a function that counts the slots of a target that this host may use now. */
   private createAllowanceLookup(
     now: number,
-    reservedSlots: number,
+    urgency: Urgency,
   ): (candidate: Candidate) => number {
+    const { members, loadTable } = this.dependencies;
+    const turnMs = getPropagationTimeMs(members.fleetSize, false);
     const groupHosts = this.groupWaitingHosts();
     const allowances = new Map<string, number>();
-    return ({ target, load }) => {
-      const free = target.slots - reservedSlots - load.online - load.batch;
-      const allowance =
-        allowances.get(target.id) ??
-        this.slotAllocator.calculateAllowance(
-          { target: target.id, free, ...groupHosts(target.failureDomain) },
-          now,
-        );
-      allowances.set(target.id, allowance);
+    return ({ target: { id, slots, failureDomain }, load }) => {
+      const known = allowances.get(id);
+      if (known !== undefined) return known;
+      const free = slots - RESERVED_SLOTS[urgency] - load.online - load.batch;
+      const use = { target: id, free, othersBatch: load.batch - loadTable.ownLoad(id).batch };
+      const unusedTurns = this.slotTurns[urgency].countUnused(use, now, turnMs);
+      const allowance = this.slotAllocator.calculateAllowance(
+        { target: id, free, ...groupHosts(failureDomain), unusedTurns },
+        now,
+      );
+      allowances.set(id, allowance);
       return allowance;
     };
   }
--- a/packages/serving/src/routing/BatchSlotAllocator.ts
+++ b/packages/serving/src/routing/BatchSlotAllocator.ts
@@ -17,6 +17,8 @@
   readonly localHosts: readonly string[];
   /** Hosts with waiting items in other failure domains. */
   readonly remoteHosts: readonly string[];
+  /** Number of turns that the first hosts in order have left unused, see SlotTurns. */
+  readonly unusedTurns?: number;
 }
 
 /** Decides how many free slots of each target this host may use for batch items. */
@@ -29,18 +31,22 @@
   /**
    * Returns how many free slots of a target this host may use now. Slots are dealt out one at a time to the
    * waiting hosts, in an order that depends on the target. Hosts with the same load data therefore never
-   * use the same slot.
+   * use the same slot. Slots that stay free are dealt out to the next hosts in order.
    *
    * @param slots - free slots and waiting hosts
    * @param now - monotonic time. Unit: ms
    * @returns number of slots
    */
-  calculateAllowance({ target, free, localHosts, remoteHosts }: FreeSlots, now: number): number {
+  calculateAllowance(
+    { target, free, localHosts, remoteHosts, unusedTurns = 0 }: FreeSlots,
+    now: number,
+  ): number {
     if (free <= 0 || now < (this.nextAllocationAt.get(target) ?? 0)) return 0;
     const isLocal = localHosts.includes(this.ownName);
-    const rankOffset = isLocal ? 0 : localHosts.length;
+    const rankOffset = (isLocal ? 0 : localHosts.length) - unusedTurns * free;
     if (rankOffset >= free) return 0;
-    const rank = rankOffset + getRank(target, this.ownName, isLocal ? localHosts : remoteHosts);
+    const ownRank = getRank(target, this.ownName, isLocal ? localHosts : remoteHosts);
+    const rank = Math.max(0, rankOffset + ownRank);
     if (rank >= free) return 0;
     return Math.floor((free - 1 - rank) / (localHosts.length + remoteHosts.length)) + 1;
   }
--- a/packages/serving/test/features/routing.feature
+++ b/packages/serving/test/features/routing.feature
@@ -157,3 +157,25 @@
     When items of the host are preempted at 200 ms
     Then it may use 0 slots at 499 ms
     And it may use 4 slots at 500 ms
+
+  # Guards against slots that stay free, as the hosts that come first have items of other services only.
+  Scenario Outline: A host that alone has items for a target gets a slot there, however many hosts come before it
+    Given <hosts> hosts with waiting items and a target with <free> free slots
+    And <remote> of the hosts are in another failure domain
+    Then each host that alone has items for the target may use a slot after at most <turns> turns
+
+    Examples:
+      | hosts | remote | free | turns |
+      | 1     | 0      | 1    | 0     |
+      | 8     | 0      | 2    | 3     |
+      | 40    | 30     | 6    | 6     |
+
+  # Guards against two hosts on one slot, and against hosts that skip the order right after another one was served.
+  Scenario: A turn ends once another host has taken a slot, or the host has not looked for one for some time
+    Given a host that looks for a slot every 50 ms, with turns of 150 ms
+    Then at 400 ms it has seen 2 unused turns
+    When another host takes a slot
+    Then at 450 ms it has seen 0 unused turns
+    And at 900 ms it has seen 3 unused turns
+    When it looks for no slot until 5000 ms
+    Then at 5000 ms it has seen 0 unused turns
--- a/packages/serving/test/steps/routing.steps.ts
+++ b/packages/serving/test/steps/routing.steps.ts
@@ -2,6 +2,7 @@
 import { Given, Then, When, type DataTable } from '@cucumber/cucumber';
 import { createRandom } from '@jacinthlug/batch/testing/createRandom';
 import { BatchSlotAllocator } from '@jacinthlug/serving/routing/BatchSlotAllocator';
+import { SlotTurns } from '@jacinthlug/serving/routing/SlotTurns';
 import {
   chooseBatchTarget,
   chooseTarget,
@@ -21,6 +22,8 @@
   /** Number of hosts in another failure domain than the target; they are the first ones. */
   remoteHosts?: number;
   allocated: number;
+  turns: SlotTurns;
+  observation: { othersBatch: number; at: number; stepMs: number; turnMs: number };
   occupancy: { slots: number; online: number; holders: { host: string; batch: number }[] };
 }
 
@@ -122,13 +125,19 @@
 
 const namesOf = (world: RoutingWorld): string[] => world.allocators.map((_, index) => `h-${index}`);
 
-const allowanceOf = (world: RoutingWorld, allocator: BatchSlotAllocator, now: number): number =>
+const allowanceOf = (
+  world: RoutingWorld,
+  allocator: BatchSlotAllocator,
+  now: number,
+  unusedTurns = 0,
+): number =>
   allocator.calculateAllowance(
     {
       target: 't-1',
       free: world.free,
       localHosts: namesOf(world).slice(world.remoteHosts ?? 0),
       remoteHosts: namesOf(world).slice(0, world.remoteHosts ?? 0),
+      unusedTurns,
     },
     now,
   );
@@ -249,3 +258,42 @@
   const total = waiting.reduce((sum, each) => sum + each, 0);
   assert.ok(total <= max, `${total} chats are waiting`);
 });
+
+Then(
+  'each host that alone has items for the target may use a slot after at most {int} turns',
+  function (this: RoutingWorld, turns: number) {
+    this.allocators.forEach((allocator) => {
+      assert.ok(allowanceOf(this, allocator, 0, turns) > 0);
+    });
+  },
+);
+
+Given(
+  'a host that looks for a slot every {int} ms, with turns of {int} ms',
+  function (this: RoutingWorld, stepMs: number, turnMs: number) {
+    this.turns = new SlotTurns();
+    this.observation = { othersBatch: 3, at: -stepMs, stepMs, turnMs };
+  },
+);
+
+When('another host takes a slot', function (this: RoutingWorld) {
+  this.observation.othersBatch += 1;
+});
+
+When('it looks for no slot until {int} ms', function (this: RoutingWorld, at: number) {
+  this.observation.at = at - this.observation.stepMs;
+});
+
+Then(
+  'at {int} ms it has seen {int} unused turns',
+  function (this: RoutingWorld, until: number, expected: number) {
+    const { othersBatch, stepMs, turnMs } = this.observation;
+    let unused = 0;
+    while (this.observation.at < until) {
+      this.observation.at += stepMs;
+      const use = { target: 't-1', free: 2, othersBatch };
+      unused = this.turns.countUnused(use, this.observation.at, turnMs);
+    }
+    assert.equal(unused, expected);
+  },
+);
