Refuse no request because of the age of reports

The error of the count grew without bound with the age of the reports: with reports of 5 s, a target with 7 of 8 slots in use had an expected wait of more than 200 ms, so that requests were refused while all targets had a free slot.

Ruled out: a limit on the age of reports, beyond which a host would ignore load that may be there.

Test: with reports of 5 s and 7 or 9 online requests at each of 3 targets, a request is placed (before: refused, both). A pause of all targets refuses nobody; that held before too.

--- a/packages/serving/src/placement/chooseByForecast.ts
+++ b/packages/serving/src/placement/chooseByForecast.ts
@@ -61,7 +61,8 @@
   isContinuation ? MAX_CONTINUATION_WAIT_MS : MAX_WAIT_MS;
 
 /**
- * Lists the targets at which a request gets a slot in time.
+ * Lists the targets at which a request gets a slot in time, if their counts of requests are right. An error of old counts
+ * lengthens the expected wait, but is no reason to refuse a request.
  *
  * @param candidates - targets with their predictions
  * @param isContinuation - whether the request continues a stream
@@ -71,7 +72,7 @@
   candidates: readonly Type[],
   isContinuation: boolean,
 ): readonly Type[] =>
-  candidates.filter(({ forecast }) => forecast.waitMs <= getMaxWaitMs(isContinuation));
+  candidates.filter(({ forecast }) => forecast.countedWaitMs <= getMaxWaitMs(isContinuation));
 
 /** Lists the targets with a free slot that no batch item has to leave, at which the first event is not late. */
 const selectFree = (candidates: readonly ForecastCandidate[]): readonly ForecastCandidate[] =>
--- a/packages/serving/src/placement/forecastTarget.ts
+++ b/packages/serving/src/placement/forecastTarget.ts
@@ -37,8 +37,10 @@
 
 /** Prediction for one more online request at a target. */
 export interface TargetForecast {
-  /** Time until the request gets a slot. Unit: ms. */
+  /** Expected time until the request gets a slot. Unit: ms. */
   readonly waitMs: number;
+  /** The same if the counts of requests are right: 0 while online requests leave a slot. Unit: ms. */
+  readonly countedWaitMs: number;
   /** Time until its first event. Unit: ms. */
   readonly firstMs: number;
   /** Time for which it holds the slot. Unit: ms. */
@@ -72,8 +74,9 @@
 export const forecastTarget = (knowledge: TargetKnowledge): TargetForecast => {
   const { slots, online, batch, reportedOnline, reportAgeMs, pace } = knowledge;
   const { meanHoldMs, meanFirstMs, ownHoldMs } = knowledge;
-  // As many requests have begun as have ended since the reports, on average.
-  const replaced = (Math.max(1, reportedOnline) * (reportAgeMs ?? DEFAULT_AGE_MS)) / meanHoldMs;
+  // As many requests have begun as have ended since the reports, on average. Once all have been replaced, the error grows no more.
+  const replacedPart = 1 - Math.exp(-(reportAgeMs ?? DEFAULT_AGE_MS) / meanHoldMs);
+  const replaced = Math.max(1, reportedOnline) * replacedPart;
   const width = Math.max(MIN_COUNT_ERROR, TRANSITION_WIDTH * Math.sqrt(2 * replaced));
   const queued = softPositive(online + 1 - slots, width);
   const excess = softPositive(online + batch + 1 - slots, width) - queued;
@@ -81,5 +84,11 @@
   // The first of N residual times that are spread evenly ends after 1 / (N + 1) of the longest one.
   const slotEndIntervalMs = (2 * getMeanResidualMs(knowledge)) / (slots + 1);
   const waitMs = queued * slotEndIntervalMs + preemptions * PREEMPTION_MS;
-  return { waitMs, firstMs: waitMs + meanFirstMs * pace, holdMs: ownHoldMs * pace, preemptions };
+  return {
+    waitMs,
+    countedWaitMs: Math.max(0, online + 1 - slots) * slotEndIntervalMs,
+    firstMs: waitMs + meanFirstMs * pace,
+    holdMs: ownHoldMs * pace,
+    preemptions,
+  };
 };
--- a/packages/serving/test/features/forecasts.feature
+++ b/packages/serving/test/features/forecasts.feature
@@ -110,3 +110,20 @@
       | pace | number |
       | 1.5  | 1      |
       | 6    | 2      |
+
+  # Guards against refusals by a host that hears from few others, or of hosts that have been killed.
+  Scenario Outline: Old reports of <online> requests at each target refuse nobody
+    Given 3 targets with <online> online requests each
+    When reports of the load are 5000 ms old
+    Then a request is placed
+
+    Examples:
+      | online |
+      | 7      |
+      | 9      |
+
+  # Guards against refusals by a host that has stood still, to which all targets seem to have paused.
+  Scenario: A pause of all targets refuses nobody while these have free slots
+    Given targets whose events take 25, 25 and 25 ms
+    When the events of each target take 1000 ms, while it has 7 online requests
+    Then a request is placed
--- a/packages/serving/test/steps/forecasts.steps.ts
+++ b/packages/serving/test/steps/forecasts.steps.ts
@@ -405,3 +405,31 @@
   const total = [...this.placed.values()].reduce((sum, count) => sum + count, 0);
   assert.ok(placedOn(this, number) > total * 0.9, JSON.stringify([...this.placed]));
 });
+
+Given(
+  '{int} targets with {int} online requests each',
+  function (this: ForecastsWorld, count: number, online: number) {
+    prepare(this, createTargets(count));
+    report(
+      this,
+      this.targets.map(({ id }) => [id, online, 0, online * 350]),
+    );
+  },
+);
+
+When(
+  'the events of each target take {int} ms, while it has {int} online requests',
+  function (this: ForecastsWorld, msPerEvent: number, online: number) {
+    this.targets.forEach((target) => respond(this, target, { msPerEvent, events: 5 }));
+    this.now += 5000;
+    report(
+      this,
+      this.targets.map(({ id }) => [id, online, 0, online * 350]),
+    );
+    this.now += 150;
+  },
+);
+
+Then('a request is placed', function (this: ForecastsWorld) {
+  assert.equal(choose(listCandidates(this), () => 0).kind, 'target');
+});
