Count events that arrive together once in the pace of a response

The pace that auto compares was the time from the first event to the latest one, divided by all events but one. Events that arrive together with the first one, as after a stall of the host, made a target look faster than it is. They are left out now.

--- a/packages/serving/src/placement/WorkLedger.ts
+++ b/packages/serving/src/placement/WorkLedger.ts
@@ -11,8 +11,8 @@
 /** Part of the estimated events that a response which has reached its estimate is expected to still have. */
 const OVERDUE_FRACTION = 0.2;
 
-/** Number of events of a response from which its time per event is compared with that of others. */
-const MIN_PACED_EVENTS = 5;
+/** Number of events after the first ones, from which the time per event of a response is compared with that of others. */
+const MIN_PACED_EVENTS = 4;
 
 /** A request that is sent to a target. */
 export interface WorkDescription {
@@ -57,7 +57,10 @@
 interface Run {
   readonly estimatedEvents: number;
   events: number;
+  /** Monotonic time. Unit: ms. */
   readonly begunAt: number;
+  /** Number of events that arrived together with the first one. */
+  firstEvents: number;
   /** Monotonic times of the first and the latest event. Unit: ms. */
   firstEventAt: number;
   lastEventAt: number;
@@ -108,6 +111,7 @@
       estimatedEvents: this.outputs.estimateEvents(target.service, size),
       events: 0,
       begunAt: now,
+      firstEvents: 0,
       firstEventAt: now,
       lastEventAt: now,
     };
@@ -119,7 +123,8 @@
     return {
       recordEvents: (events, at) => {
         if (events <= run.events) return;
-        if (run.events === 0) this.recordFirstEvent(description, run, at ?? performance.now());
+        if (run.events === 0)
+          this.recordFirstEvents(description, run, events, at ?? performance.now());
         else if (predictsTimes)
           this.recordPace(target, run, events - run.events, at ?? performance.now());
         run.events = events;
@@ -194,8 +199,13 @@
     this.differences.retain(ids);
   }
 
-  private recordFirstEvent({ target, work }: WorkDescription, run: Run, now: number): void {
-    Object.assign(run, { firstEventAt: now, lastEventAt: now });
+  private recordFirstEvents(
+    { target, work }: WorkDescription,
+    run: Run,
+    firstEvents: number,
+    now: number,
+  ): void {
+    Object.assign(run, { firstEvents, firstEventAt: now, lastEventAt: now });
     if (work === 'batch') return;
     const atMeanPace = (now - run.begunAt) / this.relativePace(target, now);
     this.times.recordFirst(target.service, atMeanPace, now);
@@ -228,9 +238,10 @@
   }
 
   /** Records the pace of a response, or of the part of it that has been received. */
-  private recordDifferences(target: Target, { events, ...run }: Run, now: number): void {
+  private recordDifferences(target: Target, run: Run, now: number): void {
+    const events = run.events - run.firstEvents;
     if (events < MIN_PACED_EVENTS) return;
-    const msPerEvent = (run.lastEventAt - run.firstEventAt) / (events - 1);
+    const msPerEvent = (run.lastEventAt - run.firstEventAt) / events;
     this.differences.recordPace(target, msPerEvent, now);
   }
 
