Prove the ends of online responses and of batch items in one place

Cause: whether a response without a length is complete was decided twice, by EndEvidence for items and by RequestAttempts for online requests, each with a state of its own.

EndEvidence now has the numbers of required ends by class of work: two ends at two targets for online requests, whose callers wait, and three at several targets or five at one for items. RequestAttempts records each end there and asks it for the verdict; it keeps only whether another target may be asked. What callers get is unchanged, and so is what completes an item.

Ruled out: one number for both. Callers would wait for a third target, and items would be completed by two ends that one cause may have.

No existing test was changed.

--- a/packages/serving/src/batch/ItemTask.ts
+++ b/packages/serving/src/batch/ItemTask.ts
@@ -48,7 +48,7 @@
   /** Monotonic time at which the output last grew; the start of the task if it has not. Unit: ms. */
   private lastProgressAt = performance.now();
 
-  private readonly endEvidence = new EndEvidence();
+  private readonly endEvidence = new EndEvidence('batch');
 
   /** Monotonic time before which the item is not run. Unit: ms. */
   notBefore = 0;
@@ -180,7 +180,7 @@
     const { response } = this;
     const { lastEventId, origin } = response;
     this.endEvidence.record({
-      lastEventId,
+      position: lastEventId,
       service: origin?.service ?? '',
       version: origin?.version ?? '',
       target,
--- a/packages/serving/src/online/RequestAttempts.ts
+++ b/packages/serving/src/online/RequestAttempts.ts
@@ -217,8 +217,10 @@
     else this.recordFailedAttempt(request, target, outcome, progress);
     if (progress.unconfirmedEnd) {
       const hasFurtherEvents = callerResponse.progress > received || callerResponse.hasPartialEvent;
-      if (!hasFurtherEvents && request.lifetime.abortReason !== 'caller-gone')
-        return endComplete(progress.unconfirmedEnd, outcome.kind === 'complete', request);
+      if (!hasFurtherEvents && request.lifetime.abortReason !== 'caller-gone') {
+        if (outcome.kind === 'complete') progress.recordEnd(target, callerResponse.progress);
+        return endComplete(progress.unconfirmedEnd, progress.endEvidence.isProven, request);
+      }
       if (hasFurtherEvents) this.recordFalseEnd(request, progress.unconfirmedEnd);
       progress.recordUnconfirmedEnd(undefined);
     }
@@ -248,6 +250,7 @@
     )
       return endComplete(completed, false, request);
     callerResponse.awaitConfirmation();
+    progress.recordEnd(completed.target, callerResponse.progress);
     progress.recordUnconfirmedEnd(completed);
     progress.excludedTargets.add(completed.target.id);
     return undefined;
--- a/packages/serving/src/online/RequestProgress.ts
+++ b/packages/serving/src/online/RequestProgress.ts
@@ -1,6 +1,7 @@
 /** Tracks the attempts of one request. */
-import type { Target } from '../fleet/Target.js';
+import { getIncarnation, type Target } from '../fleet/Target.js';
 import type { CandidateCounts } from '../routing/chooseTarget.js';
+import { EndEvidence } from '../streams/EndEvidence.js';
 import type { AttemptOutcome } from './runAttempt.js';
 
 /** An attempt with which the response may be complete. */
@@ -42,6 +43,9 @@
   /** Version of the targets that can continue the stream; undefined while none has begun. */
   version: string | undefined;
 
+  /** What the ends of responses prove about the end of the stream. */
+  readonly endEvidence = new EndEvidence('online');
+
   /** Attempt with which the response is complete, unless the next target has further events. */
   unconfirmedEnd: CompletedAttempt | undefined;
 
@@ -58,6 +62,18 @@
     this.unconfirmedEnd = completed;
   }
 
+  /**
+   * Records where a complete response has ended.
+   *
+   * @param target - its target
+   * @param position - number of events of the stream
+   */
+  recordEnd(target: Target, position: number): void {
+    const { service } = target;
+    // The end is confirmed only by targets that can continue the stream, so that their versions don't differ.
+    this.endEvidence.record({ position, service, version: '', target: getIncarnation(target) });
+  }
+
   /** Records that a target failed the request, but may serve it a moment later. */
   recordRecovering(target: string): void {
     this.recoveringTargets.add(target);
--- a/packages/serving/src/streams/EndEvidence.ts
+++ b/packages/serving/src/streams/EndEvidence.ts
@@ -3,17 +3,29 @@
  * connection, and so does one that its target breaks off between two events. What breaks off one response may break off the
  * next one too, in the same place, above all at the same target.
  */
+import type { WorkClass } from '../routing/LoadTable.js';
 
-/** Number of ends after the same event that prove it as the last one, if several targets have shown them. */
-const REQUIRED_ENDS = 3;
+/** Numbers of ends in the same place that prove it as the end of the stream. */
+interface RequiredEnds {
+  /** If several targets have shown them. */
+  readonly ofSeveralTargets: number;
+  /** If only one target has shown them, as it may be the only one that can continue the stream. */
+  readonly ofOneTarget: number;
+}
 
-/** The same if only one target has shown them, as it may be the only one that can continue the stream. */
-const REQUIRED_ENDS_OF_ONE_TARGET = 5;
+/**
+ * Callers wait while the end is confirmed, so that a second target is asked once, and no target twice. An item can wait, and its
+ * result is kept.
+ */
+const requiredEndsByWork: Readonly<Record<WorkClass, RequiredEnds>> = {
+  online: { ofSeveralTargets: 2, ofOneTarget: Number.POSITIVE_INFINITY },
+  batch: { ofSeveralTargets: 3, ofOneTarget: 5 },
+};
 
-/** The end of a response with its connection. */
+/** The end of a response, with its connection or in a way that states it. */
 export interface ObservedEnd {
-  /** Id of the last event before it. */
-  readonly lastEventId: string | undefined;
+  /** Where in the stream it was: the id of the last event, or the number of events. */
+  readonly position: string | number | undefined;
   /** The targets that can continue the stream. */
   readonly service: string;
   readonly version: string;
@@ -30,14 +42,19 @@
   private readonly observedTargets = new Set<string>();
 
   /**
-   * Records an end. Ends after another event, or of other versions, prove nothing from then on.
+   * @param work - class of the request that has the stream
+   */
+  constructor(private readonly work: WorkClass) {}
+
+  /**
+   * Records an end. Ends in another place, or of other versions, prove nothing from then on.
    *
    * @param end - the end
    */
   record(end: ObservedEnd): void {
     const { last } = this;
     const isRepeated =
-      last?.lastEventId === end.lastEventId &&
+      last?.position === end.position &&
       last?.service === end.service &&
       last?.version === end.version;
     if (!isRepeated) this.reset();
@@ -56,12 +73,11 @@
   /**
    * Checks whether the stream is complete.
    *
-   * @returns whether enough ends were observed after the same event
+   * @returns whether enough ends were observed in the same place
    */
   get isProven(): boolean {
-    return (
-      this.count >= (this.observedTargets.size > 1 ? REQUIRED_ENDS : REQUIRED_ENDS_OF_ONE_TARGET)
-    );
+    const { ofSeveralTargets, ofOneTarget } = requiredEndsByWork[this.work];
+    return this.count >= (this.observedTargets.size > 1 ? ofSeveralTargets : ofOneTarget);
   }
 
   /**
--- a/packages/serving/test/features/streams.feature
+++ b/packages/serving/test/features/streams.feature
@@ -146,3 +146,20 @@
     When 10 streams of "v1" begin at "h-1"
     And "h-1" sends 1 reports of at most 12 streams to "h-2"
     Then "h-2" states that "h-1" told the versions by "report"
+
+  # Guards against a part that is completed, and against two rules for the same proof.
+  Scenario Outline: An end of <work> is proven by enough responses that end in the same place
+    When responses to <work> end after events at targets: <ends>
+    Then the end is <proven>
+
+    Examples:
+      | work   | ends                                    | proven     |
+      | online | 3 at t-1                                | not proven |
+      | online | 3 at t-1, 3 at t-1                      | not proven |
+      | online | 3 at t-1, 3 at t-2                      | proven     |
+      | online | 3 at t-1, 5 at t-2                      | not proven |
+      | online | 3 at t-1, 5 at t-2, 5 at t-3            | proven     |
+      | batch  | 3 at t-1, 3 at t-2                      | not proven |
+      | batch  | 3 at t-1, 3 at t-2, 3 at t-1            | proven     |
+      | batch  | 3 at t-1, 3 at t-2, 5 at t-1, 3 at t-2  | not proven |
+      | batch  | 3 at t-1, 3 at t-1, 3 at t-1, 3 at t-1  | not proven |
--- a/packages/serving/test/steps/streams.steps.ts
+++ b/packages/serving/test/steps/streams.steps.ts
@@ -6,6 +6,8 @@
 import type { Route } from '@jacinthlug/serving/configuration/ServingConfiguration';
 import type { Target } from '@jacinthlug/serving/fleet/Target';
 import { CallerResponse } from '@jacinthlug/serving/online/CallerResponse';
+import type { WorkClass } from '@jacinthlug/serving/routing/LoadTable';
+import { EndEvidence } from '@jacinthlug/serving/streams/EndEvidence';
 import { StreamRecords } from '@jacinthlug/serving/streams/StreamRecords';
 import { StreamResumption } from '@jacinthlug/serving/streams/StreamResumption';
 import { StreamRetention } from '@jacinthlug/serving/streams/StreamRetention';
@@ -411,3 +413,19 @@
 When('{string} reads the rows of all hosts', async function (this: StreamsWorld, name: string) {
   assert.ok(await this.hosts.get(name)!.streamRecords.refresh());
 });
+
+When(
+  /^responses to (online|batch) end after events at targets: (.+)$/,
+  function (this: { isProven: boolean }, work: WorkClass, ends: string) {
+    const evidence = new EndEvidence(work);
+    ends.split(', ').forEach((end) => {
+      const [position, target] = end.split(' at ') as [string, string];
+      evidence.record({ position, service: 'chat', version: 'v1', target });
+    });
+    this.isProven = evidence.isProven;
+  },
+);
+
+Then(/^the end is (proven|not proven)$/, function (this: { isProven: boolean }, expected: string) {
+  assert.equal(this.isProven, expected === 'proven');
+});
