Let batch items wait for the ends of pulses with `serving.items` `planned`

Cause: in a pulse of online requests, items start on any slot that is free for the moment, and the next fluctuation of the load cuts them. An item runs for 4.4 s on average, so that one that starts in a valley of 3.8 s is cut once in any case.

Each host finds pulses in the online load that it knows of. In a pulse, or 0.5 s before the next one, an item is patient if it would be in time even after waiting for all others and running only between pulses. Patient items use only the slots that stay free: those beyond the mean load of pulses and its square root. Pulses cut first, after late items, those with the longest remaining run that stay in time; before, of items due at the same time, the one that was nearly done. Without pulses, and with `eager`, the default, nothing changes.

Ruled out: leaving room for the next pulse in the whole valley. Items are longer than valleys, so that the room would stay unused.

--- a/packages/catalog/src/counterNames.ts
+++ b/packages/catalog/src/counterNames.ts
@@ -35,6 +35,11 @@
     description: 'Batch items that wait as targets crash on their content',
     tags: [],
   },
+  'batch.deferred': {
+    description:
+      'Batch items that wait as free slots are left to the next pulse of online requests',
+    tags: [],
+  },
   'batch.claims': { description: 'Chunk claims by outcome', tags: ['outcome'] },
   'batch.commits': { description: 'Chunk commits by outcome', tags: ['outcome'] },
   'platform.calls': {
@@ -67,6 +72,10 @@
   },
   'queue.wait': { description: 'Time of a request in the queue of the host' },
   'placement.wait': { description: 'Predicted wait for a slot of the chosen target' },
+  'items.deferred': {
+    description:
+      'Time for which a batch item waited as free slots were left to the next pulse of online requests',
+  },
   'items.run': { description: 'Duration of a run of a batch item on a target' },
 } as const satisfies Readonly<Record<string, Timing>>;
 
--- a/packages/catalog/src/logEvents.ts
+++ b/packages/catalog/src/logEvents.ts
@@ -483,6 +483,18 @@
     message: 'The configuration allows a region in which no failure domain is',
     hint: 'Correct the region of the routes and accounts in allowedBy; requests that no other region allows are refused.',
   },
+  'pulses-found': {
+    number: 870,
+    severity: 'info',
+    message: 'Online load of a service comes in pulses; patient batch items wait for their ends',
+    hint: 'Nothing to do; level and valleyLevel are shares of the slots, pulseMs and valleyMs lengths.',
+  },
+  'pulses-lost': {
+    number: 871,
+    severity: 'info',
+    message: 'Online load of a service has no pulses any more; batch items start on any free slot',
+    hint: 'Nothing to do.',
+  },
 });
 
 /** Name of a log event. */
--- a/packages/serving/src/batch/BatchWorker.ts
+++ b/packages/serving/src/batch/BatchWorker.ts
@@ -25,19 +25,19 @@
 import { MAX_OUTPUT_LENGTH } from './ItemResponse.js';
 import type { ItemState } from './JobRecord.js';
 import type { ItemTask } from './ItemTask.js';
-import { orderItems, estimateRemainingMs, type SchedulableItem } from './orderItems.js';
-import { orderForPreemption } from './orderForPreemption.js';
+import type { Urgency } from './itemPlans.js';
+import { orderRunningItems, plansForPulses, type ItemPolicy } from './itemPolicies.js';
+import { orderItems, type SchedulableItem } from './orderItems.js';
 import { PaceEstimator } from './PaceEstimator.js';
-import { SchedulingPass, type Placement, type Urgency } from './SchedulingPass.js';
+import { PulseHistory } from './PulseHistory.js';
+import { SchedulingPass, type Placement } from './SchedulingPass.js';
+import { StartPlan } from './StartPlan.js';
 
 /**
  * Slots of each target that batch items leave free, so that an online request gets one without waiting.
  * Urgent items may use them to meet their job's due time.
  */
-const RESERVED_SLOTS: Readonly<Record<Urgency, number>> = { relaxed: 1, urgent: 0 };
-
-/** Slack below which an item is urgent: about the length of one traffic peak. Unit: ms. */
-const URGENT_SLACK_MS = 4000;
+const RESERVED_SLOTS: Readonly<Record<Urgency, number>> = { patient: 1, relaxed: 1, urgent: 0 };
 
 /** Timeout for the response head of a run; the target may queue the item until then. Unit: ms. */
 const HEAD_TIMEOUT_MS = 4000;
@@ -81,6 +81,8 @@
   readonly dialect: Dialect;
   readonly metrics: Metrics;
   readonly drainingTargets: DrainingTargets;
+  /** How items are started and preempted. */
+  readonly itemPolicy: ItemPolicy;
 }
 
 interface JobTask {
@@ -106,12 +108,16 @@
   private readonly slotAllocator: BatchSlotAllocator;
 
   private readonly slotTurns: Readonly<Record<Urgency, SlotTurns>> = {
+    patient: new SlotTurns(),
     relaxed: new SlotTurns(),
     urgent: new SlotTurns(),
   };
 
   private readonly paceEstimator = new PaceEstimator();
 
+  /** Undefined if items aren't planned. */
+  private readonly pulseHistory: PulseHistory | undefined;
+
   private allocationTimer: NodeJS.Timeout | undefined;
 
   private reportTimer: NodeJS.Timeout | undefined;
@@ -122,6 +128,9 @@
 
   constructor(private readonly dependencies: BatchWorkerDependencies) {
     this.slotAllocator = new BatchSlotAllocator(dependencies.identity.name);
+    this.pulseHistory = plansForPulses[dependencies.itemPolicy]
+      ? new PulseHistory(dependencies)
+      : undefined;
     this.heldJobs = new HeldJobs({
       ...dependencies,
       onItemsAvailable: () => this.queueScheduling(),
@@ -133,6 +142,7 @@
   /** Starts the periodic search for jobs. */
   start(): void {
     this.heldJobs.start();
+    this.pulseHistory?.start();
   }
 
   /**
@@ -154,6 +164,7 @@
     this.stopping = true;
     clearTimeout(this.allocationTimer);
     clearTimeout(this.reportTimer);
+    this.pulseHistory?.stop();
     await this.heldJobs.stop(deadline);
   }
 
@@ -213,7 +224,8 @@
       if (cancelCount === 0) return;
       this.slotAllocator.recordPreemption(id, performance.now());
       const runs = toSchedulableItems(this.runningItemsOn(id));
-      orderForPreemption(runs, this.paceEstimator.pace, performance.now())
+      const pulses = this.pulseHistory?.find(target.service);
+      orderRunningItems(runs, this.paceEstimator.pace, pulses, performance.now())
         .slice(0, cancelCount)
         .forEach(({ task }) => {
           metrics.count('batch.preempted');
@@ -233,7 +245,7 @@
   }
 
   private startItems(): void {
-    const { router, view, members, targets, identity } = this.dependencies;
+    const { router, view, members, targets, identity, loadTable } = this.dependencies;
     if (this.stopping || this.dependencies.timeSinceStoreContact() > STORE_CONTACT_TIMEOUT_MS)
       return;
     const now = performance.now();
@@ -241,27 +253,41 @@
       this.allItems().filter(({ job, task }) => job.isHeld && task.isWaiting(now)),
     );
     if (waiting.length === 0) return;
+    const { pace } = this.paceEstimator;
+    const plan = new StartPlan({
+      findPulses: (service) => this.pulseHistory?.find(service),
+      targets,
+      loadTable,
+      pace,
+      waiting,
+      now,
+    });
+    const createLookup = this.createAllowanceLookups(plan, now);
     const pass = new SchedulingPass({
       router,
       allowances: {
-        relaxed: this.createAllowanceLookup(now, 'relaxed'),
-        urgent: this.createAllowanceLookup(now, 'urgent'),
+        patient: createLookup('patient'),
+        relaxed: createLookup('relaxed'),
+        urgent: createLookup('urgent'),
       },
       random: Math.random,
     });
-    orderItems(waiting, this.paceEstimator.pace, now).forEach((item) => {
+    orderItems(waiting, pace, now).forEach((item) => {
       const route = view.index?.findRouteByName(item.job.record.route);
       if (!route) return;
-      const slackMs = item.dueAt - now - estimateRemainingMs(item, this.paceEstimator.pace);
+      const urgency = plan.judge(item, route.services);
       const placement = pass.place({
         services: route.services,
-        urgency: slackMs < URGENT_SLACK_MS ? 'urgent' : 'relaxed',
+        urgency,
         allowedRegions: view.index?.findAllowedRegions(item.job.record),
         origin: item.task.response.outputOrigin,
         avoided: item.task.endedTargets,
         isRestartDue: this.isRestartDue(item.task, now),
       });
-      if (!placement) return;
+      if (!placement) {
+        if (urgency === 'patient') this.recordDeferral(item.task, now);
+        return;
+      }
       if (this.isBlocked(item, placement.target, now)) pass.release(placement);
       else this.startItem(item, placement);
     });
@@ -308,6 +334,13 @@
     return task.timeSinceProgress(now) >= task.response.eventCount * msPerEvent;
   }
 
+  /** Records that an item waits as free slots are left to the next pulse of online requests. */
+  private recordDeferral(task: ItemTask, now: number): void {
+    if (task.deferredAt !== undefined) return;
+    Object.assign(task, { deferredAt: now });
+    this.dependencies.metrics.count('batch.deferred');
+  }
+
   /** Starts a run of an item, from the beginning if its target can't continue the output so far. */
   private startItem({ job, task }: JobTask, { target, isRestart }: Placement): void {
     if (isRestart) {
@@ -324,27 +357,33 @@
     void this.runItem(job, task, target);
   }
 
-  /** Returns a function that counts the slots of a target that this host may use now. */
-  private createAllowanceLookup(
+  /** Returns a function that creates, for items of one urgency, a function that counts the slots of a target they may use now. */
+  private createAllowanceLookups(
+    plan: StartPlan,
     now: number,
-    urgency: Urgency,
-  ): (candidate: Candidate) => number {
+  ): (urgency: Urgency) => (candidate: Candidate) => number {
     const { members, loadTable } = this.dependencies;
-    const turnMs = getPropagationTimeMs(members.fleetSize, false);
     const groupHosts = this.groupWaitingHosts();
-    const allowances = new Map<string, number>();
-    return ({ target: { id, slots, failureDomain }, load }) => {
-      const known = allowances.get(id);
-      if (known !== undefined) return known;
-      const free = slots - RESERVED_SLOTS[urgency] - load.online - load.batch;
-      const use = { target: id, free, othersBatch: load.batch - loadTable.ownLoad(id).batch };
-      const unusedTurns = this.slotTurns[urgency].countUnused(use, now, turnMs);
-      const allowance = this.slotAllocator.calculateAllowance(
-        { target: id, free, ...groupHosts(failureDomain), unusedTurns },
-        now,
-      );
-      allowances.set(id, allowance);
-      return allowance;
+    const turnMs = getPropagationTimeMs(members.fleetSize, false);
+    return (urgency) => {
+      const allowances = new Map<string, number>();
+      return (candidate) => {
+        const { id, slots, failureDomain } = candidate.target;
+        const known = allowances.get(id);
+        if (known !== undefined) return known;
+        const { online, batch } = candidate.load;
+        const unused = slots - RESERVED_SLOTS[urgency] - online - batch;
+        const free =
+          urgency === 'patient' ? Math.min(unused, plan.countLastingSlots(candidate)) : unused;
+        const use = { target: id, free, othersBatch: batch - loadTable.ownLoad(id).batch };
+        const unusedTurns = this.slotTurns[urgency].countUnused(use, now, turnMs);
+        const allowance = this.slotAllocator.calculateAllowance(
+          { target: id, free, ...groupHosts(failureDomain), unusedTurns },
+          now,
+        );
+        allowances.set(id, allowance);
+        return allowance;
+      };
     };
   }
 
@@ -384,7 +423,9 @@
     const controller = new AbortController();
     const startedAt = performance.now();
     const eventsBefore = task.response.resumableEventCount;
-    Object.assign(task, { run: { target, controller, startedAt } });
+    if (task.deferredAt !== undefined)
+      this.dependencies.metrics.observe('items.deferred', startedAt - task.deferredAt);
+    Object.assign(task, { run: { target, controller, startedAt }, deferredAt: undefined });
     const endRequest = loadTable.beginRequest(target.id, 'batch');
     this.dependencies.router.recordSend(target);
     const work = this.dependencies.ledger.begin({ target, size: undefined, work: 'batch' });
--- a/packages/serving/src/batch/ItemTask.ts
+++ b/packages/serving/src/batch/ItemTask.ts
@@ -53,6 +53,9 @@
   /** Monotonic time before which the item is not run. Unit: ms. */
   notBefore = 0;
 
+  /** Monotonic time since which it waits as free slots are left to the next pulse of online requests. Unit: ms. */
+  deferredAt: number | undefined;
+
   /** Content keys of the item by service. */
   private readonly contentKeys = new Map<string, readonly string[]>();
 
--- a/packages/serving/src/batch/SchedulingPass.ts
+++ b/packages/serving/src/batch/SchedulingPass.ts
@@ -5,11 +5,9 @@
 import { orderServices } from '../routing/orderServices.js';
 import type { AllowedRegions } from '../routing/allowedRegions.js';
 import type { TargetRouter } from '../routing/TargetRouter.js';
+import type { Urgency } from './itemPlans.js';
 import type { ItemOrigin } from './ItemResponse.js';
 
-/** Urgency of an item: urgent ones may use slots that are reserved for online requests. */
-export type Urgency = 'relaxed' | 'urgent';
-
 /** Properties of a waiting item that decide where it may run. */
 export interface WaitingItem {
   /** Services of its route. */
--- a/packages/serving/src/routing/LoadTable.ts
+++ b/packages/serving/src/routing/LoadTable.ts
@@ -51,6 +51,8 @@
 
   private readonly waitingHosts = new Set<string>();
 
+  private waitingItemsTotal = 0;
+
   private readonly listeners: (() => void)[] = [];
 
   /**
@@ -197,6 +199,15 @@
     return this.waitingHosts;
   }
 
+  /**
+   * Returns the number of batch items of other hosts that wait for a slot.
+   *
+   * @returns sum over the reports
+   */
+  get reportedWaitingItems(): number {
+    return this.waitingItemsTotal;
+  }
+
   /**
    * Lists this host's own loads for a load report.
    *
@@ -230,6 +241,7 @@
     silent.forEach((target) => {
       this.getOrCreateTotal(target).unresponsiveReports += sign;
     });
+    this.waitingItemsTotal += sign * waitingItems;
     if (sign > 0 && waitingItems > 0) this.waitingHosts.add(host);
     else this.waitingHosts.delete(host);
   }
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -12,6 +12,7 @@
 } from '../admission/createAdmission.js';
 import { RoomGauge } from '../admission/RoomGauge.js';
 import { BatchWorker } from '../batch/BatchWorker.js';
+import type { ItemPolicy } from '../batch/itemPolicies.js';
 import { JobCache } from '../batch/JobCache.js';
 import { JOBS_TABLE } from '../batch/jobKeys.js';
 import { JobStore } from '../batch/JobStore.js';
@@ -122,6 +123,8 @@
   /** How targets are chosen. */
   readonly placement: Placement;
   readonly policies: AdmissionPolicies;
+  /** How batch items are started and preempted. */
+  readonly itemPolicy: ItemPolicy;
   readonly store: RecordStore;
   readonly objects: ObjectStore;
   /** Memory for the bodies of callers' requests. Unit: bytes. */
@@ -373,6 +376,7 @@
     journal,
     metrics,
     drainingTargets,
+    itemPolicy: dependencies.itemPolicy,
     findHolderFilter: (job) => {
       const allowed = view.index?.findAllowedRegions(job);
       return allowed && ((failureDomain) => isAllowed(failureDomain, allowed, regions));
--- a/packages/serving/test/steps/allowedRegions.steps.ts
+++ b/packages/serving/test/steps/allowedRegions.steps.ts
@@ -144,7 +144,7 @@
     const allowance = (): number => 8;
     const pass = new SchedulingPass({
       router: this.router,
-      allowances: { relaxed: allowance, urgent: allowance },
+      allowances: { patient: allowance, relaxed: allowance, urgent: allowance },
       random: Math.random,
     });
     const placed = [first, second, third, fourth].map((regions) => {
--- a/packages/serving/test/steps/placement.steps.ts
+++ b/packages/serving/test/steps/placement.steps.ts
@@ -58,7 +58,7 @@
   });
   const pass = new SchedulingPass({
     router,
-    allowances: { relaxed: allowanceOf, urgent: allowanceOf },
+    allowances: { patient: allowanceOf, relaxed: allowanceOf, urgent: allowanceOf },
     random: Math.random,
   });
   const host = { targets, drainingTargets, loadTable, health, router, pass };
