--- a/packages/catalog/src/logEvents.ts
+++ b/packages/catalog/src/logEvents.ts
@@ -490,6 +490,18 @@
     message: 'Targets of a service are compared in another way',
     hint: 'Nothing to do; with predicts, they are compared by predicted times, as they or their requests differ, else by numbers of requests. waitMs is what callers would wait for a wrong comparison.',
   },
+  'pulses-found': {
+    number: 870,
+    severity: 'info',
+    message: 'Online load of a service comes in pulses; patient batch items wait for their ends',
+    hint: 'Nothing to do; level and valleyLevel are shares of the slots, pulseMs and valleyMs lengths.',
+  },
+  'pulses-lost': {
+    number: 871,
+    severity: 'info',
+    message: 'Online load of a service has no pulses any more; batch items start on any free slot',
+    hint: 'Nothing to do.',
+  },
 });
 
 /** Name of a log event. */
--- a/packages/serving/src/batch/ItemTask.ts
+++ b/packages/serving/src/batch/ItemTask.ts
@@ -48,11 +48,14 @@
   /** Monotonic time at which the output last grew; the start of the task if it has not. Unit: ms. */
   private lastProgressAt = performance.now();
 
-  private readonly endEvidence = new EndEvidence();
+  private readonly endEvidence = new EndEvidence('batch');
 
   /** Monotonic time before which the item is not run. Unit: ms. */
   notBefore = 0;
 
+  /** Monotonic time since which it waits as free slots are left to the next pulse of online requests. Unit: ms. */
+  deferredAt: number | undefined;
+
   /** Content keys of the item by service. */
   private readonly contentKeys = new Map<string, readonly string[]>();
 
@@ -180,7 +183,7 @@
     const { response } = this;
     const { lastEventId, origin } = response;
     this.endEvidence.record({
-      lastEventId,
+      position: lastEventId,
       service: origin?.service ?? '',
       version: origin?.version ?? '',
       target,
