Share the limits on callers with other packages

Entry hosts need what bounds the callers of a serving host. Reading of bodies moves to packages/control/src/bodies; connections, their replacement, the rest of a refused request and the computation of limits to packages/control/src/callers.

One change of behaviour: a connection that is replaced leaves the set at once and not with the close of its socket, as the next new connection could otherwise choose it once more and exceed the limit.

--- a/packages/control/src/bodies/GrowingBlock.ts
+++ b/packages/control/src/bodies/GrowingBlock.ts
@@ -66,7 +66,7 @@
    *
    * @returns the content, in memory of its own
    */
-  take(): Buffer {
+  take(): Buffer<ArrayBuffer> {
     const content = this.block.subarray(0, this.size);
     if (!this.resizable) return content;
     const copy = Buffer.from(content);
--- a/packages/serving/src/http/readBody.ts
+++ b/packages/control/src/bodies/readBody.ts
@@ -1,9 +1,9 @@
 /** Reads the complete body of a caller's request. */
 import type { IncomingMessage } from 'node:http';
 import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
-import type { HeldBody } from '@jacinthlug/control/bodies/HeldBody';
-import { GrowingBlock } from '@jacinthlug/control/bodies/GrowingBlock';
 import { err, ok, type Result } from 'neverthrow';
+import { GrowingBlock } from './GrowingBlock.js';
+import type { HeldBody } from './HeldBody.js';
 
 /** Returns the announced size of a body; undefined for a body in chunks. Unit: bytes. */
 const readAnnouncedBytes = ({ headers }: IncomingMessage): number | undefined =>
@@ -12,7 +12,7 @@
 /** A body that is read. */
 export interface BodyReading {
   /** The body; undefined if the caller disconnected or the signal was aborted before its end; or a refusal. */
-  readonly body: Promise<Result<Buffer | undefined, Refusal>>;
+  readonly body: Promise<Result<Buffer<ArrayBuffer> | undefined, Refusal>>;
   /** Ends reading with a refusal. */
   readonly refuse: (refusal: Refusal) => void;
 }
@@ -38,15 +38,15 @@
   message: IncomingMessage,
   { limitBytes, signal, held }: BodyReadingOptions,
 ): BodyReading => {
-  let end: (result: Result<Buffer | undefined, Refusal>) => void;
-  const body = new Promise<Result<Buffer | undefined, Refusal>>((resolve) => {
+  let end: (result: Result<Buffer<ArrayBuffer> | undefined, Refusal>) => void;
+  const body = new Promise<Result<Buffer<ArrayBuffer> | undefined, Refusal>>((resolve) => {
     end = resolve;
   });
   const announcedBytes = readAnnouncedBytes(message);
   let block: GrowingBlock | undefined = new GrowingBlock(
     Math.min(announcedBytes ?? limitBytes, limitBytes),
   );
-  const finish = (result: Result<Buffer | undefined, Refusal>): void => {
+  const finish = (result: Result<Buffer<ArrayBuffer> | undefined, Refusal>): void => {
     block?.free();
     block = undefined;
     end(result);
@@ -89,4 +89,5 @@
 export const readBody = (
   message: IncomingMessage,
   limitBytes: number,
-): Promise<Result<Buffer | undefined, Refusal>> => beginReading(message, { limitBytes }).body;
+): Promise<Result<Buffer<ArrayBuffer> | undefined, Refusal>> =>
+  beginReading(message, { limitBytes }).body;
--- a/packages/serving/src/http/CallerServer.ts
+++ b/packages/serving/src/http/CallerServer.ts
@@ -4,12 +4,13 @@
 import type { Duplex } from 'node:stream';
 import { setImmediate as yieldToEventLoop } from 'node:timers/promises';
 import { systemClock } from '@jacinthlug/control/time/Clock';
-import type { Journal } from '@jacinthlug/catalog/Journal';
-import type { Metrics } from '@jacinthlug/catalog/Metrics';
+import { CallerConnection } from '@jacinthlug/control/callers/CallerConnection';
+import {
+  CallerConnections,
+  type CallerConnectionsDependencies,
+} from '@jacinthlug/control/callers/CallerConnections';
+import { rejectionStatuses, type Rejection } from '@jacinthlug/control/callers/formatRejection';
 import type { CallerLimits } from '../configuration/ServingConfiguration.js';
-import { CallerConnection } from './CallerConnection.js';
-import { chooseReplaced } from './chooseReplaced.js';
-import { rejectionStatuses, type Rejection } from './formatRejection.js';
 import { hasValidHead } from './hasValidHead.js';
 import { findRejection, rejectConnection } from './rejectConnection.js';
 import { RESET_DELAY_MS, resetConnection } from './resetConnection.js';
@@ -51,13 +52,9 @@
 export type CallerHandler = (message: IncomingMessage, response: ServerResponse) => Promise<void>;
 
 /** Dependencies of {@link CallerServer}. */
-export interface CallerServerDependencies {
+export interface CallerServerDependencies extends CallerConnectionsDependencies {
   /** Stop of the host. */
   readonly shutdown: Shutdown;
-  /** Maximum number of connections. */
-  readonly maxConnections: number;
-  readonly journal: Journal;
-  readonly metrics: Metrics;
 }
 
 /** Where to listen. */
@@ -91,14 +88,15 @@
   /** Connections that are closed once their complete requests have responses. */
   private readonly rejected = new WeakSet<Duplex>();
 
-  private readonly connections = new Map<Duplex, CallerConnection>();
+  private readonly connections: CallerConnections;
 
   constructor(
     private readonly handler: CallerHandler,
-    private readonly dependencies: CallerServerDependencies,
+    dependencies: CallerServerDependencies,
     timeoutCheckMs = TIMEOUT_CHECK_MS,
   ) {
     this.shutdown = dependencies.shutdown;
+    this.connections = new CallerConnections(dependencies);
     this.server = createServer(
       // Node.js would respond to a request without a host itself, and have later ones run whose responses are not sent.
       {
@@ -161,14 +159,14 @@
     const now = performance.now();
     this.shutdown.answersDueAt = deadline;
     this.isStopping = true;
-    this.connections.forEach((connection) => connection.announceClose());
+    this.connections.list().forEach((connection) => connection.announceClose());
     await sleepUntil(Math.min(now + DRAIN_NOTICE_MS, now + (deadline - now) * MAX_NOTICE_RATIO));
     this.shutdown.endIntake();
     // The method of the HTTP server also closes connections whose last response is not sent completely.
     NetServer.prototype.close.call(this.server);
     // Requests that have arrived by now are read first.
     await yieldToEventLoop();
-    this.connections.forEach((connection) => connection.closeIfIdle());
+    this.connections.list().forEach((connection) => connection.closeIfIdle());
     while (this.connections.size > 0 && performance.now() < deadline)
       await systemClock.sleep(DRAIN_CHECK_MS);
     await this.endUnfinished();
@@ -192,37 +190,14 @@
       if (this.shutdown.isIntakeOver) connection.closeIfIdle();
     });
     if (this.isStopping) connection.announceClose();
-    if (!this.hasRoom()) {
-      socket.destroy();
-      return;
-    }
-    this.connections.set(socket, connection);
-    socket.once('close', () => this.connections.delete(socket));
-  }
-
-  /** Checks whether a new connection can be kept; closes another one if there are as many as allowed. */
-  private hasRoom(): boolean {
-    const { maxConnections, journal, metrics } = this.dependencies;
-    if (this.connections.size < maxConnections) return true;
-    const replaced = chooseReplaced(this.connections.values());
-    metrics.count('connections.replaced');
-    journal.record('connection-replaced', {
-      connections: this.connections.size,
-      address: replaced?.address,
-      idleMs: replaced && Math.round(performance.now() - replaced.receivedAt),
-      hadRequest: replaced?.hasHadRequest,
-    });
-    replaced?.close();
-    return replaced !== undefined;
+    this.connections.add(socket, connection);
   }
 
   private async endUnfinished(): Promise<void> {
-    const responses = [...this.connections.values()].flatMap((connection) => [
-      ...connection.responses,
-    ]);
+    const responses = this.connections.list().flatMap((connection) => [...connection.responses]);
     const unstarted = responses.filter(({ headersSent }) => !headersSent);
     this.shutdown.requireAnswers();
-    this.connections.forEach((connection) => connection.refusePartialHead());
+    this.connections.list().forEach((connection) => connection.refusePartialHead());
     await Promise.all([
       CallerServer.waitUntilSent(unstarted),
       CallerServer.resetUnframed(responses.filter((response) => !unstarted.includes(response))),
--- a/packages/serving/src/http/rejectConnection.ts
+++ b/packages/serving/src/http/rejectConnection.ts
@@ -1,7 +1,7 @@
 /** Rejects what a caller sends on a connection in place of a valid request. */
 import type { ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
-import { formatRejection, type Rejection } from './formatRejection.js';
+import { formatRejection, type Rejection } from '@jacinthlug/control/callers/formatRejection';
 
 const rejectionsByCode: ReadonlyMap<string, Rejection> = new Map([
   ['ERR_HTTP_REQUEST_TIMEOUT', 'late request'],
--- a/packages/serving/src/http/takeBody.ts
+++ b/packages/serving/src/http/takeBody.ts
@@ -1,26 +1,18 @@
 /** Reads the body of a request, unless the host stops taking requests or has no memory for it. */
-import type { IncomingMessage, ServerResponse } from 'node:http';
-import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
-import type { BodyBudget } from '@jacinthlug/control/bodies/BodyBudget';
+import type { IncomingMessage } from 'node:http';
+import type { Refusal } from '@jacinthlug/catalog/resultCodes';
+import {
+  beginHeldReading,
+  type HeldReadingOptions,
+} from '@jacinthlug/control/bodies/beginHeldReading';
 import type { HeldBody } from '@jacinthlug/control/bodies/HeldBody';
 import { err, ok, type Result } from 'neverthrow';
-import { beginReading, type BodyReading } from './readBody.js';
 import { refuseStopping, type Shutdown } from './Shutdown.js';
 
 /** How a body is taken. */
-export interface BodyIntake {
-  /** Maximum body size. Unit: bytes. */
-  readonly limitBytes: number;
+export interface BodyIntake extends HeldReadingOptions {
   /** Stop of the host. */
   readonly shutdown: Shutdown;
-  /** Memory for bodies. */
-  readonly bodies: BodyBudget;
-  /** Name of the client account; undefined on open routes. */
-  readonly account: string | undefined;
-  /** Response to the request, with whose end the memory of the body is released. */
-  readonly response: ServerResponse;
-  /** Ends reading when it is aborted. */
-  readonly signal: AbortSignal;
 }
 
 /** A body and its memory. */
@@ -39,14 +31,10 @@
  */
 export const takeBody = async (
   message: IncomingMessage,
-  { limitBytes, shutdown, bodies, account, response, signal }: BodyIntake,
+  { shutdown, ...options }: BodyIntake,
 ): Promise<Result<TakenBody | undefined, Refusal>> => {
-  const holder = account ?? message.socket.remoteAddress ?? '';
-  let reading: BodyReading | undefined;
-  const held = bodies.open(holder, () => reading?.refuse(refuse('bodies-over-memory')));
-  response.once('close', () => held.release());
-  reading = beginReading(message, { limitBytes, signal, held });
-  const body = await shutdown.settle<Result<Buffer | undefined, Refusal>>(reading.body, () =>
+  const { held, body: received } = beginHeldReading(message, options);
+  const body = await shutdown.settle<Result<Buffer | undefined, Refusal>>(received, () =>
     err(refuseStopping()),
   );
   if (body.isErr() || !body.value) held.release();
--- a/packages/serving/src/http/writeRefusal.ts
+++ b/packages/serving/src/http/writeRefusal.ts
@@ -4,8 +4,11 @@
 import type { Metrics } from '@jacinthlug/catalog/Metrics';
 import { renderRefusal } from '@jacinthlug/catalog/refusalBody';
 import type { Refusal } from '@jacinthlug/catalog/resultCodes';
+import {
+  endRefusedRequest,
+  mustCloseAfterRefusal,
+} from '@jacinthlug/control/callers/endRefusedRequest';
 import type { Dialect } from './Dialect.js';
-import { endRefusedRequest, mustCloseAfterRefusal } from './endRefusedRequest.js';
 
 /** Dependencies of {@link writeRefusal}. */
 export interface RefusalDependencies {
--- a/packages/serving/test/steps/replacedConnections.steps.ts
+++ b/packages/serving/test/steps/replacedConnections.steps.ts
@@ -3,7 +3,7 @@
 import {
   chooseReplaced,
   type ReplaceableConnection,
-} from '@jacinthlug/serving/http/chooseReplaced';
+} from '@jacinthlug/control/callers/chooseReplaced';
 
 interface ReplacedWorld {
   connections: (ReplaceableConnection & { readonly name: string })[];
