Bound what an entry host holds for its callers

Bodies of online requests, uploads, batches and operators' requests were collected as lists of pieces, each with a limit of its own or, for uploads, one of 276 MB in all; connections were not bounded. One BodyBudget of the process holds all bodies now, in growing blocks; an upload counts three times while it is parsed. Connections are bounded as at serving hosts. The limits derive from the settings' `limits`. The search for keys reads the bytes of a body and makes no string of it.

Tests: the two steps of entry that build an exchange by hand give it a budget.

--- a/packages/entry/src/core/access/checkBody.ts
+++ b/packages/entry/src/core/access/checkBody.ts
@@ -16,15 +16,11 @@
     String.fromCharCode(Number.parseInt(hex, 16)),
   );
 
-/** Lists the forms in which a target could read the body: as sent, JSON-unescaped, URL-decoded. */
-const listDecodedForms = (body: Buffer): string[] => {
-  const text = body.toString('latin1');
-  return [
-    text,
-    ...(text.includes('\\u') ? [decodeJsonEscapes(text)] : []),
-    ...(text.includes('%') ? [decodeValidEscapes(text)] : []),
-  ];
-};
+/** Lists the forms besides the one as sent in which a target could read the body: JSON-unescaped, URL-decoded. */
+const listDecodedForms = (body: Buffer): string[] => [
+  ...(body.includes('\\u') ? [decodeJsonEscapes(body.toString('latin1'))] : []),
+  ...(body.includes('%') ? [decodeValidEscapes(body.toString('latin1'))] : []),
+];
 
 /**
  * Refuses a body that contains a credential of its request.
@@ -38,9 +34,10 @@
   secrets: readonly string[],
 ): Result<void, Refusal> => {
   if (secrets.length === 0 || body.length === 0) return ok(undefined);
-  const containsKey = listDecodedForms(body).some((text) =>
-    secrets.some((secret) => text.includes(secret)),
-  );
+  // Without a string of the whole body, which would take as much memory again.
+  const containsKey =
+    secrets.some((secret) => body.includes(secret, 0, 'latin1')) ||
+    listDecodedForms(body).some((text) => secrets.some((secret) => text.includes(secret)));
   return containsKey ? err(refuse('key-in-body')) : ok(undefined);
 };
 
--- a/packages/entry/src/core/batches/fileEndpoints.ts
+++ b/packages/entry/src/core/batches/fileEndpoints.ts
@@ -13,7 +13,7 @@
 import type { Caller, CallerHandler, Endpoint, Exchange } from '../http/Exchange.js';
 import type { BatchDependencies } from './BatchDependencies.js';
 import { slicePage, readPageQuery, renderPage } from './listPage.js';
-import { UploadMemoryBudget, withUpload } from './readUpload.js';
+import { withUpload } from './readUpload.js';
 import { toRefusal } from './toRefusal.js';
 import { renderFile, renderResultFile } from './renderBatch.js';
 import { sendContent, sendJson } from './sendResponse.js';
@@ -39,8 +39,6 @@
   jobs,
   objects,
 }: BatchDependencies): Endpoint<CallerHandler>[] => {
-  const budget = new UploadMemoryBudget();
-
   /** Finds a result file; undefined if the id is not that of a result file. */
   const findResult = async (
     caller: Caller,
@@ -58,7 +56,7 @@
   const getId = ({ request }: Exchange): string => request.params.id ?? '';
 
   const upload: CallerHandler = (exchange, caller) =>
-    withUpload(exchange.request, budget, async (file) => {
+    withUpload(exchange, getAccountName(caller), async (file) => {
       const account = getAccountName(caller);
       const added = await files.add({ ...file, account }, exchange.deadline);
       if (added.isErr()) return err(toRefusal(added.error));
--- a/packages/entry/src/core/batches/jobEndpoints.ts
+++ b/packages/entry/src/core/batches/jobEndpoints.ts
@@ -9,7 +9,7 @@
 import { batchRequest, parseWindowMs, type BatchRequest } from './batchRequest.js';
 import { containsGrantedKey } from './findKeys.js';
 import { slicePage, readPageQuery, renderPage } from './listPage.js';
-import { readJsonBody } from './readRequestBody.js';
+import { readJsonBody } from './readJsonBody.js';
 import { toRefusal } from './toRefusal.js';
 import { renderBatch } from './renderBatch.js';
 import { sendJson } from './sendResponse.js';
@@ -75,7 +75,7 @@
   };
 
   const create: CallerHandler = async (exchange, caller) => {
-    const body = await readJsonBody(exchange.request, batchRequest);
+    const body = await readJsonBody(exchange, getAccountName(caller), batchRequest);
     if (body.isErr()) return err(body.error);
     const submission = await createSubmission(exchange, caller, body.value);
     if (submission.isErr()) return err(submission.error);
--- a/packages/entry/src/core/batches/parseLargeUpload.ts
+++ b/packages/entry/src/core/batches/parseLargeUpload.ts
@@ -12,6 +12,15 @@
 /** Maximum size of a body that is parsed on the main thread. Unit: bytes. */
 const MAX_INLINE_BYTES = 1_048_576;
 
+/**
+ * Checks whether a body is parsed in a worker thread.
+ *
+ * @param body - complete body
+ * @returns whether it is
+ */
+export const isParsedInThread = ({ byteLength }: Uint8Array): boolean =>
+  byteLength > MAX_INLINE_BYTES;
+
 /**
  * Parses a multipart body without blocking the event loop. Parsing a body of 100 MB takes half a
  * second.
@@ -24,7 +33,7 @@
   body: Uint8Array<ArrayBuffer>,
   contentType: string,
 ): Promise<ParsedUpload | undefined> => {
-  if (body.byteLength <= MAX_INLINE_BYTES) return parseUpload(body, contentType);
+  if (!isParsedInThread(body)) return parseUpload(body, contentType);
   const workerData: UploadTask = { body, contentType };
   const worker = new Worker(new URL('./uploadThread.js', import.meta.url), {
     workerData,
--- a/packages/entry/src/core/batches/readUpload.ts
+++ b/packages/entry/src/core/batches/readUpload.ts
@@ -1,10 +1,10 @@
 /** Reads the multipart body of a file upload. */
-import type { IncomingMessage } from 'node:http';
 import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
 import { err, ok, type Result } from 'neverthrow';
-import { parseLargeUpload } from './parseLargeUpload.js';
+import type { Exchange } from '../http/Exchange.js';
+import { readBody } from '../http/readBody.js';
+import { isParsedInThread, parseLargeUpload } from './parseLargeUpload.js';
 import type { ParsedUpload } from './parseUpload.js';
-import { readRequestBody } from './readRequestBody.js';
 
 /** Maximum size of a file. Unit: bytes. */
 export const MAX_FILE_BYTES = 209_715_200;
@@ -12,8 +12,11 @@
 /** Maximum size of the other parts of an upload. Unit: bytes. */
 const MAX_OTHER_PARTS_BYTES = 65_536;
 
-/** Maximum bytes of uploads in memory at once; a file of maximum size fits. */
-const MAX_BUFFERED_UPLOAD_BYTES = MAX_FILE_BYTES + 67_108_864;
+/** Copies of an upload that are in memory while it is parsed, the parsed file included. */
+const PARSED_COPIES = 3;
+
+/** Memory of the thread that parses a large upload. Unit: bytes. */
+const PARSER_BYTES = 16_777_216;
 
 /** The only supported purpose of a file. */
 const PURPOSE = 'batch';
@@ -25,32 +28,6 @@
   readonly content: Uint8Array;
 }
 
-/** Memory budget for uploads. */
-export class UploadMemoryBudget {
-  private used = 0;
-
-  /**
-   * Reserves memory.
-   *
-   * @param bytes - number of bytes
-   * @returns whether the budget was sufficient
-   */
-  reserve(bytes: number): boolean {
-    if (this.used + bytes > MAX_BUFFERED_UPLOAD_BYTES) return false;
-    this.used += bytes;
-    return true;
-  }
-
-  /**
-   * Releases reserved memory.
-   *
-   * @param bytes - number of bytes
-   */
-  release(bytes: number): void {
-    this.used -= bytes;
-  }
-}
-
 const checkUpload = ({ purpose, file }: ParsedUpload): Result<UploadedFile, Refusal> => {
   if (purpose !== PURPOSE) {
     return err(refuse('body-invalid', { detail: `purpose: must be "${PURPOSE}"` }));
@@ -63,30 +40,30 @@
 /**
  * Reads a file upload and processes it while its memory is reserved.
  *
- * @param request - the request
- * @param budget - memory budget for uploads
+ * @param exchange - exchange with the caller
+ * @param account - name of the client account
  * @param handleFile - processes the file
  * @returns result of `handleFile`, or the refusal of the upload
  */
 export const withUpload = async <Value>(
-  request: IncomingMessage,
-  budget: UploadMemoryBudget,
+  exchange: Exchange,
+  account: string,
   handleFile: (file: UploadedFile) => Promise<Result<Value, Refusal>>,
 ): Promise<Result<Value, Refusal>> => {
-  let reserved = 0;
-  const admit = (bytes: number): boolean => {
-    if (!budget.reserve(bytes)) return false;
-    reserved += bytes;
-    return true;
-  };
+  const limitBytes = MAX_FILE_BYTES + MAX_OTHER_PARTS_BYTES;
+  const body = await readBody(exchange, { limitBytes, account });
+  if (body.isErr()) return err(body.error);
+  const { content, held } = body.value;
+  const threadBytes = isParsedInThread(content) ? PARSER_BYTES : 0;
   try {
-    const body = await readRequestBody(request, MAX_FILE_BYTES + MAX_OTHER_PARTS_BYTES, admit);
-    if (body.isErr()) return err(body.error);
-    const parsed = await parseLargeUpload(body.value, request.headers['content-type'] ?? '');
+    if (!held.reserve(content.length * PARSED_COPIES + threadBytes))
+      return err(refuse('bodies-over-memory'));
+    const contentType = exchange.request.headers['content-type'] ?? '';
+    const parsed = await parseLargeUpload(content, contentType);
     if (!parsed) return err(refuse('body-invalid', { detail: 'not multipart/form-data' }));
     const file = checkUpload(parsed);
     return file.isOk() ? await handleFile(file.value) : err(file.error);
   } finally {
-    budget.release(reserved);
+    held.release();
   }
 };
--- a/packages/entry/src/core/http/Exchange.ts
+++ b/packages/entry/src/core/http/Exchange.ts
@@ -1,5 +1,6 @@
 /** Types of HTTP exchanges with callers and operators. */
 import type { Refusal } from '@jacinthlug/catalog/resultCodes';
+import type { BodyBudget } from '@jacinthlug/control/bodies/BodyBudget';
 import type {
   ResolvedConfiguration,
   GrantedKey,
@@ -12,6 +13,8 @@
   readonly request: Request;
   readonly response: Response;
   readonly requestId: string;
+  /** Memory for the bodies of all exchanges. */
+  readonly bodies: BodyBudget;
   /** Monotonic time (`performance.now()`) by which the response must be complete. Unit: ms. */
   readonly deadline: number;
   /** Aborted when the caller disconnects. */
--- a/packages/entry/src/core/http/createOuterServer.ts
+++ b/packages/entry/src/core/http/createOuterServer.ts
@@ -4,6 +4,9 @@
 import type { Metrics } from '@jacinthlug/catalog/Metrics';
 import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
 import type { ConfigurationFollower } from '@jacinthlug/control/ConfigurationFollower';
+import type { BodyBudget } from '@jacinthlug/control/bodies/BodyBudget';
+import { CallerConnection } from '@jacinthlug/control/callers/CallerConnection';
+import { CallerConnections } from '@jacinthlug/control/callers/CallerConnections';
 import { App, type Request, type Response } from '@tinyhttp/app';
 import { err, type Result } from 'neverthrow';
 import { authenticate } from '../access/authenticate.js';
@@ -28,6 +31,10 @@
   readonly callerEndpoints: readonly Endpoint<CallerHandler>[];
   readonly operatorEndpoints: readonly Endpoint<OperatorHandler>[];
   readonly operatorCredentialSha256: string;
+  /** Memory for the bodies of all requests. */
+  readonly bodies: BodyBudget;
+  /** Maximum number of connections. */
+  readonly maxConnections: number;
   readonly journal: Journal;
   readonly metrics: Metrics;
 }
@@ -61,9 +68,15 @@
   }
 
   buildServer(): Server {
-    return createServer((request, response) =>
-      this.app.handler(request as Request, response as Response),
+    const connections = new CallerConnections(this.dependencies);
+    const server = createServer((request, response) => {
+      if (!connections.get(request.socket)?.begin(request, response)) return;
+      void this.app.handler(request as Request, response as Response);
+    });
+    server.on('connection', (socket) =>
+      connections.add(socket, new CallerConnection(socket, server, () => undefined)),
     );
+    return server;
   }
 
   private mountHealthEndpoints(): void {
@@ -72,7 +85,12 @@
     );
     this.app.get('/readyz', (request, response) => {
       const refusal = this.checkReadiness();
-      if (refusal) writeRefusal(response, refusal, openExchange(request, response, 0).requestId);
+      if (refusal)
+        writeRefusal(
+          response,
+          refusal,
+          openExchange(request, response, 0, this.dependencies.bodies).requestId,
+        );
       else writeJson(response, 200, { status: 'ready' });
     });
   }
@@ -102,9 +120,9 @@
     response: Response,
     handle: ExchangeHandler,
   ): Promise<void> {
-    const exchange = openExchange(request, response, DEFAULT_TIMEOUT_MS);
+    const { lifecycle, bodies } = this.dependencies;
+    const exchange = openExchange(request, response, DEFAULT_TIMEOUT_MS, bodies);
     response.on('error', () => undefined);
-    const { lifecycle } = this.dependencies;
     // Closing the connection makes the caller send its next request to another host.
     if (lifecycle.isStopping()) response.shouldKeepAlive = false;
     const endExchange = lifecycle.beginExchange();
--- a/packages/entry/src/core/http/openExchange.ts
+++ b/packages/entry/src/core/http/openExchange.ts
@@ -1,5 +1,6 @@
 /** Creates the exchange of a request. */
 import { randomUUID } from 'node:crypto';
+import type { BodyBudget } from '@jacinthlug/control/bodies/BodyBudget';
 import type { Request, Response } from '@tinyhttp/app';
 import type { Exchange } from './Exchange.js';
 
@@ -10,9 +11,15 @@
  * @param request - the request
  * @param response - the response
  * @param timeoutMs - timeout for the request. Unit: ms
+ * @param bodies - memory for the bodies of all exchanges
  * @returns the exchange
  */
-export const openExchange = (request: Request, response: Response, timeoutMs: number): Exchange => {
+export const openExchange = (
+  request: Request,
+  response: Response,
+  timeoutMs: number,
+  bodies: BodyBudget,
+): Exchange => {
   const disconnection = new AbortController();
   response.on('close', () => {
     if (!response.writableFinished) disconnection.abort();
@@ -21,6 +28,7 @@
     request,
     response,
     requestId: randomUUID(),
+    bodies,
     deadline: performance.now() + timeoutMs,
     callerGone: disconnection.signal,
   };
--- a/packages/entry/src/core/http/readBody.ts
+++ b/packages/entry/src/core/http/readBody.ts
@@ -1,47 +1,49 @@
 /** Reads and parses request bodies. */
-import type { IncomingMessage } from 'node:http';
 import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
+import { beginHeldReading } from '@jacinthlug/control/bodies/beginHeldReading';
+import type { HeldBody } from '@jacinthlug/control/bodies/HeldBody';
 import { err, ok, type Result } from 'neverthrow';
+import type { Exchange } from './Exchange.js';
 
-const refuseTooLarge = (limitBytes: number): Result<Buffer, Refusal> =>
-  err(refuse('body-too-large', { detail: `The limit is ${limitBytes} bytes.` }));
+/** How a body is read. */
+export interface BodyOptions {
+  /** Maximum size of the body. Unit: bytes. */
+  readonly limitBytes: number;
+  /** Name of the client account; undefined without one. */
+  readonly account?: string | undefined;
+}
+
+/** A body and its memory, which is released with the end of the response. */
+export interface ReceivedBody {
+  readonly content: Buffer<ArrayBuffer>;
+  readonly held: HeldBody;
+}
 
 /**
- * Reads the complete body of a request, up to a maximum size.
+ * Reads the complete body of a request. The connection is closed if the body is incomplete at the deadline.
  *
- * @param request - the request
- * @param limitBytes - maximum size of the body. Unit: bytes
- * @param deadline - monotonic time at which the connection is closed if the body is still incomplete. Unit: ms
- * @returns the body; `body-too-large`, or `body-invalid` if it is truncated or compressed
+ * @param exchange - exchange with the caller
+ * @param options - limits
+ * @returns the body; `body-too-large`, `bodies-over-memory`, or `body-invalid` if it is truncated or compressed
  */
 export const readBody = async (
-  request: IncomingMessage,
-  limitBytes: number,
-  deadline: number,
-): Promise<Result<Buffer, Refusal>> => {
+  { request, response, bodies, deadline }: Exchange,
+  { limitBytes, account }: BodyOptions,
+): Promise<Result<ReceivedBody, Refusal>> => {
   // Keys and identities in a compressed body would not be found.
   const encoding = request.headers['content-encoding'];
   if (encoding !== undefined && encoding !== 'identity') {
     return err(refuse('body-invalid', { detail: 'Compressed bodies are not accepted.' }));
   }
-  if (Number(request.headers['content-length'] ?? 0) > limitBytes)
-    return refuseTooLarge(limitBytes);
   const timer = setTimeout(() => request.destroy(), Math.max(0, deadline - performance.now()));
-  const chunks: Buffer[] = [];
-  let sizeBytes = 0;
-  try {
-    // The connection must stay open when the loop ends early: the refusal is written to it.
-    for await (const chunk of request.iterator({ destroyOnReturn: false })) {
-      sizeBytes += (chunk as Buffer).length;
-      if (sizeBytes > limitBytes) return refuseTooLarge(limitBytes);
-      chunks.push(chunk as Buffer);
-    }
-  } catch {
-    return err(refuse('body-invalid', { detail: 'The body is truncated.' }));
-  } finally {
-    clearTimeout(timer);
-  }
-  return ok(Buffer.concat(chunks));
+  const { body, held } = beginHeldReading(request, { limitBytes, bodies, account, response });
+  const read = await body;
+  clearTimeout(timer);
+  if (read.isOk() && read.value) return ok({ content: read.value, held });
+  held.release();
+  return err(
+    read.isErr() ? read.error : refuse('body-invalid', { detail: 'The body is truncated.' }),
+  );
 };
 
 /**
--- a/packages/entry/src/core/http/writeRefusal.ts
+++ b/packages/entry/src/core/http/writeRefusal.ts
@@ -2,20 +2,10 @@
 import type { ServerResponse } from 'node:http';
 import { renderRefusal } from '@jacinthlug/catalog/refusalBody';
 import type { Refusal } from '@jacinthlug/catalog/resultCodes';
-
-/** Maximum size of the rest of a refused body that is read so that its sender can receive the refusal. */
-const MAX_DRAINED_BYTES = 8 * 1024 * 1024;
-
-/** Discards the rest of the body, and closes the connection after {@link MAX_DRAINED_BYTES}. */
-const drainRequest = (response: ServerResponse): void => {
-  const { req: request } = response;
-  let drainedBytes = 0;
-  request.on('data', (chunk: Buffer) => {
-    drainedBytes += chunk.length;
-    if (drainedBytes > MAX_DRAINED_BYTES) request.destroy();
-  });
-  request.on('error', () => undefined);
-};
+import {
+  endRefusedRequest,
+  mustCloseAfterRefusal,
+} from '@jacinthlug/control/callers/endRefusedRequest';
 
 /**
  * Writes a refusal, or destroys the connection if a response has already been started.
@@ -35,14 +25,12 @@
   }
   const { status, headers, body } = renderRefusal(refusal, requestId);
   const text = JSON.stringify(body);
-  if (!response.req.complete) {
-    response.setHeader('connection', 'close');
-    drainRequest(response);
-  }
+  response.req.on('error', () => undefined);
   response.writeHead(status, {
     ...headers,
     'x-request-id': requestId,
+    ...(mustCloseAfterRefusal(response, refusal.code) && { connection: 'close' }),
     'content-length': Buffer.byteLength(text),
   });
-  response.end(text);
+  endRefusedRequest(response, text, refusal.code);
 };
--- a/packages/entry/src/core/online/readRequest.ts
+++ b/packages/entry/src/core/online/readRequest.ts
@@ -97,12 +97,15 @@
   const { request, requestId } = exchange;
   const { headers, method = 'GET' } = request;
   const requestTarget = request.originalUrl ?? request.url ?? '/';
-  const read = await readBody(request, policy.maxBodyBytes, deadline);
+  const account = policy.key?.account;
+  const read = await readBody(
+    { ...exchange, deadline },
+    { limitBytes: policy.maxBodyBytes, account: account?.name },
+  );
   if (read.isErr()) return err(read.error);
-  const body = read.value;
+  const body = read.value.content;
   const json = parseJsonBody(body).unwrapOr(undefined);
   const { secrets } = findCredentials(headers, requestTarget);
-  const account = policy.key?.account;
   const path = stripRequestTarget(requestTarget, secrets);
   const inForce = follower.inForce();
   if (inForce.isErr()) return err(inForce.error);
--- a/packages/entry/src/core/operators/json.ts
+++ b/packages/entry/src/core/operators/json.ts
@@ -3,6 +3,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import type { z } from 'zod';
 import type { Exchange } from '../http/Exchange.js';
+import { readBody } from '../http/readBody.js';
 
 /** Maximum body size of an operator's request: enough for a few thousand declarations. Unit: bytes. */
 const MAX_BODY_BYTES = 8 * 1024 * 1024;
@@ -14,21 +15,6 @@
   readonly message: string;
 }
 
-const readBodyText = async ({ request }: Exchange): Promise<Result<string, Refusal>> => {
-  const chunks: Buffer[] = [];
-  let sizeBytes = 0;
-  try {
-    for await (const chunk of request) {
-      sizeBytes += (chunk as Buffer).length;
-      if (sizeBytes > MAX_BODY_BYTES) return err(refuse('body-too-large'));
-      chunks.push(chunk as Buffer);
-    }
-  } catch (error) {
-    return err(refuse('body-invalid', { detail: error instanceof Error ? error.message : '' }));
-  }
-  return ok(Buffer.concat(chunks).toString('utf8'));
-};
-
 const parseJson = (text: string): Result<unknown, Refusal> => {
   try {
     return ok(JSON.parse(text));
@@ -53,8 +39,8 @@
   schema: Schema,
   code: 'body-invalid' | 'configuration-invalid' = 'body-invalid',
 ): Promise<Result<z.output<Schema>, Refusal>> => {
-  const text = await readBodyText(exchange);
-  const value = text.andThen(parseJson);
+  const body = await readBody(exchange, { limitBytes: MAX_BODY_BYTES });
+  const value = body.andThen(({ content }) => parseJson(content.toString('utf8')));
   if (value.isErr()) return err(value.error);
   const parsed = schema.safeParse(value.value);
   if (parsed.success) return ok(parsed.data);
--- a/packages/entry/src/wiring/registerOnlinePath.ts
+++ b/packages/entry/src/wiring/registerOnlinePath.ts
@@ -7,6 +7,8 @@
 import type { RateShares } from '@jacinthlug/control/RateShares';
 import type { SuspectList } from '@jacinthlug/control/SuspectList';
 import type { ReplicatedSuspectList } from '@jacinthlug/control/suspects/createSuspectList';
+import { BodyBudget } from '@jacinthlug/control/bodies/BodyBudget';
+import { computeProcessLimits } from '@jacinthlug/control/callers/computeProcessLimits';
 import type { Table } from '@jacinthlug/backing/Table';
 import { callPeer, createControlClient } from '@jacinthlug/protocol/controlClient';
 import type { ControlHandlers } from '@jacinthlug/protocol/controlRouter';
@@ -136,6 +138,8 @@
 };
 
 const buildOuterServer: Factory<Server> = (container) => {
+  const settings = container.resolve<EntrySettings>(tokens.settings);
+  const { bodyMemoryBytes, maxConnections } = computeProcessLimits(settings.limits);
   const follower = container.resolve<ConfigurationFollower>(tokens.follower);
   const runner = container.resolve<OnlineRunner>(tokens.runner);
   return createOuterServer({
@@ -148,8 +152,9 @@
       ...container.resolve<Endpoint<CallerHandler>[]>(tokens.callerEndpoints),
     ],
     operatorEndpoints: container.resolve<Endpoint<OperatorHandler>[]>(tokens.operatorEndpoints),
-    operatorCredentialSha256: container.resolve<EntrySettings>(tokens.settings)
-      .operatorCredentialSha256,
+    operatorCredentialSha256: settings.operatorCredentialSha256,
+    bodies: new BodyBudget(bodyMemoryBytes),
+    maxConnections,
     journal: container.resolve<Journal>(tokens.journal),
     metrics: container.resolve<Metrics>(tokens.metrics),
   });
--- a/packages/entry/test/steps/batch.steps.ts
+++ b/packages/entry/test/steps/batch.steps.ts
@@ -8,6 +8,7 @@
 import { resultId, type ResultLine } from '@jacinthlug/batch/results/resultLine';
 import { silentJournal } from '@jacinthlug/catalog/Journal';
 import { renderRefusal } from '@jacinthlug/catalog/refusalBody';
+import { BodyBudget } from '@jacinthlug/control/bodies/BodyBudget';
 import type { CancelNotice } from '@jacinthlug/protocol/messages';
 import {
   hashKey,
@@ -20,6 +21,9 @@
 import type { Batch } from 'openai/resources/batches';
 import { createBatchEndpoints } from '../../src/core/batches/createBatchEndpoints.js';
 
+/** Memory for bodies; more than all of a scenario. Unit: bytes. */
+const BODY_MEMORY_BYTES = 64_000_000;
+
 const DEADLINE_MS = 10_000;
 
 interface Scenario {
@@ -79,6 +83,7 @@
         response: res,
         requestId: 'request',
         deadline: performance.now() + DEADLINE_MS,
+        bodies: new BodyBudget(BODY_MEMORY_BYTES),
         callerGone: new AbortController().signal,
       };
       const result = await handle(exchange, { key, configuration: configurationInForce });
--- a/packages/entry/test/steps/operators.steps.ts
+++ b/packages/entry/test/steps/operators.steps.ts
@@ -6,6 +6,7 @@
 import { openMetrics } from '@jacinthlug/catalog/Metrics';
 import { renderRefusal, type RefusalBody } from '@jacinthlug/catalog/refusalBody';
 import { refuse } from '@jacinthlug/catalog/resultCodes';
+import { BodyBudget } from '@jacinthlug/control/bodies/BodyBudget';
 import type { ConfigurationFollower } from '@jacinthlug/control/ConfigurationFollower';
 import type { Editor } from '@jacinthlug/control/edits/createEditor';
 import type { Membership } from '@jacinthlug/control/Membership';
@@ -18,6 +19,9 @@
 import { err, ok } from 'neverthrow';
 import { createOperatorEndpoints } from '../../src/core/operators/createOperatorEndpoints.js';
 
+/** Memory for bodies; more than all of a scenario. Unit: bytes. */
+const BODY_MEMORY_BYTES = 64_000_000;
+
 interface OperatorResponse {
   readonly status: number;
   readonly body: RefusalBody & { id: string; secret: string; account: string; version: number };
@@ -87,6 +91,7 @@
         response,
         requestId: 'r1',
         deadline: performance.now() + 10_000,
+        bodies: new BodyBudget(BODY_MEMORY_BYTES),
         callerGone: new AbortController().signal,
       };
       const outcome = await handle(exchange);
