Bound what an agent holds of the bodies that entry hosts forward

The inner server collected each body as a list of pieces, up to 64 MiB, without a limit on their sum, so that several entry hosts within their own budgets could exceed the memory of an agent. Bodies count towards a budget of the process now, for the account that the entry host names, and are released with the response. An entry host tries another agent after 1106, which says that nothing ran. A connection that fails while its body is read is no longer logged as a fault.

A row in forwarding.feature checks the retry.

--- a/packages/agent/src/core/http/readBody.ts
+++ b/packages/agent/src/core/http/readBody.ts
@@ -1,7 +1,11 @@
 /** Reads the body of a forwarded request. */
 import type { IncomingMessage } from 'node:http';
-import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
-import { err, ok, type Result } from 'neverthrow';
+import type { Refusal } from '@jacinthlug/catalog/resultCodes';
+import {
+  beginHeldReading,
+  type HeldReadingOptions,
+} from '@jacinthlug/control/bodies/beginHeldReading';
+import type { Result } from 'neverthrow';
 
 /**
  * Maximum body size, to protect the agent; the entry host enforces the limit of the route.
@@ -10,19 +14,18 @@
 const MAX_BODY_BYTES = 64 * 1024 * 1024;
 
 /**
- * Reads a body into memory.
+ * Reads a body into memory, which is released with the end of the response.
  *
  * @param request - request of the entry host
- * @returns the body, or `body-too-large`
- * @throws the error of the request stream when the connection fails
+ * @param options - memory for bodies, account and response
+ * @returns the body, undefined if the connection fails before its end, `body-too-large` or `bodies-over-memory`
  */
-export const readBody = async (request: IncomingMessage): Promise<Result<Buffer, Refusal>> => {
-  const chunks: Buffer[] = [];
-  let length = 0;
-  for await (const chunk of request.iterator({ destroyOnReturn: false })) {
-    chunks.push(chunk as Buffer);
-    length += (chunk as Buffer).length;
-    if (length > MAX_BODY_BYTES) return err(refuse('body-too-large'));
-  }
-  return ok(Buffer.concat(chunks));
+export const readBody = async (
+  request: IncomingMessage,
+  options: Pick<HeldReadingOptions, 'bodies' | 'account' | 'response'>,
+): Promise<Result<Buffer | undefined, Refusal>> => {
+  const { body, held } = beginHeldReading(request, { ...options, limitBytes: MAX_BODY_BYTES });
+  const read = await body;
+  if (read.isErr() || !read.value) held.release();
+  return read;
 };
--- a/packages/agent/src/core/http/runEndpoint.ts
+++ b/packages/agent/src/core/http/runEndpoint.ts
@@ -3,6 +3,7 @@
 import type { Journal } from '@jacinthlug/catalog/Journal';
 import type { Metrics } from '@jacinthlug/catalog/Metrics';
 import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
+import type { BodyBudget } from '@jacinthlug/control/bodies/BodyBudget';
 import { matchesCredential } from '@jacinthlug/protocol/controlServer';
 import { innerHeaders } from '@jacinthlug/protocol/headers';
 import type { LoadReporter } from '../lifecycle/LoadReporter.js';
@@ -18,6 +19,8 @@
   readonly fleetCredential: string;
   readonly requestHandler: ForwardedRequestHandler;
   readonly running: RunningRequests;
+  /** Memory for the bodies of all requests. */
+  readonly bodies: BodyBudget;
   readonly loadReporter: LoadReporter;
   readonly journal: Journal;
   readonly metrics: Metrics;
@@ -33,7 +36,7 @@
  * @returns the handler; it never rejects
  */
 export const createRunEndpoint = (dependencies: RunEndpointDependencies): RunEndpoint => {
-  const { requestHandler, running, loadReporter, journal, metrics } = dependencies;
+  const { requestHandler, running, bodies, loadReporter, journal, metrics } = dependencies;
 
   const createProtocolHeaders = (id?: string): Record<string, string> => ({
     [innerHeaders.load]: JSON.stringify(loadReporter.report()),
@@ -54,15 +57,16 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> => {
-    const { id } = lifetime.request;
+    const { id, account } = lifetime.request;
     response.on('close', () => {
       if (!response.writableFinished) lifetime.abort('caller-gone');
     });
-    const body = await readBody(request);
+    const body = await readBody(request, { bodies, account, response });
     if (body.isErr()) {
       respondWithRefusal(response, body.error, id);
       return;
     }
+    if (!body.value) return;
     const outcome = await requestHandler.handle({
       lifetime,
       headers: request.headers,
--- a/packages/agent/src/wiring/createAgent.ts
+++ b/packages/agent/src/wiring/createAgent.ts
@@ -1,6 +1,8 @@
 /** Wires the agent. */
 import 'reflect-metadata';
 import { randomUUID } from 'node:crypto';
+import { BodyBudget } from '@jacinthlug/control/bodies/BodyBudget';
+import { computeProcessLimits } from '@jacinthlug/control/callers/computeProcessLimits';
 import { createPeerConnectionPool } from '@jacinthlug/protocol/controlClient';
 import { createControlListener } from '@jacinthlug/protocol/controlServer';
 import type { Journal } from '@jacinthlug/catalog/Journal';
@@ -195,6 +197,7 @@
         fleetCredential: settings.fleetCredential,
         requestHandler: get(tokens.onlinePath),
         running: get(tokens.running),
+        bodies: new BodyBudget(computeProcessLimits(settings.limits).bodyMemoryBytes),
         loadReporter: get(tokens.load),
         journal: get(tokens.journal),
         metrics: get(tokens.metrics),
--- a/packages/entry/src/core/forwarding/retryRules.ts
+++ b/packages/entry/src/core/forwarding/retryRules.ts
@@ -27,6 +27,7 @@
 /** Rules for refusals by an agent. Refusals that are not listed here are passed on to the caller. */
 const refusalRules: Readonly<Partial<Record<ResultName, Omit<RetryRule, 'code'>>>> = {
   overloaded: { retries: 1 },
+  'bodies-over-memory': { retries: DEFAULT_RETRIES },
   'target-leaving': { retries: DEFAULT_RETRIES, marksDraining: true },
   stopping: { retries: DEFAULT_RETRIES, marksDraining: true },
   'no-target': { retries: DEFAULT_RETRIES },
--- a/packages/entry/test/features/forwarding.feature
+++ b/packages/entry/test/features/forwarding.feature
@@ -73,6 +73,7 @@
     Examples:
       | code                      |
       | overloaded                |
+      | bodies-over-memory        |
       | target-leaving            |
       | stopping                  |
       | no-target                 |
