--- a/packages/serving/src/admission/createAdmission.ts
+++ b/packages/serving/src/admission/createAdmission.ts
@@ -51,6 +51,12 @@
     }),
 };
 
+/** Whether admission reads the times of services and the work of accounts, by policy. */
+export const readsTimes: Readonly<Record<AdmissionPolicy, boolean>> = {
+  immediate: false,
+  queue: true,
+};
+
 /**
  * Creates the shares of the client accounts.
  *
--- a/packages/serving/src/placement/PredictionSwitch.ts
+++ b/packages/serving/src/placement/PredictionSwitch.ts
@@ -1,6 +1,6 @@
 /**
- * Decides for which services targets are compared by predicted times. Answers the load of services whose targets or requests
- * differ so much that comparing numbers of requests makes callers wait.
+ * Decides for which services targets are compared by predicted times: those whose targets or requests differ so much that
+ * comparing numbers of requests makes callers wait.
  */
 import type { Journal } from '@jacinthlug/catalog/Journal';
 import type { Target } from '../fleet/Target.js';
@@ -63,10 +63,11 @@
    * that waits for one slot. The work left at a target is the sum over its slots, so that costs differ less there.
    */
   private estimateWrongWaitMs(
-    { service, slots }: Pick<Target, 'service' | 'slots'>,
+    { service, slots: ownSlots }: Pick<Target, 'service' | 'slots'>,
     now: number,
   ): number | undefined {
     const { differences, times } = this.dependencies.ledger;
+    const slots = differences.meanSlots(service) ?? ownSlots;
     const pace = differences.paceDeviation(service, now);
     const cost = differences.costDeviation(service, now);
     if (pace === undefined && cost === undefined) return undefined;
--- a/packages/serving/src/placement/ServiceTimes.ts
+++ b/packages/serving/src/placement/ServiceTimes.ts
@@ -13,8 +13,8 @@
 /** Time for which an online request holds a slot, before any response. Unit: ms. */
 const INITIAL_HOLD_MS = 750;
 
-/** Multiple of the mean from which a time to the first event contains time in the queue of the target. */
-const QUEUED_FACTOR = 2;
+/** Multiple of the mean as which longer times to the first event count: they may contain time in the queue of the target. */
+const MAX_FIRST_FACTOR = 2;
 
 interface Times {
   readonly firstMs: DecayingMean;
@@ -46,15 +46,15 @@
   }
 
   /**
-   * Records a time to the first event. One that contains time in a queue is ignored.
+   * Records a time to the first event.
    *
    * @param service - name of the service
    * @param ms - the time at a target of the mean pace. Unit: ms
    * @param now - monotonic time. Unit: ms
    */
   recordFirst(service: string, ms: number, now: number): void {
-    if (ms < QUEUED_FACTOR * this.meanFirstMs(service, now))
-      this.getOrCreate(service).firstMs.add(ms, 1, now);
+    const maxMs = MAX_FIRST_FACTOR * this.meanFirstMs(service, now);
+    this.getOrCreate(service).firstMs.add(Math.min(ms, maxMs), 1, now);
   }
 
   /**
@@ -69,7 +69,7 @@
   }
 
   /**
-   * Returns the mean time to the first event of a request at a target of the mean pace, without the time in a queue.
+   * Returns the mean time to the first event of a request at a target of the mean pace, mostly without the time in a queue.
    *
    * @param service - name of the service
    * @param now - monotonic time. Unit: ms
--- a/packages/serving/src/placement/TimeDifferences.ts
+++ b/packages/serving/src/placement/TimeDifferences.ts
@@ -12,7 +12,7 @@
 /** Weight below which a target counts as one without responses. */
 const MIN_TARGET_WEIGHT = 0.5;
 
-type TargetKey = Pick<Target, 'id' | 'bornAt' | 'service'>;
+type TargetKey = Pick<Target, 'id' | 'bornAt' | 'service' | 'slots'>;
 
 interface TargetResponses {
   readonly target: TargetKey;
@@ -32,13 +32,13 @@
    * @param msPerEvent - mean time between two of its events. Unit: ms
    * @param now - monotonic time. Unit: ms
    */
-  recordPace({ id, bornAt, service }: TargetKey, msPerEvent: number, now: number): void {
+  recordPace({ id, bornAt, service, slots }: TargetKey, msPerEvent: number, now: number): void {
     if (msPerEvent <= 0) return;
     const existing = this.responsesByTarget.get(id);
     const responses =
       existing?.target.bornAt === bornAt
         ? existing
-        : { target: { id, bornAt, service }, paces: new DecayingMoments(HALF_LIFE_MS) };
+        : { target: { id, bornAt, service, slots }, paces: new DecayingMoments(HALF_LIFE_MS) };
     this.responsesByTarget.set(id, responses);
     responses.paces.add(Math.log(msPerEvent), now);
   }
@@ -91,6 +91,19 @@
     return estimateDeviation(groups);
   }
 
+  /**
+   * Returns the mean number of slots of the targets of a service.
+   *
+   * @param service - name of the service
+   * @returns number of slots; undefined without responses
+   */
+  meanSlots(service: string): number | undefined {
+    const slots = [...this.responsesByTarget.values()]
+      .filter(({ target }) => target.service === service)
+      .map(({ target }) => target.slots);
+    return slots.length > 0 ? slots.reduce((sum, each) => sum + each, 0) / slots.length : undefined;
+  }
+
   /**
    * Estimates by how much the costs of the requests of a service differ, as far as they can be told before a response.
    *
--- a/packages/serving/src/placement/WorkLedger.ts
+++ b/packages/serving/src/placement/WorkLedger.ts
@@ -86,14 +86,7 @@
   /** Work of the accounts' requests. */
   readonly accounts = new AccountWork();
 
-  private readonly strategy: PlacementStrategy;
-
-  private readonly informsAdmission: boolean;
-
-  constructor({ strategy, informsAdmission }: LedgerUse) {
-    this.strategy = strategy;
-    this.informsAdmission = informsAdmission;
-  }
+  constructor(private readonly use: LedgerUse) {}
 
   /**
    * Records that a request is sent to a target.
@@ -104,9 +97,9 @@
    */
   begin(description: WorkDescription, now = performance.now()): RunningWork {
     const { target, size, work } = description;
-    const { predictsTimes } = this.strategy;
+    const { predictsTimes } = this.use.strategy;
     const isOnline = work === 'online';
-    if (!predictsTimes && !(this.informsAdmission && isOnline)) return UNRECORDED_WORK;
+    if (!predictsTimes && !(this.use.informsAdmission && isOnline)) return UNRECORDED_WORK;
     const run: Run = {
       estimatedEvents: this.outputs.estimateEvents(target.service, size),
       events: 0,
@@ -160,7 +153,7 @@
    * @returns its time per event as a multiple of the mean; 1 if paces are not taken into account
    */
   relativePace(target: Pick<Target, 'id' | 'bornAt' | 'service'>, now: number): number {
-    return this.strategy.usesPace ? this.paces.relativePace(target, now) : 1;
+    return this.use.strategy.usesPace ? this.paces.relativePace(target, now) : 1;
   }
 
   /**
@@ -172,7 +165,7 @@
    * @returns the time; the mean if costs are not taken into account. Unit: ms
    */
   estimateHoldMs(service: string, size: RequestSize | undefined, now: number): number {
-    if (!this.strategy.usesCost) return this.times.meanHoldMs(service, now);
+    if (!this.use.strategy.usesCost) return this.times.meanHoldMs(service, now);
     return (
       this.times.meanFirstMs(service, now) +
       this.outputs.estimateEvents(service, size) * this.paces.meanMsPerEvent(service, now)
@@ -224,15 +217,16 @@
     now: number,
   ): void {
     const { service } = target;
-    const { isAdaptive } = this.strategy;
+    const { isAdaptive } = this.use.strategy;
     if (isAdaptive) this.recordDifferences(target, run, now);
     // An item is mostly completed in several runs, of which this is only the last one.
     if (work === 'batch') return;
     this.removeRun(target.id, run);
     this.times.end(service);
+    // A response that was cut has used its slot, but doesn't tell how long a complete one takes.
     if (account !== undefined) this.accounts.record(account, now - run.begunAt, now);
     if (!isComplete) return;
-    if (this.strategy.predictsTimes) this.outputs.record(service, size, run.events);
+    if (this.use.strategy.predictsTimes) this.outputs.record(service, size, run.events);
     this.times.recordHold(service, now - run.begunAt, now);
     if (isAdaptive) this.differences.recordCost(service, run.estimatedEvents, now);
   }
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -8,6 +8,7 @@
 import {
   createAdmission,
   createShares,
+  readsTimes,
   type AdmissionPolicies,
 } from '../admission/createAdmission.js';
 import { RoomGauge } from '../admission/RoomGauge.js';
@@ -268,7 +269,7 @@
   const strategy = placementStrategies[dependencies.placement];
   const ledger = new WorkLedger({
     strategy,
-    informsAdmission: dependencies.policies.admission === 'queue',
+    informsAdmission: readsTimes[dependencies.policies.admission],
   });
   const predictionSwitch = strategy.isAdaptive
     ? new PredictionSwitch({ ledger, journal })
--- a/packages/serving/test/features/predictionSwitch.feature
+++ b/packages/serving/test/features/predictionSwitch.feature
@@ -61,3 +61,16 @@
       | admission        | learns       |
       | refuses          | doesn't know |
       | lets wait        | knows        |
+
+  # Guards against failed requests that count as running, or as short ones, and make requests wait too long or too short.
+  Scenario: A failed request tells admission nothing of the time for which others hold a slot
+    Given a host with the placement "count" whose admission lets wait requests
+    When 3 requests are served
+    And a request fails after 10 ms
+    Then slots become free every 825 ms
+
+  # Guards against requests that wait until their response must be late, as targets take longer to begin than was known.
+  Scenario: Longer times to the first event are learned
+    Given a host with the placement "count" whose admission lets wait requests
+    When the first events of 100 requests take 200 ms
+    Then the time to the first event is known as 180 to 200 ms
--- a/packages/serving/test/steps/predictionSwitch.steps.ts
+++ b/packages/serving/test/steps/predictionSwitch.steps.ts
@@ -144,3 +144,32 @@
     assert.equal(interval !== undefined, knows === 'knows');
   },
 );
+
+When('a request fails after {int} ms', function (this: SwitchWorld, ms: number) {
+  const [target] = this.targets as [Target];
+  const work = this.ledger.begin({ target, size: undefined, work: 'online' }, this.now);
+  work.end(false, this.now + ms);
+});
+
+Then('slots become free every {int} ms', function (this: SwitchWorld, ms: number) {
+  assert.equal(Math.round(this.ledger.times.slotIntervalMs('chat', this.now)! / 25) * 25, ms);
+});
+
+When(
+  'the first events of {int} requests take {int} ms',
+  function (this: SwitchWorld, count: number, ms: number) {
+    const [target] = this.targets as [Target];
+    for (let request = 0; request < count; request += 1)
+      this.ledger
+        .begin({ target, size: undefined, work: 'online' }, this.now)
+        .recordEvents(1, this.now + ms);
+  },
+);
+
+Then(
+  'the time to the first event is known as {int} to {int} ms',
+  function (this: SwitchWorld, min: number, max: number) {
+    const known = this.ledger.times.meanFirstMs('chat', this.now);
+    assert.ok(known >= min && known <= max, `${known}`);
+  },
+);
