Give up an overdue pulse, and plan only with targets that items can use

- A pulse that didn't come held items back for up to half an interval beside free slots.
It is given up 0.5 s after its expected time.
- One sample of a high load began a pulse.
Now it takes two.
- The backlog counted the slots of all ready targets.
It leaves out those that are evacuated, leaving, forbidden to the item, unhealthy or cold, so that items aren't patient in the trust of slots that they can't use.
- The counter of deferred items also counted those that found no free slot at all.
- `eager` builds no forecasts in a pass.

No existing test was changed.

--- a/packages/serving/src/batch/BatchWorker.ts
+++ b/packages/serving/src/batch/BatchWorker.ts
@@ -255,8 +255,8 @@
     if (waiting.length === 0) return;
     const { pace } = this.paceEstimator;
     const plan = new StartPlan({
-      findPulses: (service) => this.pulseHistory?.find(service),
-      targets,
+      findPulses: this.pulseHistory && ((service) => this.pulseHistory?.find(service)),
+      router,
       loadTable,
       pace,
       waiting,
@@ -275,17 +275,20 @@
     orderItems(waiting, pace, now).forEach((item) => {
       const route = view.index?.findRouteByName(item.job.record.route);
       if (!route) return;
-      const urgency = plan.judge(item, route.services);
+      const { services } = route;
+      const allowedRegions = view.index?.findAllowedRegions(item.job.record);
+      const urgency = plan.judge(item, { services, allowedRegions });
       const placement = pass.place({
-        services: route.services,
+        services,
         urgency,
-        allowedRegions: view.index?.findAllowedRegions(item.job.record),
+        allowedRegions,
         origin: item.task.response.outputOrigin,
         avoided: item.task.endedTargets,
         isRestartDue: this.isRestartDue(item.task, now),
       });
       if (!placement) {
-        if (urgency === 'patient') this.recordDeferral(item.task, now);
+        if (urgency === 'patient' && plan.hasFreeSlot({ services, allowedRegions }))
+          this.recordDeferral(item.task, now);
         return;
       }
       if (this.isBlocked(item, placement.target, now)) pass.release(placement);
--- a/packages/serving/src/batch/findPulses.ts
+++ b/packages/serving/src/batch/findPulses.ts
@@ -39,6 +39,9 @@
 /** Length that is assumed for pulses while none has ended. Unit: ms. */
 const UNKNOWN_PULSE_MS = 4000;
 
+/** Time after which a pulse that was expected doesn't come any more. Unit: ms. */
+const MAX_OVERDUE_MS = 500;
+
 /** Maximum ratio of the longest to the shortest interval of regular pulses, and of a pulse to the median one. */
 const MAX_LENGTH_RATIO = 1.5;
 
@@ -86,18 +89,17 @@
     .filter(({ phase }) => phase.isHigh === isHigh)
     .map(({ lengthMs }) => lengthMs);
 
-/** Predicts the next rise; infinite unless the rises were regular and the next one isn't long overdue. */
+/** Predicts the next rise; infinite unless the rises were regular and the next one isn't overdue. */
 const predictRise = (rises: readonly Phase[], now: number): number => {
   const intervals = rises
     .slice(1)
     .map(({ startedAt }, index) => startedAt - rises[index]!.startedAt);
-  const interval = findMedian(intervals);
-  const { startedAt } = rises.at(-1)!;
   const isRegular =
-    intervals.length > 0 &&
-    Math.max(...intervals) <= MAX_LENGTH_RATIO * Math.min(...intervals) &&
-    now - startedAt <= MAX_LENGTH_RATIO * interval;
-  return isRegular ? Math.max(now, startedAt + interval) : Number.POSITIVE_INFINITY;
+    intervals.length > 0 && Math.max(...intervals) <= MAX_LENGTH_RATIO * Math.min(...intervals);
+  const expectedAt = rises.at(-1)!.startedAt + findMedian(intervals);
+  return isRegular && now <= expectedAt + MAX_OVERDUE_MS
+    ? Math.max(now, expectedAt)
+    : Number.POSITIVE_INFINITY;
 };
 
 /**
@@ -114,7 +116,8 @@
   const high = findQuantile(levels, LEVEL_QUANTILES.pulse);
   if (high - low < MIN_LEVEL_DIFFERENCE) return undefined;
   const threshold = (low + high) / 2;
-  const phases = findPhases(samples, threshold);
+  // A single sample begins no phase.
+  const phases = findPhases(samples, threshold).filter(({ startedAt }) => startedAt < now);
   // The first phase began before the first sample.
   const rises = phases.slice(1).filter(({ isHigh }) => isHigh);
   const lastRise = rises.at(-1);
--- a/packages/serving/src/routing/TargetRouter.ts
+++ b/packages/serving/src/routing/TargetRouter.ts
@@ -268,6 +268,20 @@
     return this.listAccepting(service, allowed).some((target) => target.version === version);
   }
 
+  /**
+   * Lists the targets that work can be planned for: they accept new requests, look healthy to this host and aren't cold.
+   *
+   * @param service - name of the service
+   * @param allowed - regions in which the work may run; undefined if any will do
+   * @returns the targets
+   */
+  listSteady(service: string, allowed: AllowedRegions | undefined): Target[] {
+    const { coldTargets, health } = this.dependencies;
+    return this.listAccepting(service, allowed).filter(
+      (target) => health.isUsable(target.id) && !coldTargets.isCold(target),
+    );
+  }
+
   /**
    * Lists the targets that accept new requests, whatever their load and health. Every choice of a target starts here, so
    * that nothing is sent to a target that isn't listed.
--- a/packages/serving/test/features/pulses.feature
+++ b/packages/serving/test/features/pulses.feature
@@ -16,6 +16,19 @@
       | not in the one in which the host has started     | 4000 | 6000  | none  | none  |
       | in the next one after that                       | 4000 | 11000 | 14400 | never |
 
+  # Guards against items that wait beside free slots for a pulse that doesn't come.
+  Scenario: A pulse that is overdue is expected no longer
+    Given pulses from 0.15 to 0.7 of the slots for 2800 ms, every 6600 ms from 3800 ms on, observed from 0 ms
+    When the pulses cease at 30000 ms
+    Then at 30300 ms a pulse in progress ends at "-" and the next one rises at "30300"
+    And at 31000 ms a pulse in progress ends at "-" and the next one rises at "never"
+
+  # Guards against a single sample that holds items back.
+  Scenario: One sample of a high load begins no pulse
+    Given a load of 0.15 of the slots that rises to 0.7 at 3800 ms and stays there
+    Then at 3800 ms no pulse is found
+    And at 3900 ms a pulse is found
+
   # Guards against items that wait for the end of a load that stays high.
   Scenario: A load that rises once and stays high is no pulse
     Given a load of 0.15 of the slots that rises to 0.7 at 3800 ms and stays there
@@ -66,3 +79,19 @@
       | tight  | 4000 | 9000  |
       | long   | 4000 | 16000 |
       | late   | 4000 | 3000  |
+
+  # Guards against items on slots that the pulse needs, and against items that wait though their target has no pulses or too few slots.
+  Scenario Outline: A host in a pulse, with <state>, takes an item for <urgency>
+    Given a host that has seen 3 pulses at its 4 targets of 16 slots, and is in the 4th one, with <state>
+    When an item of <services> runs for 4400 ms and is due in 18000 ms
+    Then the host takes it for <urgency>, and may use <slots> slots of each target for patient items
+
+    Examples:
+      | state                         | services      | urgency | slots |
+      | no items                      | chat          | patient | 5     |
+      | 3 running items at each       | chat          | patient | 2     |
+      | 30 waiting items elsewhere    | chat          | patient | 5     |
+      | 400 waiting items elsewhere   | chat          | relaxed | 5     |
+      | 3 of its targets evacuated, 30 waiting items elsewhere | chat | relaxed | 5 |
+      | no items                      | chat and idle | relaxed | 5     |
+      | no items, and the policy eager | chat         | relaxed | Infinity |
--- a/packages/serving/test/features/streams.feature
+++ b/packages/serving/test/features/streams.feature
@@ -163,3 +163,4 @@
       | batch  | 3 at t-1, 3 at t-2, 3 at t-1            | proven     |
       | batch  | 3 at t-1, 3 at t-2, 5 at t-1, 3 at t-2  | not proven |
       | batch  | 3 at t-1, 3 at t-1, 3 at t-1, 3 at t-1  | not proven |
+      | batch  | 3 at t-1, 3 at t-1, 3 at t-1, 3 at t-1, 3 at t-1 | proven |
--- a/packages/serving/test/steps/pulses.steps.ts
+++ b/packages/serving/test/steps/pulses.steps.ts
@@ -1,19 +1,44 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When, type DataTable } from '@cucumber/cucumber';
+import { silentJournal } from '@jacinthlug/catalog/Journal';
 import { findPulses, type LoadSample, type Pulses } from '@jacinthlug/serving/batch/findPulses';
 import {
   countLastingSlots,
   judgeUrgency,
   orderForPulse,
 } from '@jacinthlug/serving/batch/itemPlans';
+import type { SchedulableItem } from '@jacinthlug/serving/batch/orderItems';
+import { PulseHistory } from '@jacinthlug/serving/batch/PulseHistory';
+import { StartPlan } from '@jacinthlug/serving/batch/StartPlan';
+import { DrainingTargets } from '@jacinthlug/serving/fleet/DrainingTargets';
+import { TargetList } from '@jacinthlug/serving/fleet/TargetList';
+import { LoadTable } from '@jacinthlug/serving/routing/LoadTable';
+import { TargetHealth } from '@jacinthlug/serving/routing/TargetHealth';
+import { TargetRouter } from '@jacinthlug/serving/routing/TargetRouter';
+import { createListedTarget } from '../fakes/createListedTarget.js';
+import { createReport } from '../fakes/createReport.js';
+import { noColdTargets } from '../fakes/noColdTargets.js';
 
 interface PulsesWorld {
   levelAt: (at: number) => number;
   observedFrom: number;
   pulses: Pulses | undefined;
-  item: { dueAt: number; tokens: number; events: number };
+  item: SchedulableItem;
+  plan: StartPlan;
+  loadTable: LoadTable;
+  services: string[];
 }
 
+const TARGETS = ['t-1', 't-2', 't-3', 't-4'];
+
+const SLOTS = 16;
+
+/** Online requests at each target in a pulse and between pulses. */
+const ONLINE = { pulse: 8, valley: 2 } as const;
+
+/** Time of the decision: half a second after the fourth rise. Unit: ms. */
+const DECISION_AT = 24_100;
+
 const SAMPLE_INTERVAL_MS = 100;
 
 /** Items of as many tokens as their run has ms. */
@@ -57,6 +82,11 @@
   },
 );
 
+When('the pulses cease at {int} ms', function (this: PulsesWorld, endAt: number) {
+  const { levelAt } = this;
+  this.levelAt = (at) => levelAt(at < endAt ? at : 0);
+});
+
 Then(
   'at {int} ms a pulse in progress ends at {string} and the next one rises at {string}',
   function (this: PulsesWorld, now: number, ends: string, rises: string) {
@@ -100,7 +130,7 @@
   function (this: PulsesWorld, run: string, due: string, moment: string, delayMs?: string) {
     const name = moment === 'a pulse begins' && delayMs ? 'a pulse rises' : moment;
     this.pulses = pulsesByMoment[name]!(this.pulses!, Number(delayMs));
-    this.item = { dueAt: Number(due), tokens: Number(run), events: 0 };
+    this.item = { index: 0, dueAt: Number(due), tokens: Number(run), events: 0 };
   },
 );
 
@@ -133,3 +163,78 @@
     assert.equal(ordered.join(', '), order);
   },
 );
+
+const readCount = (pattern: RegExp, text: string): number => Number(pattern.exec(text)?.[1] ?? 0);
+
+const isInPulse = (at: number): boolean => at >= 3800 && (at - 3800) % 6600 < 2800;
+
+Given(
+  /^a host that has seen 3 pulses at its 4 targets of 16 slots, and is in the 4th one, with (.+)$/,
+  function (this: PulsesWorld, state: string) {
+    const batch = readCount(/(\d+) running items/, state);
+    const evacuated = readCount(/(\d+) of its targets/, state);
+    const targets = new TargetList(silentJournal);
+    const loadTable = new LoadTable();
+    TARGETS.forEach((id, index) =>
+      targets.put({
+        ...createListedTarget(id),
+        slots: SLOTS,
+        failureDomain: index < evacuated ? 'b' : 'a',
+      }),
+    );
+    targets.put({ ...createListedTarget('t-idle'), service: 'idle' });
+    const history = new PulseHistory({ targets, loadTable, journal: silentJournal });
+    for (let at = 0; at <= DECISION_AT; at += SAMPLE_INTERVAL_MS) {
+      const online = isInPulse(at) ? ONLINE.pulse : ONLINE.valley;
+      const loads = TARGETS.map((id): [string, number, number, number] => [id, online, batch, 0]);
+      const waitingItems = readCount(/(\d+) waiting items/, state);
+      loadTable.applyReport(createReport('h-2', at, { loads, waitingItems }), at);
+      history.sample(at);
+    }
+    const router = new TargetRouter({
+      identity: { name: 'h-1', failureDomain: 'a', incarnation: 1, address: '', port: 1, cores: 1 },
+      targets,
+      drainingTargets: new DrainingTargets(silentJournal),
+      evacuations: { includes: ({ failureDomain }) => failureDomain === 'b' },
+      coldTargets: noColdTargets,
+      regions: new Map(),
+      loadTable,
+      health: new TargetHealth(silentJournal),
+    });
+    this.item = { index: 0, dueAt: DECISION_AT, tokens: 0, events: 0 };
+    const find = state.endsWith('eager')
+      ? undefined
+      : (service: string): Pulses | undefined => history.find(service);
+    const waiting = [{ ...this.item, tokens: 4400 }];
+    this.plan = new StartPlan({
+      findPulses: find,
+      router,
+      loadTable,
+      pace: PACE,
+      waiting,
+      now: DECISION_AT,
+    });
+    this.loadTable = loadTable;
+  },
+);
+
+When(
+  /^an item of (.+) runs for (\d+) ms and is due in (\d+) ms$/,
+  function (this: PulsesWorld, services: string, run: string, due: string) {
+    this.item = { index: 0, dueAt: DECISION_AT + Number(due), tokens: Number(run), events: 0 };
+    this.services = services.split(' and ');
+  },
+);
+
+Then(
+  /^the host takes it for (\w+), and may use (\w+) slots of each target for patient items$/,
+  function (this: PulsesWorld, urgency: string, slots: string) {
+    const services = this.services.map((service) => ({ service, weight: 1 }));
+    assert.equal(this.plan.judge(this.item, { services, allowedRegions: undefined }), urgency);
+    TARGETS.forEach((id) => {
+      const target = { ...createListedTarget(id), slots: SLOTS };
+      const load = this.loadTable.totalLoad(id);
+      assert.equal(this.plan.countLastingSlots({ target, load }), Number(slots));
+    });
+  },
+);
