Revert the precedence of free slots over those of batch items

It saves next to no preempted runs, and all hosts meet on the few targets with free slots, where requests wait.

--- a/packages/serving/src/placement/chooseByForecast.ts
+++ b/packages/serving/src/placement/chooseByForecast.ts
@@ -30,15 +30,6 @@
 /** Weight of the time for which a request holds a slot, against that to its first event: costly requests go to fast targets. */
 const HOLD_WEIGHT = 0.05;
 
-/**
- * Predicted time to the first event from which a response may miss the usual objective of 300 ms, as times vary. Up to it, a
- * free slot goes before that of a batch item. Unit: ms.
- */
-const LATE_FIRST_MS = 200;
-
-/** Expected number of preempted batch items from which a target counts as one without a free slot. */
-const LIKELY_PREEMPTION = 0.5;
-
 /** A target with its prediction. */
 export interface ForecastCandidate {
   readonly target: Target;
@@ -74,24 +65,8 @@
 ): readonly Type[] =>
   candidates.filter(({ forecast }) => forecast.countedWaitMs <= getMaxWaitMs(isContinuation));
 
-/** Lists the targets with a free slot that no batch item has to leave, at which the first event is not late. */
-const selectFree = (candidates: readonly ForecastCandidate[]): readonly ForecastCandidate[] =>
-  candidates.filter(
-    ({ target, load, forecast }) =>
-      load.online + load.batch < target.slots &&
-      forecast.preemptions < LIKELY_PREEMPTION &&
-      forecast.firstMs <= LATE_FIRST_MS,
-  );
-
-const countFreeSlots = ({ target, load }: ForecastCandidate): number =>
-  target.slots - load.online - load.batch;
-
-const countSlotsForOnline = ({ target, load }: ForecastCandidate): number =>
-  Math.max(1, target.slots - load.online);
-
 /**
  * Chooses a target: more often one with an early first event, one with more free slots, and one in the same failure domain.
- * Free slots go before those of batch items, unless the first event would be late there.
  *
  * @param criteria - targets with their predictions, and properties of this host
  * @returns the target with its prediction; undefined if the wait would be too long at all of them
@@ -103,10 +78,7 @@
   random,
 }: ForecastCriteria): ForecastCandidate | undefined => {
   const inTime = selectInTime(candidates, isContinuation);
-  const free = selectFree(inTime);
-  const eligible = free.length > 0 ? free : inTime;
-  const capacityOf = free.length > 0 ? countFreeSlots : countSlotsForOnline;
-  const scores = eligible.map(
+  const scores = inTime.map(
     ({ target, forecast }) =>
       forecast.firstMs +
       forecast.holdMs * HOLD_WEIGHT +
@@ -114,16 +86,16 @@
       (target.failureDomain === failureDomain ? 0 : REMOTE_PENALTY_MS),
   );
   const best = Math.min(...scores);
-  const weights = eligible.map(
-    (candidate, index) =>
-      capacityOf(candidate) * Math.exp((best - scores[index]!) / INDIFFERENCE_MS),
+  const weights = inTime.map(
+    ({ target, load }, index) =>
+      Math.max(1, target.slots - load.online) * Math.exp((best - scores[index]!) / INDIFFERENCE_MS),
   );
   let draw = random() * weights.reduce((sum, weight) => sum + weight, 0);
   const drawn = weights.findIndex((weight) => {
     draw -= weight;
     return draw < 0;
   });
-  return eligible[Math.max(0, drawn)];
+  return inTime[Math.max(0, drawn)];
 };
 
 /**
