Explain where a request or job would go, and why, to operators

GET /placement on the metrics port of jacinthlug-host told only the targets that accept requests. It now lists all targets of the service with the cause for which each is left out, the result code of a refusal, the queue of the host, the share, rate and regions of the account, blocked prompt parts, and for a job its holder, the runs of its items and what the others wait for. A query that is invalid or names something unknown gets an error that says so. jacinthlug explain asks one or more hosts and prints tables, or JSON.

Nothing is taken or counted: the rate is predicted without a token, blocks are looked up without judging crashes anew, the queue is described by its present state.

--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -7,6 +7,7 @@
 import { ConfigGet } from './commands/config/ConfigGet.js';
 import { ConfigHistory } from './commands/config/ConfigHistory.js';
 import { ConfigPlan } from './commands/config/ConfigPlan.js';
+import { Explain } from './commands/Explain.js';
 import { HostDrain } from './commands/host/HostDrain.js';
 import { HostList } from './commands/host/HostList.js';
 import { KeyGrant } from './commands/key/KeyGrant.js';
@@ -24,6 +25,7 @@
   'config:get': ConfigGet,
   'config:history': ConfigHistory,
   'config:plan': ConfigPlan,
+  explain: Explain,
   'host:drain': HostDrain,
   'host:list': HostList,
   'key:grant': KeyGrant,
--- a/packages/cli/src/core/BaseCommand.ts
+++ b/packages/cli/src/core/BaseCommand.ts
@@ -1,13 +1,7 @@
-/** Base class of all commands: common flags, JSON output and exit codes. */
-import { Command, Flags } from '@oclif/core';
-import { CommandFailure, formatFailure, type FailureReport } from './CommandFailure.js';
+/** Base class of the commands that call an entry host: common flags. */
+import { Flags } from '@oclif/core';
 import { EntryHostClient } from './EntryHostClient.js';
-import { exitCodes } from './exitCodes.js';
-
-/** An exception that oclif or the program throws, with its exit code if it has one. */
-interface ThrownError extends Error {
-  readonly oclif?: { readonly exit?: number };
-}
+import { ReportingCommand } from './ReportingCommand.js';
 
 /** Values of the flags that describe the connection to an entry host. */
 export interface ConnectionFlags {
@@ -17,9 +11,7 @@
 }
 
 /** A command that calls an entry host. */
-export abstract class BaseCommand extends Command {
-  static override enableJsonFlag = true;
-
+export abstract class BaseCommand extends ReportingCommand {
   static override baseFlags = {
     url: Flags.string({
       description: 'base URL of an entry host',
@@ -48,19 +40,4 @@
   ): EntryHostClient {
     return new EntryHostClient({ url, bearer, deadline: performance.now() + timeout * 1000 });
   }
-
-  protected override async catch(error: ThrownError): Promise<void> {
-    if (!(error instanceof CommandFailure) && !this.jsonEnabled()) throw error;
-    const { report, exitCode } = BaseCommand.describeError(error);
-    process.exitCode = exitCode;
-    if (this.jsonEnabled()) this.logJson({ error: { ...report, exitCode } });
-    else this.logToStderr(formatFailure(report));
-  }
-
-  private static describeError(error: ThrownError): { report: FailureReport; exitCode: number } {
-    if (error instanceof CommandFailure) return error;
-    const exitCode = error.oclif?.exit ?? exitCodes.fault;
-    const code = exitCode === exitCodes.usage ? 'usage' : 'fault';
-    return { report: { code, message: error.message }, exitCode };
-  }
 }
--- a/packages/cli/src/core/EntryHostClient.ts
+++ b/packages/cli/src/core/EntryHostClient.ts
@@ -17,8 +17,8 @@
 /** URL, credential and deadline of the calls to an entry host. */
 export interface EntryHostClientOptions {
   readonly url: string;
-  /** Operator credential or key, sent as a bearer token. */
-  readonly bearer: string;
+  /** Operator credential or key, sent as a bearer token; undefined for calls that need none. */
+  readonly bearer?: string | undefined;
   /** Monotonic time (`performance.now()`) at which calls are aborted. Unit: ms. */
   readonly deadline: number;
 }
@@ -172,7 +172,9 @@
       ...options,
       headers: {
         ...(headers as Record<string, string> | undefined),
-        authorization: `Bearer ${this.options.bearer}`,
+        ...(this.options.bearer !== undefined && {
+          authorization: `Bearer ${this.options.bearer}`,
+        }),
       },
       signal: AbortSignal.timeout(Math.max(1, Math.ceil(timeoutMs))),
     });
--- a/packages/serving/src/admission/Admission.ts
+++ b/packages/serving/src/admission/Admission.ts
@@ -43,8 +43,40 @@
  */
 export type AttemptEnd = (firstMs: number | undefined) => void;
 
+/** A new request that is described but not placed. */
+export interface DescribedPlacement extends Pick<
+  PlacementRequest,
+  'service' | 'account' | 'routePriority' | 'responseDeadline'
+> {
+  /** Wait until a target has room, if the router predicts it. Unit: ms. */
+  readonly expectedWaitMs: number | undefined;
+}
+
+/** What an admission would do with a new request. */
+export interface AdmissionState {
+  readonly policy: 'immediate' | 'queue';
+  /** Requests of the service that wait at this host and would get a target before the new one. */
+  readonly ahead: number;
+  /** Ratio of the account's use to its fair share; 1 if the account is within its share. */
+  readonly shareRatio: number;
+  /** Whether the account gets only free slots, as it is above its share while room is short. */
+  readonly onlyFreeSlots: boolean;
+  /** Whether the request would wait if it found no room. */
+  readonly wouldWait: boolean;
+  /** Predicted time until there is room for it; absent if it is not known. Unit: ms. */
+  readonly predictedWaitMs?: number;
+}
+
 /** Admits online requests to targets. */
 export interface Admission {
+  /**
+   * Describes what would happen to a new request, without placing it.
+   *
+   * @param request - the request
+   * @returns state of the admission
+   */
+  describe(request: DescribedPlacement): AdmissionState;
+
   /**
    * Finds a target for a request, or refuses it.
    *
--- a/packages/serving/src/admission/AdmissionQueue.ts
+++ b/packages/serving/src/admission/AdmissionQueue.ts
@@ -5,7 +5,14 @@
 import type { Timers } from '../online/IdleTimeout.js';
 import type { CandidateCounts, TargetChoice } from '../routing/chooseTarget.js';
 import type { ShareTable } from './AccountShares.js';
-import type { Admission, AttemptEnd, Placement, PlacementRequest } from './Admission.js';
+import type {
+  Admission,
+  AdmissionState,
+  AttemptEnd,
+  DescribedPlacement,
+  Placement,
+  PlacementRequest,
+} from './Admission.js';
 import { FirstEventTime } from './FirstEventTime.js';
 import { compareWaiting, type WaitingPosition } from './orderWaiting.js';
 import { ReturnSchedule, type PredictedRoom } from './ReturnSchedule.js';
@@ -58,6 +65,11 @@
   readonly firstEventTime: FirstEventTime;
 }
 
+const createHistory = (): ServiceHistory => ({
+  roomRate: new RoomRate(),
+  firstEventTime: new FirstEventTime(),
+});
+
 /**
  * Lets requests that find no room wait at the host, in order of priority, fair share and deadline, as long as they can
  * still be served in time. Load answered: peaks in which all targets are full for a moment, so that a request refused at
@@ -150,6 +162,32 @@
     };
   }
 
+  describe(request: DescribedPlacement): AdmissionState {
+    const { service, account, routePriority, responseDeadline, expectedWaitMs } = request;
+    const { shares, isRoomShort, timers } = this.dependencies;
+    const now = timers.now();
+    const shareRatio = shares.getRatio(account, now);
+    const position = {
+      isNew: true,
+      accountPriority: account?.priority ?? routePriority,
+      routePriority,
+      shareRatio,
+      responseDeadline,
+      sequence: Number.POSITIVE_INFINITY,
+    };
+    const history = this.histories.get(service) ?? createHistory();
+    const room = this.predictRoom(service, position, expectedWaitMs, history);
+    const startDeadline = responseDeadline - history.firstEventTime.value;
+    return {
+      policy: 'queue',
+      ahead: this.countAhead(service, position),
+      shareRatio,
+      onlyFreeSlots: shareRatio > 1 && isRoomShort(service),
+      wouldWait: now + (room?.waitMs ?? 0) < startDeadline,
+      ...(room && { predictedWaitMs: room.waitMs }),
+    };
+  }
+
   private createPosition(request: PlacementRequest, now: number): WaitingPosition {
     const { account, routePriority, isNew, responseDeadline } = request;
     this.sequence += 1;
@@ -232,20 +270,26 @@
    * @param service - name of the service
    * @param position - position of the request; undefined for the end of the queue
    * @param routedWaitMs - wait until a target has room, as the router predicts it. Unit: ms
+   * @param history - history of the service
    * @returns predicted room; undefined if it is not known
    */
   private predictRoom(
     service: string,
     position: WaitingPosition | undefined,
     routedWaitMs: number | undefined,
+    history = this.getHistory(service),
   ): PredictedRoom | undefined {
-    const { intervalMs } = this.getHistory(service).roomRate;
+    const { intervalMs } = history.roomRate;
     if (intervalMs === undefined) return undefined;
-    const ahead = this.waiting.filter(
+    const ahead = this.countAhead(service, position);
+    return { intervalMs, waitMs: (routedWaitMs ?? intervalMs) + ahead * intervalMs };
+  }
+
+  private countAhead(service: string, position: WaitingPosition | undefined): number {
+    return this.waiting.filter(
       (other) =>
         other.request.service === service && (!position || compareWaiting(other, position) < 0),
     ).length;
-    return { intervalMs, waitMs: (routedWaitMs ?? intervalMs) + ahead * intervalMs };
   }
 
   /** Wakes the queue when the next request can't be served in time any more. */
@@ -261,7 +305,7 @@
   private getHistory(service: string): ServiceHistory {
     const existing = this.histories.get(service);
     if (existing) return existing;
-    const history = { roomRate: new RoomRate(), firstEventTime: new FirstEventTime() };
+    const history = createHistory();
     this.histories.set(service, history);
     return history;
   }
--- a/packages/serving/src/admission/immediateAdmission.ts
+++ b/packages/serving/src/admission/immediateAdmission.ts
@@ -2,6 +2,13 @@
 import type { Admission } from './Admission.js';
 
 export const immediateAdmission: Admission = {
+  describe: () => ({
+    policy: 'immediate',
+    ahead: 0,
+    shareRatio: 1,
+    onlyFreeSlots: false,
+    wouldWait: false,
+  }),
   place: ({ chooseTarget }) => chooseTarget(),
   retryWaiting: () => undefined,
   beginAttempt: () => () => undefined,
--- a/packages/serving/src/batch/BatchWorker.ts
+++ b/packages/serving/src/batch/BatchWorker.ts
@@ -1,6 +1,7 @@
 /** Runs the items of this host's batch jobs on slots that online requests don't use. */
 import type { Metrics } from '@jacinthlug/catalog/Metrics';
 import type { LoadReport } from '@jacinthlug/protocol/loadReport';
+import type { FoundBlock } from '../crashes/BlockedContent.js';
 import { computeContentKeys } from '../crashes/contentKeys.js';
 import type { CrashGuard } from '../crashes/CrashGuard.js';
 import { runGuardedAttempt } from '../crashes/runGuardedAttempt.js';
@@ -87,6 +88,18 @@
   readonly task: ItemTask;
 }
 
+/** A job of this host as operators see it. */
+export interface InspectedJob {
+  /** Time until all results are due; negative after that. Unit: ms. */
+  readonly dueInMs: number;
+  /** Whether this host starts items; false while it stops or has no contact with the store. */
+  readonly canStartItems: boolean;
+  readonly tasks: readonly ItemTask[];
+  /** Returns the number of slots of a target that this host may use now for items that are not urgent. */
+  readonly allowanceOf: (candidate: Candidate) => number;
+  readonly findBlock: (task: ItemTask, service: string) => FoundBlock | undefined;
+}
+
 /** Adds the properties that determine the order of items. */
 const toSchedulableItems = (items: readonly JobTask[]): (JobTask & SchedulableItem)[] =>
   items.map(({ job, task }) => ({
@@ -151,6 +164,30 @@
     await this.heldJobs.stop(deadline);
   }
 
+  /**
+   * Describes a job that this host holds, for operators.
+   *
+   * @param account - name of the account
+   * @param id - id of the job
+   * @returns its unfinished items; undefined if this host does not hold it
+   */
+  inspect(account: string, id: string): InspectedJob | undefined {
+    const job = this.heldJobs
+      .all()
+      .find(({ record }) => record.account === account && record.id === id);
+    if (!job) return undefined;
+    const now = performance.now();
+    return {
+      dueInMs: job.dueAt - now,
+      canStartItems:
+        !this.stopping && this.dependencies.timeSinceStoreContact() <= STORE_CONTACT_TIMEOUT_MS,
+      tasks: [...job.tasks.values()],
+      allowanceOf: this.createAllowanceLookup(now, RESERVED_SLOTS.relaxed),
+      findBlock: (task, service) =>
+        this.dependencies.crashGuard.findKnownBlock(this.getContentKeys(job, task, service)),
+    };
+  }
+
   /** Queues a scheduling pass, unless one is queued already or this host has no open job. */
   queueScheduling(): void {
     if (this.isSchedulingQueued || this.heldJobs.isIdle) return;
--- a/packages/serving/src/crashes/CrashGuard.ts
+++ b/packages/serving/src/crashes/CrashGuard.ts
@@ -42,6 +42,17 @@
     return this.dependencies.blockedContent.find(contentKeys, now);
   }
 
+  /**
+   * Finds a block of a request's content that is known already, without judging the crashes anew.
+   *
+   * @param contentKeys - content keys of the request
+   * @param now - monotonic time. Unit: ms
+   * @returns the block; undefined if none of the keys is blocked
+   */
+  findKnownBlock(contentKeys: readonly string[], now = performance.now()): FoundBlock | undefined {
+    return this.dependencies.blockedContent.find(contentKeys, now);
+  }
+
   /**
    * Records a request whose connection was lost before its response was under way.
    *
--- a/packages/serving/src/rates/AccountRateLimiter.ts
+++ b/packages/serving/src/rates/AccountRateLimiter.ts
@@ -106,6 +106,17 @@
     return waitMs;
   }
 
+  /**
+   * Predicts whether a request would be admitted, without taking a token.
+   *
+   * @param account - account of the caller
+   * @param now - monotonic time. Unit: ms
+   * @returns 0 if it would be admitted, else the time until a token is available. Unit: ms
+   */
+  predictWait(account: Account, now = performance.now()): number {
+    return this.buckets.get(account.name)?.predictWait(this.fleet.share(), now) ?? 0;
+  }
+
   /**
    * Refunds the token of a request that provably has not run.
    *
--- a/packages/serving/src/rates/FleetTokenBucket.ts
+++ b/packages/serving/src/rates/FleetTokenBucket.ts
@@ -58,7 +58,19 @@
       this.admittedChangedAt = now;
       return 0;
     }
-    return ((1 - this.tokens) / Math.max(this.limit.rate * share, 0.001)) * 1000;
+    return this.computeWait(this.tokens, share);
+  }
+
+  /**
+   * Returns the time until a token is available, without taking it.
+   *
+   * @param share - share of the rate that this host and all responsive hosts may use, between 0 and 1
+   * @param now - monotonic time. Unit: ms
+   * @returns 0 if a request would be admitted. Unit: ms
+   */
+  predictWait(share: number, now: number): WaitMs {
+    const tokens = this.computeTokens(share, now);
+    return tokens >= 1 ? 0 : this.computeWait(tokens, share);
   }
 
   /**
@@ -91,8 +103,16 @@
   }
 
   private refill(share: number, now: number): void {
-    const earned = ((now - this.refilledAt) / 1000) * this.limit.rate * share;
+    this.tokens = this.computeTokens(share, now);
     this.refilledAt = now;
-    this.tokens = Math.min(this.limit.burst * Math.max(share, 0), this.tokens + earned);
+  }
+
+  private computeTokens(share: number, now: number): number {
+    const earned = ((now - this.refilledAt) / 1000) * this.limit.rate * share;
+    return Math.min(this.limit.burst * Math.max(share, 0), this.tokens + earned);
+  }
+
+  private computeWait(tokens: number, share: number): WaitMs {
+    return ((1 - tokens) / Math.max(this.limit.rate * share, 0.001)) * 1000;
   }
 }
--- a/packages/serving/src/routing/TargetRouter.ts
+++ b/packages/serving/src/routing/TargetRouter.ts
@@ -6,13 +6,14 @@
 import type { HostIdentity } from '../fleet/HostIdentity.js';
 import type { Target } from '../fleet/Target.js';
 import type { TargetList } from '../fleet/TargetList.js';
-import { explainChoice, type TargetExplanation } from '../placement/explainChoice.js';
+import { explainChoice, type LeftOut, type TargetExplanation } from '../placement/explainChoice.js';
 import type { RequestSize } from '../placement/RequestSize.js';
 import type { TargetOutlook } from '../placement/TargetOutlook.js';
 import {
   chooseBatchTarget,
   chooseTarget,
   findHoldersToNotify,
+  findObstacle,
   countItemsToCancel,
   hasUsableTarget,
   type Candidate,
@@ -49,8 +50,45 @@
   readonly responsive: boolean;
 }
 
+/** Properties of a request or item whose placement is explained. */
+export interface ExplanationCriteria {
+  readonly service: string;
+  readonly work: WorkClass;
+  /** Undefined if its caller states none. */
+  readonly size?: RequestSize | undefined;
+  /** Version that the target must have; undefined if any will do. */
+  readonly version?: string | undefined;
+  /** Regions in which it may run; undefined if any will do. */
+  readonly allowed?: AllowedRegions | undefined;
+  /** Returns the number of slots of a target that this host may use for items now; all free ones if absent. */
+  readonly allowanceOf?: (candidate: Candidate) => number;
+}
+
+/** Explanation of a choice. */
+export interface ChoiceExplanation {
+  readonly targets: TargetExplanation[];
+  readonly result: TargetChoice['kind'];
+  /** Wait until a target has room, if it is predicted. Unit: ms. */
+  readonly expectedWaitMs: number | undefined;
+}
+
 const NO_TARGETS: ReadonlySet<string> = new Set();
 
+const countFreeSlots = ({ target, load }: Candidate): number =>
+  Math.max(0, target.slots - load.online - load.batch);
+
+/** Leaves out cold targets while this host may use a slot of a healthy warm one. */
+const preferAllowed = (
+  warm: readonly Candidate[],
+  candidates: readonly Candidate[],
+  allowanceOf: (candidate: Candidate) => number,
+): readonly Candidate[] =>
+  warm.some(
+    (candidate) => findObstacle(candidate, false) !== 'unhealthy' && allowanceOf(candidate) > 0,
+  )
+    ? warm
+    : candidates;
+
 /** Chooses the targets of online requests and batch items. */
 export class TargetRouter {
   constructor(private readonly dependencies: TargetRouterDependencies) {}
@@ -149,31 +187,104 @@
   }
 
   /**
-   * Explains where a request or batch item of a service would go now. An item may also have to wait until this host may use
-   * one of the free slots.
+   * Explains where a request or batch item of a service would go now, and why not elsewhere. Nothing is recorded.
    *
-   * @param service - name of the service
-   * @param work - class of the request
-   * @param size - size of the request; undefined if its caller states none
-   * @returns the targets that accept requests, the most likely one first
+   * @param criteria - properties of the request or item
+   * @returns all targets of the service, the most likely one first, and the result of the choice
    */
-  explain(service: string, work: WorkClass, size: RequestSize | undefined): TargetExplanation[] {
-    const { failureDomain } = this.dependencies.identity;
-    const candidates = this.listCandidates(service, undefined, undefined, size);
+  explain({
+    service,
+    work,
+    size,
+    version,
+    allowed,
+    allowanceOf = countFreeSlots,
+  }: ExplanationCriteria): ChoiceExplanation {
+    const { identity, targets, coldTargets } = this.dependencies;
+    const { failureDomain } = identity;
     const { random } = Math;
+    const isContinuation = version !== undefined;
+    const candidates = this.listCandidates(service, version, allowed, size);
+    const ids = new Set(candidates.map(({ target }) => target.id));
+    const others = targets
+      .list()
+      .filter((target) => target.service === service && !ids.has(target.id));
+    const preferred =
+      work === 'online'
+        ? this.preferWarm(candidates, NO_TARGETS)
+        : preferAllowed(
+            candidates.filter(({ target }) => !coldTargets.isCold(target)),
+            candidates,
+            allowanceOf,
+          );
+    const chooseOnline = (): TargetChoice =>
+      chooseTarget({
+        candidates: preferred,
+        failureDomain,
+        excluded: NO_TARGETS,
+        isContinuation,
+        random,
+      });
     const choosers: Readonly<Record<WorkClass, () => Target | undefined>> = {
       online: () => {
-        const criteria = { candidates, failureDomain, excluded: NO_TARGETS, random };
-        const choice = chooseTarget({ ...criteria, isContinuation: false });
+        const choice = chooseOnline();
         return choice.kind === 'target' ? choice.target : undefined;
       },
-      batch: () => {
-        const allowanceOf = ({ target, load }: Candidate): number =>
-          target.slots - load.online - load.batch;
-        return chooseBatchTarget({ candidates, failureDomain, allowanceOf, random });
+      batch: () => chooseBatchTarget({ candidates: preferred, failureDomain, allowanceOf, random }),
+    };
+    const obstacles: Readonly<Record<WorkClass, (candidate: Candidate) => LeftOut | undefined>> = {
+      online: (candidate) => findObstacle(candidate, isContinuation),
+      batch: (candidate) => {
+        if (findObstacle(candidate, false) === 'unhealthy') return 'unhealthy';
+        if (allowanceOf(candidate) > 0) return undefined;
+        return countFreeSlots(candidate) > 0 ? 'slots-not-assigned' : 'full';
       },
     };
-    return explainChoice(candidates, choosers[work]);
+    const findLeftOut = (candidate: Candidate): LeftOut => {
+      if (!ids.has(candidate.target.id))
+        return this.findExclusion(candidate.target, version, allowed);
+      const obstacle = obstacles[work](candidate);
+      if (obstacle) return obstacle;
+      return preferred.includes(candidate) ? 'others-preferred' : 'cold';
+    };
+    const explained = explainChoice(
+      [...candidates, ...this.describe(others, size)],
+      choosers[work],
+      findLeftOut,
+    );
+    const isChosen = explained.some(({ share }) => share > 0);
+    const choice = work === 'online' && !isChosen ? chooseOnline() : undefined;
+    return {
+      targets: explained,
+      result: isChosen ? 'target' : this.explainNone(candidates, service, version, allowed),
+      expectedWaitMs: choice?.kind === 'full' ? choice.expectedWaitMs : undefined,
+    };
+  }
+
+  private explainNone(
+    candidates: readonly Candidate[],
+    service: string,
+    version: string | undefined,
+    allowed: AllowedRegions | undefined,
+  ): TargetChoice['kind'] {
+    if (candidates.length > 0) return 'full';
+    if (this.isOnlyForbidden(service, version, allowed)) return 'forbidden';
+    return this.hasDeferredTarget(service, NO_TARGETS, version, allowed) ? 'full' : 'none';
+  }
+
+  /** Finds why a target is not among those of {@link listCandidates}; in the order of their checks. */
+  private findExclusion(
+    target: Target,
+    version: string | undefined,
+    allowed: AllowedRegions | undefined,
+  ): LeftOut {
+    const { drainingTargets, evacuations, regions } = this.dependencies;
+    if (target.state !== 'ready' || drainingTargets.includes(target)) return 'draining';
+    if (evacuations.includes(target)) return 'evacuated';
+    if (!isAllowed(target.failureDomain, allowed, regions)) return 'region-not-allowed';
+    return version !== undefined && target.version !== version
+      ? 'other-version'
+      : 'cold-limit-reached';
   }
 
   /**
@@ -337,12 +448,17 @@
     allowed: AllowedRegions | undefined,
     size?: RequestSize,
   ): Candidate[] {
-    const { loadTable, health, coldTargets, outlook } = this.dependencies;
-    const now = performance.now();
+    const { coldTargets } = this.dependencies;
     const ready = this.listAccepting(service, allowed).filter(
       (target) =>
         (version === undefined || target.version === version) && coldTargets.mayReceive(target),
     );
+    return this.describe(ready, size);
+  }
+
+  private describe(ready: readonly Target[], size: RequestSize | undefined): Candidate[] {
+    const { loadTable, health, outlook } = this.dependencies;
+    const now = performance.now();
     const unreliable = health.findUnreliable(ready.map(({ id }) => id));
     return ready.map((target) => ({
       target,
--- a/packages/serving/src/routing/chooseTarget.ts
+++ b/packages/serving/src/routing/chooseTarget.ts
@@ -189,6 +189,24 @@
   return { possible, usable };
 };
 
+/**
+ * Finds what keeps new work from a target that accepts requests.
+ *
+ * @param candidate - the target
+ * @param isContinuation - whether the work continues a stream
+ * @returns the obstacle; undefined if an online request could be sent there
+ */
+export const findObstacle = (
+  candidate: Candidate,
+  isContinuation: boolean,
+): 'unhealthy' | 'full' | undefined => {
+  if (!candidate.usable || isReportedUnresponsive(candidate)) return 'unhealthy';
+  const hasRoom = hasForecast(candidate)
+    ? selectInTime([candidate], isContinuation).length > 0
+    : rankOf(candidate, isContinuation) !== RANKS.full;
+  return hasRoom ? undefined : 'full';
+};
+
 /**
  * Checks whether a request could be sent to a target that looks healthy and is not full.
  *
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -35,11 +35,13 @@
 import { Shutdown } from '../http/Shutdown.js';
 import { TargetClient } from '../http/TargetClient.js';
 import { OnlineRequestHandler } from '../online/OnlineRequestHandler.js';
+import { explainJob, type DescribedJob, type JobExplanation } from '../placement/explainJob.js';
 import {
-  explainRoute,
+  explainRequest,
   type DescribedRequest,
-  type RouteExplanation,
-} from '../placement/explainRoute.js';
+  type RequestExplanation,
+  type UnknownSubject,
+} from '../placement/explainRequest.js';
 import { placementStrategies, type Placement } from '../placement/strategies.js';
 import { TargetOutlook } from '../placement/TargetOutlook.js';
 import { WorkLedger } from '../placement/WorkLedger.js';
@@ -132,6 +134,16 @@
   readonly metrics: Metrics;
 }
 
+/** Tells operators where requests and jobs would go now. */
+export interface PlacementExplainer {
+  /** Explains a request; an error names the part that the configuration does not have. */
+  readonly explainRequest: (
+    request: DescribedRequest,
+  ) => Result<RequestExplanation, UnknownSubject>;
+  /** Explains a job; an error names the part that does not exist. */
+  readonly explainJob: (job: DescribedJob) => Result<JobExplanation, UnknownSubject>;
+}
+
 /** A serving host. */
 export interface Host {
   readonly identity: HostIdentity;
@@ -149,8 +161,8 @@
   readonly holderOf: (job: string, allowed: AllowedRegions | undefined) => [string, number] | null;
   /** Returns the time since the known jobs were confirmed as current. Unit: ms. */
   readonly jobsAge: () => number;
-  /** Tells where a request or batch item would go now, without sending it; undefined if no route has it. */
-  readonly explainPlacement: (request: DescribedRequest) => RouteExplanation | undefined;
+  /** Tells operators where requests and jobs would go now. Nothing is sent, taken or counted. */
+  readonly placement: PlacementExplainer;
   /** Checks whether load balancers should send callers to this host. */
   readonly isReady: () => boolean;
   /** Waits until configuration and targets are loaded, at most until a monotonic deadline in ms. */
@@ -469,6 +481,18 @@
     admission.retryWaiting();
   });
 
+  const explanationSources = {
+    identity,
+    view,
+    router,
+    rates,
+    admission,
+    crashGuard,
+    members,
+    jobCache,
+    worker,
+  };
+
   let maintenanceTimer: NodeJS.Timeout | undefined;
   const runMaintenance = async (): Promise<void> => {
     members.ensureOwnRow();
@@ -490,7 +514,10 @@
         isAllowed(failureDomain, allowed, regions),
       ),
     jobsAge: () => jobsFollower.age,
-    explainPlacement: (request) => explainRoute(request, { view, router }),
+    placement: {
+      explainRequest: (request) => explainRequest(request, explanationSources),
+      explainJob: (job) => explainJob(job, explanationSources),
+    },
     isReady: () => !members.isStopping && view.index !== undefined && view.age < MAX_READY_AGE_MS,
     async waitUntilLoaded(deadline) {
       const loaded = [configurationFollower, targetsFollower, blockedContentFollower].map(
--- a/packages/serving/test/steps/forecasts.steps.ts
+++ b/packages/serving/test/steps/forecasts.steps.ts
@@ -342,10 +342,14 @@
   function (this: ForecastsWorld) {
     const candidates = listCandidates(this);
     const random = createRandom(1);
-    this.explanations = explainChoice(candidates, () => {
-      const chosen = choose(candidates, random);
-      return chosen.kind === 'target' ? chosen.target : undefined;
-    });
+    this.explanations = explainChoice(
+      candidates,
+      () => {
+        const chosen = choose(candidates, random);
+        return chosen.kind === 'target' ? chosen.target : undefined;
+      },
+      () => 'others-preferred',
+    );
   },
 );
 
