Recognize a reset that follows the end of a response without a length

A target that responds without having read a large body, and closes the connection, sends the end first; its system sends a reset right after it, for the bytes that are left unread. The host closed its socket at the end and never saw the reset, so that callers got a part as a complete response.

Traced with the rows 'closes the connection' of earlyResponses.feature: after the reset the socket has no peer, as long as this side was not ended either. For a response that only the end of its connection delimits, to a request with a body of more than 64 KiB, the end waits 100 ms now; events are passed on at once, and other responses wait for nothing. The peer is looked up once, after the wait, since Node.js keeps the first address that it has found.

Ruled out: earlier detection by reading on (the system reports nothing after an end), and by the bytes that are still to be written (the body fits in the buffers of the connection).

--- a/packages/serving/src/http/TargetConnection.ts
+++ b/packages/serving/src/http/TargetConnection.ts
@@ -29,6 +29,19 @@
  */
 const MAX_BYTES_PER_READ = 4096;
 
+/**
+ * Maximum size of a body that a target's HTTP parser may have taken from the connection before the target reads it. Larger
+ * unread bodies leave bytes in the connection, for which the target's system sends a reset when the connection is closed. Unit:
+ * bytes.
+ */
+const MAX_READ_AHEAD_BYTES = 65_536;
+
+/**
+ * Time after the end of a connection in which a reset is awaited, before the end of a response that only this end delimits is
+ * passed on. Unit: ms.
+ */
+const RESET_WAIT_MS = 100;
+
 const createResetError = (): Error =>
   Object.assign(new Error('connection reset by the target'), { code: 'ECONNRESET' });
 
@@ -63,6 +76,12 @@
 
   private isClosed = false;
 
+  /** Whether the target may have left bytes of the request's body unread in the connection. */
+  private mayLeaveUnread = false;
+
+  /** Called when no reset is awaited any more; undefined while none is awaited. */
+  private onResetSettled: (() => void)[] | undefined;
+
   /** Ids of the requests that the connection has carried. */
   private readonly carriedIds = new Set<string>();
 
@@ -116,6 +135,7 @@
    */
   send({ id, method, path, headers, body }: TargetRequest, listener: ResponseListener): TargetCall {
     this.carriedIds.add(id);
+    this.mayLeaveUnread = (body?.length ?? 0) > MAX_READ_AHEAD_BYTES;
     const getBytesTaken = (): number => this.bytesTaken;
     const getError = (): Error | undefined => this.socketError;
     const exchange = new TargetExchange(
@@ -126,6 +146,10 @@
         get error() {
           return getError();
         },
+        afterReset: (callback) => {
+          if (this.onResetSettled) this.onResetSettled.push(callback);
+          else callback();
+        },
         onEnd: () => this.release(),
         onFail: (error) => this.close(error),
       },
@@ -157,15 +181,17 @@
     this.socket = socket;
     this.socketError = undefined;
     this.bytesTaken = 0;
+    const read = socket.read.bind(socket);
+    const destroy = socket.destroy.bind(socket);
     socket.on('end', () => {
-      // A reset that arrives together with data is reported as a regular end, but leaves the socket without a peer.
-      if (socket.remoteAddress === undefined) this.socketError = createResetError();
       // A response that only this end delimits isn't complete while its target can't have read the request.
+      if (this.mayLeaveUnread && this.exchange?.isCloseDelimited && socket.writableLength === 0)
+        this.awaitReset(socket, destroy);
+      // A reset that arrives together with data is reported as a regular end, but leaves the socket without a peer.
+      else if (socket.remoteAddress === undefined) this.socketError = createResetError();
       else if (socket.writableLength > 0) this.socketError = createUnreadError();
       this.exchange?.handleConnectionEnd();
     });
-    const read = socket.read.bind(socket);
-    const destroy = socket.destroy.bind(socket);
     Object.assign(socket, {
       read: (size?: number): unknown => {
         // Counts all bytes that the client has processed, also those that are not part of a response.
@@ -180,6 +206,8 @@
         return bytes;
       },
       destroy: (error?: Error) => {
+        // A closed socket could not tell a reset from a regular end.
+        if (this.onResetSettled && !this.isClosed) return socket;
         this.socketError ??= error;
         this.exchange?.handleConnectionEnd();
         return destroy(error);
@@ -187,6 +215,23 @@
     });
   }
 
+  /**
+   * Keeps a socket that has ended open for a while. The end is sent before the target closes the connection, so that a reset
+   * because of unread bytes comes after it.
+   */
+  private awaitReset(socket: Socket, destroy: Socket['destroy']): void {
+    const callbacks: (() => void)[] = [];
+    this.onResetSettled = callbacks;
+    // Without the end of this side, only a reset leaves the socket without a peer.
+    Object.assign(socket, { allowHalfOpen: true });
+    setTimeout(() => {
+      this.onResetSettled = undefined;
+      if (socket.remoteAddress === undefined) this.socketError ??= createResetError();
+      callbacks.forEach((callback) => callback());
+      destroy();
+    }, RESET_WAIT_MS);
+  }
+
   private release(): void {
     // The client is still processing the response here and accepts the next request only after this call returns.
     queueMicrotask(() => {
--- a/packages/serving/src/http/TargetExchange.ts
+++ b/packages/serving/src/http/TargetExchange.ts
@@ -36,6 +36,8 @@
   readonly bytesTaken: number;
   /** Failure of the connection, if any. */
   readonly error: Error | undefined;
+  /** Calls back at once, or when a reset that may follow the end of the connection is no longer awaited. */
+  afterReset(callback: () => void): void;
   /** Called when the response has ended and the connection can be reused. */
   onEnd(): void;
   /** Called when the connection must be closed. */
@@ -50,6 +52,9 @@
 
   private isEnded = false;
 
+  /** Whether only the end of the connection delimits the response; false before its head. */
+  isCloseDelimited = false;
+
   /** Whether the response ends with its head. */
   private hasNoBody = false;
 
@@ -113,6 +118,10 @@
     }
     this.sizeLimit.recordHead();
     this.hasNoBody = STATUSES_WITHOUT_BODY.has(status);
+    this.isCloseDelimited =
+      !this.hasNoBody &&
+      headers['content-length'] === undefined &&
+      headers['transfer-encoding'] === undefined;
     this.listener?.head(status, headers);
   }
 
@@ -126,8 +135,10 @@
   }
 
   onResponseEnd(): void {
-    this.ending = { connectionError: this.connection.error };
-    this.endOnceDelivered();
+    this.connection.afterReset(() => {
+      this.ending = { connectionError: this.connection.error };
+      this.endOnceDelivered();
+    });
   }
 
   onResponseError(_: Dispatcher.DispatchController | undefined, error: Error): void {
