--- a/packages/serving/src/admission/AdmissionQueue.ts
+++ b/packages/serving/src/admission/AdmissionQueue.ts
@@ -6,7 +6,13 @@
 import type { ServiceTimes } from '../placement/ServiceTimes.js';
 import type { CandidateCounts, TargetChoice } from '../routing/chooseTarget.js';
 import type { ShareTable } from './AccountShares.js';
-import type { Admission, Placement, PlacementRequest } from './Admission.js';
+import type {
+  Admission,
+  AdmissionState,
+  DescribedPlacement,
+  Placement,
+  PlacementRequest,
+} from './Admission.js';
 import { compareWaiting, type WaitingPosition } from './orderWaiting.js';
 import { ReturnSchedule, type PredictedRoom } from './ReturnSchedule.js';
 
@@ -129,6 +135,31 @@
     this.scheduleDeadline();
   }
 
+  describe(request: DescribedPlacement): AdmissionState {
+    const { service, account, routePriority, responseDeadline, expectedWaitMs } = request;
+    const { shares, times, isRoomShort, timers } = this.dependencies;
+    const now = timers.now();
+    const shareRatio = shares.getRatio(account, now);
+    const position = {
+      isNew: true,
+      accountPriority: account?.priority ?? routePriority,
+      routePriority,
+      shareRatio,
+      responseDeadline,
+      sequence: Number.POSITIVE_INFINITY,
+    };
+    const room = this.predictRoom(service, position, expectedWaitMs);
+    const startDeadline = responseDeadline - times.meanFirstMs(service, now);
+    return {
+      policy: 'queue',
+      ahead: this.countAhead(service, position),
+      shareRatio,
+      onlyFreeSlots: shareRatio > 1 && isRoomShort(service),
+      wouldWait: now + (room?.waitMs ?? 0) < startDeadline,
+      ...(room && { predictedWaitMs: room.waitMs }),
+    };
+  }
+
   private createPosition(request: PlacementRequest, now: number): WaitingPosition {
     const { account, routePriority, isNew, responseDeadline } = request;
     this.sequence += 1;
@@ -211,6 +242,7 @@
    * @param service - name of the service
    * @param position - position of the request; undefined for the end of the queue
    * @param routedWaitMs - wait until a target has room, as the router predicts it. Unit: ms
+   * @param history - history of the service
    * @returns predicted room; undefined if it is not known
    */
   private predictRoom(
@@ -221,11 +253,15 @@
     const { times, timers } = this.dependencies;
     const intervalMs = times.slotIntervalMs(service, timers.now());
     if (intervalMs === undefined) return undefined;
-    const ahead = this.waiting.filter(
+    const ahead = this.countAhead(service, position);
+    return { intervalMs, waitMs: (routedWaitMs ?? intervalMs) + ahead * intervalMs };
+  }
+
+  private countAhead(service: string, position: WaitingPosition | undefined): number {
+    return this.waiting.filter(
       (other) =>
         other.request.service === service && (!position || compareWaiting(other, position) < 0),
     ).length;
-    return { intervalMs, waitMs: (routedWaitMs ?? intervalMs) + ahead * intervalMs };
   }
 
   /** Wakes the queue when the next request can't be served in time any more. */
--- a/packages/serving/test/steps/coldTargets.steps.ts
+++ b/packages/serving/test/steps/coldTargets.steps.ts
@@ -227,7 +227,7 @@
   'an operator is told that requests and items would go to {string}',
   function (this: ColdWorld, id: string) {
     (['online', 'batch'] as const).forEach((work) => {
-      const [first] = this.router.explain('chat', work, undefined);
+      const [first] = this.router.explain({ service: 'chat', work }).targets;
       assert.deepEqual({ target: first?.target, share: first?.share }, { target: id, share: 1 });
     });
   },
