--- a/packages/demo/test/features/callers.feature
+++ b/packages/demo/test/features/callers.feature
@@ -25,6 +25,11 @@
       | its key in the body      | 400    | 1006   |
       | the name of an account   | 403    | 1008   |
 
+  Scenario: Callers whose bodies are too large get the refusals
+    Guards against a connection that is closed while its caller still sends, so that the refusal is lost.
+    When callers send 300 bodies that are too large, 6 at a time
+    Then each response is a refusal with status 413
+
   Scenario: A batch with malformed lines is refused with their line numbers
     When a caller submits a batch whose lines 2 and 4 are malformed
     Then the response is 400 with result code 1010 and "not run"
--- a/packages/demo/test/steps/callers.steps.ts
+++ b/packages/demo/test/steps/callers.steps.ts
@@ -15,6 +15,9 @@
 } from '../support/FleetWorld.js';
 import { openStream } from '../support/openStream.js';
 
+/** Time for sending many large bodies on a busy machine. Unit: ms. */
+const LARGE_BODIES_TIMEOUT_MS = 60_000;
+
 interface OpenAIWorld extends FleetWorld {
   openAIResponses: {
     chat: string;
@@ -83,6 +86,24 @@
     }),
 };
 
+When(
+  'callers send {int} bodies that are too large, {int} at a time',
+  { timeout: LARGE_BODIES_TIMEOUT_MS },
+  async function (this: FleetWorld, count: number, parallel: number) {
+    const { url } = getEntryHost(this.fleet, 1);
+    const { secret } = getKey(this.fleet, 'web');
+    const sendNext = async (): Promise<void> => {
+      while (this.responses.length < count)
+        this.responses.push(await badRequests['a body that is too large']!(this, url, secret));
+    };
+    await Promise.all(Array.from({ length: parallel }, sendNext));
+  },
+);
+
+Then('each response is a refusal with status 413', function (this: FleetWorld) {
+  assert.ok(this.responses.every(({ status }) => status === 413));
+});
+
 When(/^a caller sends (.+)$/, async function (this: FleetWorld, kind: string) {
   const request = badRequests[kind];
   assert.ok(request, kind);
