Refuse at an agent a request whose body is incomplete at its deadline

Nothing limited the time for a body at the inner server, so that an entry host that had stopped sending held memory of the budget until its connection closed. Reading ends with the lifetime of the request now, with the refusal of a request that was not sent.

--- a/packages/agent/src/core/http/runEndpoint.ts
+++ b/packages/agent/src/core/http/runEndpoint.ts
@@ -7,7 +7,10 @@
 import { matchesCredential } from '@jacinthlug/protocol/controlServer';
 import { innerHeaders } from '@jacinthlug/protocol/headers';
 import type { LoadReporter } from '../lifecycle/LoadReporter.js';
-import type { ForwardedRequestHandler } from '../online/ForwardedRequestHandler.js';
+import {
+  refusalsBeforeSending,
+  type ForwardedRequestHandler,
+} from '../online/ForwardedRequestHandler.js';
 import { RequestLifetime } from '../online/RequestLifetime.js';
 import type { RunningRequests } from '../online/RunningRequests.js';
 import { sendRefusal } from './sendRefusal.js';
@@ -57,16 +60,22 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> => {
+    const { signal } = lifetime;
     const { id, account } = lifetime.request;
     response.on('close', () => {
       if (!response.writableFinished) lifetime.abort('caller-gone');
     });
-    const body = await readBody(request, { bodies, account, response });
+    const body = await readBody(request, { bodies, account, response, signal });
     if (body.isErr()) {
       respondWithRefusal(response, body.error, id);
       return;
     }
-    if (!body.value) return;
+    if (!body.value) {
+      const { abortReason = 'caller-gone' } = lifetime;
+      if (abortReason !== 'caller-gone')
+        respondWithRefusal(response, refusalsBeforeSending[abortReason], id);
+      return;
+    }
     const outcome = await requestHandler.handle({
       lifetime,
       headers: request.headers,
--- a/packages/agent/src/core/online/ForwardedRequestHandler.ts
+++ b/packages/agent/src/core/online/ForwardedRequestHandler.ts
@@ -40,7 +40,7 @@
 };
 
 /** Refusals of requests that are aborted before being sent to the target. */
-const refusalsBeforeSending: Record<AbortReason, Refusal> = {
+export const refusalsBeforeSending: Readonly<Record<AbortReason, Refusal>> = {
   'caller-gone': refuse('deadline-passed-in-queue'),
   deadline: refuse('deadline-passed-in-queue'),
   'key-withdrawn': refuse('key-unknown'),
--- a/packages/agent/test/features/checks.feature
+++ b/packages/agent/test/features/checks.feature
@@ -50,6 +50,12 @@
     Then "unsure" is refused with "configuration-unconfirmed" as "not run"
     And the target was not given "unsure"
 
+  Scenario: A request whose body is incomplete at its deadline is refused
+    Guards against memory that is held for a body whose entry host has stopped sending.
+    When "frozen" is forwarded with a body without end and a deadline of 300 ms
+    Then "frozen" is refused with "deadline-passed-in-queue" as "not run"
+    And the target was not given "frozen"
+
   Scenario: A request with a wrong fleet credential is refused
     When "stranger" is forwarded with another fleet credential
     Then "stranger" is refused with "fleet-credential-wrong" as "not run"
--- a/packages/agent/test/steps/agent.steps.ts
+++ b/packages/agent/test/steps/agent.steps.ts
@@ -64,6 +64,10 @@
   'with a wait limit of 30 ms': { headers: { [innerHeaders.waitLimitMs]: '30' } },
   'with the key of "lantern"': { headers: { [innerHeaders.key]: getKeyId('lantern') } },
   'with another fleet credential': { headers: { [innerHeaders.fleet]: 'another-credential' } },
+  'with a body without end and a deadline of 300 ms': {
+    isEndless: true,
+    headers: { [innerHeaders.remainingMs]: '300' },
+  },
   'with every kind of credential': {
     headers: {
       authorization: `Bearer ${CREDENTIAL}`,
--- a/packages/agent/test/support/AgentFixture.ts
+++ b/packages/agent/test/support/AgentFixture.ts
@@ -66,6 +66,8 @@
   readonly tokens?: number;
   readonly isStreamed?: boolean;
   readonly isKeyless?: boolean;
+  /** Whether the body never ends. */
+  readonly isEndless?: boolean;
   readonly model?: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly onFirstBytes?: () => void;
@@ -178,6 +180,10 @@
     const { id, account = 'harbor', prompt = id, tokens = 3, isStreamed = true } = request;
     const { model = 'atlas-7b' } = request;
     const messages = [{ role: 'user', content: prompt }];
+    const body = JSON.stringify({ model, messages, stream: isStreamed, max_tokens: tokens });
+    const endlessBody = new ReadableStream({
+      start: (controller) => controller.enqueue(Buffer.from(body)),
+    });
     const response = await fetch(`${this.url}${RUN_PATH}`, {
       method: 'POST',
       headers: {
@@ -198,7 +204,7 @@
         [innerHeaders.path]: '/v1/chat/completions',
         ...request.headers,
       },
-      body: JSON.stringify({ model, messages, stream: isStreamed, max_tokens: tokens }),
+      ...(request.isEndless ? { body: endlessBody, duplex: 'half' } : { body }),
       signal: signal ?? null,
     });
     const decoder = new TextDecoder();
