--- a/packages/cli/src/core/formatExplanation.ts
+++ b/packages/cli/src/core/formatExplanation.ts
@@ -24,8 +24,8 @@
 const formatMs = (ms: number | undefined): string =>
   ms === undefined ? '' : `${Math.round(ms)} ms`;
 
-const formatFate = ({ fate, code }: Pick<ServiceExplanation, 'fate' | 'code'>): string =>
-  code === undefined ? fate : `${fate} (${code})`;
+const formatOutcome = ({ outcome, code }: Pick<ServiceExplanation, 'outcome' | 'code'>): string =>
+  code === undefined ? outcome : `${outcome} (${code})`;
 
 const formatRegions = (regions: readonly string[]): string =>
   `allowed regions: ${regions.join(', ') || 'none'}`;
@@ -51,7 +51,7 @@
     formatMs(target.waitMs),
   ]);
   return [
-    `service ${service.service}, weight ${weight}: ${formatFate(service)}`,
+    `service ${service.service}, weight ${weight}: ${formatOutcome(service)}`,
     ...(admission ? [formatAdmission(admission)] : []),
     ...(rows.length > 0 ? [formatColumns([TARGET_HEADING, ...rows])] : ['  no targets']),
   ];
@@ -63,7 +63,7 @@
   const cause = blockedContent === undefined ? '' : `, content ${blockedContent}`;
   const allowed = allowedInMs === undefined ? '' : `, allowed in ${formatMs(allowedInMs)}`;
   return [
-    `host ${request.observer}: ${formatFate(request)}${cause}${allowed}`,
+    `host ${request.observer}: ${formatOutcome(request)}${cause}${allowed}`,
     `route ${route} (${routeKind}), configuration ${configuration}`,
     account === null
       ? 'no account stated: its rate, share and regions are not considered'
--- a/packages/cli/src/core/placementResponses.ts
+++ b/packages/cli/src/core/placementResponses.ts
@@ -1,7 +1,7 @@
 /** Schemas of the responses of `GET /placement` on the metrics port of a host. */
 import * as z from 'zod';
 
-const fate = z.enum(['sent', 'waits', 'refused']);
+const outcome = z.enum(['sent', 'waits', 'refused']);
 
 const targetExplanation = z.looseObject({
   target: z.string(),
@@ -21,7 +21,7 @@
 const serviceExplanation = z.looseObject({
   service: z.string(),
   weight: z.number(),
-  fate,
+  outcome,
   code: z.string().optional(),
   admission: z
     .looseObject({
@@ -42,7 +42,7 @@
   routeKind: z.string(),
   account: z.string().nullable(),
   configuration: z.number(),
-  fate,
+  outcome,
   code: z.string().optional(),
   /** Unit: ms. */
   allowedInMs: z.number().optional(),
--- a/packages/serving/src/placement/explainJob.ts
+++ b/packages/serving/src/placement/explainJob.ts
@@ -239,7 +239,7 @@
         allowed,
         ...(allowanceOf && { allowanceOf }),
       });
-      return { service, weight, fate: result === 'target' ? 'sent' : 'waits', targets };
+      return { service, weight, outcome: result === 'target' ? 'sent' : 'waits', targets };
     }),
   });
 };
--- a/packages/serving/src/placement/explainRequest.ts
+++ b/packages/serving/src/placement/explainRequest.ts
@@ -5,7 +5,7 @@
 import type { JobCache } from '../batch/JobCache.js';
 import type { ConfigurationView } from '../configuration/ConfigurationView.js';
 import type { Account, Route } from '../configuration/ServingConfiguration.js';
-import { computeContentKeys } from '../crashes/contentKeys.js';
+import { computeContentKeys, isRequestKey } from '../crashes/contentKeys.js';
 import type { CrashGuard } from '../crashes/CrashGuard.js';
 import type { HostIdentity } from '../fleet/HostIdentity.js';
 import type { AccountRateLimiter } from '../rates/AccountRateLimiter.js';
@@ -19,7 +19,7 @@
 export interface DescribedRequest {
   readonly host: string;
   readonly path: string;
-  /** Name of the client account; undefined to leave rate, share and regions of the account out. */
+  /** Name of the client account; if undefined, rate, share and regions of the account are not considered. */
   readonly account?: string | undefined;
   /** Undefined if its caller states none. */
   readonly size?: RequestSize | undefined;
@@ -33,13 +33,13 @@
 export type UnknownSubject = 'route' | 'account' | 'job' | 'configuration';
 
 /** What would happen to a request or item. */
-export type Fate = 'sent' | 'waits' | 'refused';
+export type Outcome = 'sent' | 'waits' | 'refused';
 
 /** What would happen at one service of the route. */
 export interface ServiceExplanation {
   readonly service: string;
   readonly weight: number;
-  readonly fate: Fate;
+  readonly outcome: Outcome;
   /** Result code of the refusal. */
   readonly code?: ResultName;
   /** Queue of the host and share of the account; absent for items. */
@@ -58,7 +58,7 @@
   readonly configuration: number;
   /** Time since the configuration was confirmed as current. Unit: ms. */
   readonly configurationAgeMs: number;
-  readonly fate: Fate;
+  readonly outcome: Outcome;
   readonly code?: ResultName;
   /** Time after which the rate of the account, or the block of the content, allows the request. Unit: ms. */
   readonly allowedInMs?: number;
@@ -88,29 +88,29 @@
   ['none', 'no-target'],
 ]);
 
-/** Which fate stands for those of several services. */
-const FATES: readonly Fate[] = ['sent', 'waits', 'refused'];
+/** Outcomes in the order of preference: a service that can run the request is used, whichever one is drawn. */
+const OUTCOMES: readonly Outcome[] = ['sent', 'waits', 'refused'];
 
-type ServiceFate = Pick<ServiceExplanation, 'fate' | 'code'>;
+type ServiceOutcome = Pick<ServiceExplanation, 'outcome' | 'code'>;
 
 /** An item without a target waits, whatever the cause. */
-const findItemFate = ({ result }: ChoiceExplanation): ServiceFate => ({
-  fate: result === 'target' ? 'sent' : 'waits',
+const findItemOutcome = ({ result }: ChoiceExplanation): ServiceOutcome => ({
+  outcome: result === 'target' ? 'sent' : 'waits',
 });
 
-const findOnlineFate = (
+const findOnlineOutcome = (
   { result, targets }: ChoiceExplanation,
   { ahead, shareRatio, onlyFreeSlots, wouldWait }: AdmissionState,
-): ServiceFate => {
+): ServiceOutcome => {
   const refusal = refusalsByResult.get(result);
-  if (refusal) return { fate: 'refused', code: refusal };
+  if (refusal) return { outcome: 'refused', code: refusal };
   const isPlaced =
     result === 'target' &&
     ahead === 0 &&
     (!onlyFreeSlots || targets.some(({ share, online, slots }) => share > 0 && online < slots));
-  if (isPlaced) return { fate: 'sent' };
-  if (wouldWait) return { fate: 'waits' };
-  return { fate: 'refused', code: shareRatio > 1 ? 'share-exceeded' : 'overloaded' };
+  if (isPlaced) return { outcome: 'sent' };
+  if (wouldWait) return { outcome: 'waits' };
+  return { outcome: 'refused', code: shareRatio > 1 ? 'share-exceeded' : 'overloaded' };
 };
 
 const explainService = (
@@ -125,7 +125,7 @@
   const work = route.kind === 'batch' ? 'batch' : 'online';
   const choice = router.explain({ service, work, size, version, allowed });
   const { targets } = choice;
-  if (work === 'batch') return { service, weight, ...findItemFate(choice), targets };
+  if (work === 'batch') return { service, weight, ...findItemOutcome(choice), targets };
   const state = admission.describe({
     service,
     account,
@@ -133,7 +133,7 @@
     responseDeadline: performance.now() + route.objectiveMs,
     expectedWaitMs: choice.expectedWaitMs,
   });
-  return { service, weight, ...findOnlineFate(choice, state), admission: state, targets };
+  return { service, weight, ...findOnlineOutcome(choice, state), admission: state, targets };
 };
 
 /**
@@ -158,9 +158,10 @@
   account: Account | undefined,
   { path, sharedPromptParts = [] }: DescribedRequest,
   { view, rates, crashGuard }: RequestExplanationSources,
-): Pick<RequestExplanation, 'fate' | 'code' | 'allowedInMs' | 'blockedContent'> | undefined => {
+): Pick<RequestExplanation, 'outcome' | 'code' | 'allowedInMs' | 'blockedContent'> | undefined => {
   const isKeyed = !route.open && view.index!.configuration.accounts.length > 0;
-  if (isKeyed && !view.canTrustKeys) return { fate: 'refused', code: 'configuration-unconfirmed' };
+  if (isKeyed && !view.canTrustKeys)
+    return { outcome: 'refused', code: 'configuration-unconfirmed' };
   if (route.kind === 'batch') return undefined;
   const now = performance.now();
   const body = Buffer.alloc(0);
@@ -168,16 +169,18 @@
     .map(({ service }) =>
       computeContentKeys({ service, account: account?.name, path, sharedPromptParts, body }),
     )
+    // Without the body, the key of the whole request is that of another one.
+    .map((keys) => keys.filter((key) => !isRequestKey(key)))
     .map((keys) => crashGuard.findKnownBlock(keys, now))
     .find((found) => found !== undefined);
   if (block) {
     const allowedInMs = Math.round(block.until - now);
     const code = 'request-breaks-targets';
-    return { fate: 'refused', code, allowedInMs, blockedContent: block.key };
+    return { outcome: 'refused', code, allowedInMs, blockedContent: block.key };
   }
   const waitMs = account ? rates.predictWait(account) : 0;
   return waitMs > 0
-    ? { fate: 'refused', code: 'rate-exceeded', allowedInMs: Math.round(waitMs) }
+    ? { outcome: 'refused', code: 'rate-exceeded', allowedInMs: Math.round(waitMs) }
     : undefined;
 };
 
@@ -204,8 +207,8 @@
       explainService(service, weight, route, account, request, allowed, sources),
     );
     const drawable = services.filter(({ weight }) => weight > 0 || !isDrawable);
-    const fate = FATES.find((each) => drawable.some((service) => service.fate === each))!;
-    const code = drawable.find((service) => service.fate === fate)?.code;
+    const outcome = OUTCOMES.find((each) => drawable.some((service) => service.outcome === each))!;
+    const code = drawable.find((service) => service.outcome === outcome)?.code;
     return {
       kind: 'request',
       observer: identity.name,
@@ -214,7 +217,7 @@
       account: account?.name ?? null,
       configuration: index.configuration.version,
       configurationAgeMs: Math.round(view.age),
-      ...(findEarlyRefusal(route, account, request, sources) ?? { fate, ...(code && { code }) }),
+      ...(findEarlyRefusal(route, account, request, sources) ?? { outcome, ...(code && { code }) }),
       ...(allowed && { allowedRegions: [...allowed] }),
       ...(route.kind === 'batch' &&
         account && {
