--- a/review/kit-2/engine.mjs
+++ b/review/kit-2/engine.mjs
@@ -7,7 +7,10 @@
 /** Time after which an engine that has crashed is back. Unit: ms. */
 const RESTART_MS = 2500;
 
-/** An engine. A case may set `crashesOn`, which says of a request that begins to run whether the engine crashes on it. */
+/**
+ * An engine. A case may set `crashesOn`, which says of a request that begins to run whether the engine crashes on it,
+ * and `garbles`, which says whether it gives a wrong answer to a request.
+ */
 export class Engine {
   running = 0;
 
@@ -27,7 +30,7 @@
     service = 'asistente',
     zone,
     slots = 8,
-    chatEvents = 36,
+    eventsByPath = { '/chat/': 36, '/query/': 5 },
     events = 247,
     eventMs = 20,
     createData = (request, event) => `${request} ${event}`,
@@ -38,7 +41,7 @@
       service,
       zone,
       slots,
-      chatEvents,
+      eventsByPath,
       events,
       eventMs,
       createData,
@@ -159,7 +162,15 @@
       return;
     }
     const after = Number(message.headers['last-event-id'] ?? 0);
-    const events = message.url.startsWith('/chat/') ? this.chatEvents : this.events;
+    if (this.garbles?.(message)) {
+      const wrong = `HTTP/1.1 101 Switching Protocols\r\nX-Request-Id: ${id}\r\nX-Server-Stamp: ${this.id}.${id}\r\n\r\n`;
+      response.socket.write(wrong);
+      await new Promise((resolve) => {
+        response.once('close', resolve);
+      });
+      return;
+    }
+    const events = this.eventsByPath[`/${message.url.split('/')[1]}/`] ?? this.events;
     response.writeHead(200, {
       ...head,
       'content-type': 'text/event-stream',
--- a/review/kit-2/world.mjs
+++ b/review/kit-2/world.mjs
@@ -18,6 +18,9 @@
 
 export const createId = () => randomBytes(8).toString('hex');
 
+/** Timeout of the route for queries. Unit: ms. */
+export const QUERY_TIMEOUT_MS = 1000;
+
 /** Configuration like that of the site lcs-jacinth. */
 export const createConfiguration = (version = 7) => ({
   version,
@@ -42,6 +45,18 @@
       priority: 0,
       sticky: true,
     },
+    {
+      name: 'price-query',
+      host: HOST_NAME,
+      prefix: '/query/',
+      kind: 'idempotent',
+      service: 'asistente',
+      timeout_ms: QUERY_TIMEOUT_MS,
+      goal_ms: 300,
+      attempts: 3,
+      priority: 0,
+      sticky: true,
+    },
     {
       name: 'survey-batch',
       host: HOST_NAME,
@@ -192,6 +207,23 @@
     },
   });
 
+/** Sends a short request that may run more than once. */
+export const sendQuery = (host, tenant, timeoutMs, id = createId()) =>
+  call(host, {
+    method: 'POST',
+    path: `/query/${id.slice(0, 4)}`,
+    key: keyOf(tenant),
+    id,
+    body: 'x'.repeat(500),
+    timeoutMs,
+    headers: {
+      'x-model': 'm',
+      'x-token-usage': '250,10',
+      'x-prompt-prefix': `5c1e07a2:100,${id.slice(0, 8)}:150`,
+      'x-deadline-ms': '5000',
+    },
+  });
+
 /** Creates the items of a batch job. */
 export const createItems = (count, bodyBytes, tokens = 600) =>
   Array.from({ length: count }, () => {
