--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -11,6 +11,7 @@
   hasTrouble,
   keyOf,
   submit,
+  calls,
 } from '../kit-2/world.mjs';
 
 /** Items of a job: the mean of the sheet. */
@@ -82,6 +83,7 @@
   await deployment.stop();
 }
 record.add(['held', 'broken', 'could not run'][verdict]);
+record.addTraffic(calls, deployment.engines);
 await record.save();
 // Ends connections that are still open.
 // eslint-disable-next-line n/no-process-exit
--- a/review/kit-2/world.mjs
+++ b/review/kit-2/world.mjs
@@ -130,6 +130,9 @@
   }
 }
 
+/** All calls so far, in the order of their ends. */
+export const calls = [];
+
 /**
  * Sends a call on a new connection.
  *
@@ -142,14 +145,14 @@
   new Promise((resolve) => {
     const { ip, port } = host.address;
     const sentAt = performance.now();
-    const end = (status, content, answerHeaders = {}) =>
-      resolve({
-        status,
-        body: content,
-        headers: answerHeaders,
-        sentAt,
-        tookMs: performance.now() - sentAt,
-      });
+    let hasEnded = false;
+    const end = (status, content, answerHeaders = {}) => {
+      if (hasEnded) return;
+      hasEnded = true;
+      const tookMs = performance.now() - sentAt;
+      calls.push({ sentAt, host: host.name, method, path, id, status, tookMs });
+      resolve({ status, body: content, headers: answerHeaders, sentAt, tookMs });
+    };
     const sent = request(
       {
         host: ip,
