Write the record of each case from the case itself

Only a shared module named record.txt, and a script that was stopped wrote none. Each case now names its record, and one that is stopped or takes 112 s writes it, ends its hosts and exits with 2.

--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,5 +1,4 @@
 /** Two batch jobs, one of whose ids continues the other's, and a host that is killed; each result has to be its item's output. */
-import { dirname } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 import { Record } from '../kit-2/record.mjs';
@@ -24,7 +23,7 @@
 
 const EVENTS = 247;
 
-const record = new Record(dirname(fileURLToPath(import.meta.url)));
+const record = new Record(fileURLToPath(new URL('record.txt', import.meta.url)));
 const deployment = new Deployment();
 let verdict = 2;
 try {
--- a/review/kit-2/host.mjs
+++ b/review/kit-2/host.mjs
@@ -77,12 +77,6 @@
   }
 };
 
-// A script that takes too long is stopped; the listeners for the exit end its hosts.
-process.once('SIGTERM', () => {
-  // eslint-disable-next-line n/no-process-exit
-  process.exit(2);
-});
-
 /** A host. */
 export class Host {
   /** Ends of its processes that the case has not caused. */
--- a/review/kit-2/record.mjs
+++ b/review/kit-2/record.mjs
@@ -1,14 +1,24 @@
 /** The record of a case. */
 import { writeFile } from 'node:fs/promises';
-import { join } from 'node:path';
 
-/** Collects what was sent, answered and run, and writes it to `record.txt`. */
+/** Time after which a script ends. Unit: ms. */
+const TIME_LIMIT_MS = 112_000;
+
+/** Collects what was sent, answered and run, and writes it to the file of the case. */
 export class Record {
   lines = [];
 
-  constructor(folder) {
-    this.file = join(folder, 'record.txt');
+  constructor(file, timeLimitMs = TIME_LIMIT_MS) {
+    this.file = file;
     this.startedAt = performance.now();
+    // A script that takes too long is stopped; the listeners for the exit end its hosts.
+    const stop = () => {
+      this.add('stopped before the end');
+      // eslint-disable-next-line n/no-process-exit
+      void this.save().finally(() => process.exit(2));
+    };
+    process.once('SIGTERM', stop);
+    setTimeout(stop, timeLimitMs).unref();
   }
 
   add(text, at = performance.now()) {
