Escape names in the keys of batch jobs, so that jobs aren't mixed

What callers saw: after a host was killed, all items of a job were completed with some 80 events of items of another job, whose id was the first one's continued by a slash (review/7). Without a kill, such a job listed the results of the other one, for ids such as ID/00000. Accounts whose names and ids join to the same text (acme and eu/ID, acme/eu and ID) read each other's results.

Cause: keys joined the account, the id and an index by slashes, and both names may contain slashes. The range of one job's rows contained the rows of others, and ProgressStore.load took the last part of any key for the index of an item. JobCache joined the names in the same way.

Fix: one module, jobKeys.ts, owns the rule. The separator is escaped in names, so that the keys of two jobs differ and no range of one contains a key of the other. Keys of names without slash, percent sign and control characters stay as they were. Rows of other names keep the key with which their job was accepted: a job carries its key, and the keys of its rows continue it. Hosts state the newest key format that they support in their row; while one of the fleet supports only the former one, names are joined as before, a job is accepted only if it has no row under either key, and rows of ranges that aren't the job's own are left out. The name of stored content no longer contains the id.

The row of a host has one more field, so the exact row that members.feature expects has it too.

--- a/packages/serving/src/batch/HeldJob.ts
+++ b/packages/serving/src/batch/HeldJob.ts
@@ -171,7 +171,7 @@
       eventCounts.set(index, response.resumableEventCount);
       outputs.push([index, output]);
     });
-    const saved = await progress.save(this.record, outputs);
+    const saved = await progress.save(this.job, outputs);
     if (saved.isErr()) {
       journal.record('progress-unsaved', {
         job: this.record.id,
--- a/packages/serving/src/batch/HeldJobs.ts
+++ b/packages/serving/src/batch/HeldJobs.ts
@@ -7,7 +7,7 @@
 import { ranksFirst } from '../fleet/rendezvousHash.js';
 import { HeldJob, type JobPolicy } from './HeldJob.js';
 import type { JobCache, VersionedJob } from './JobCache.js';
-import { isOpen, type ItemOutput, type JobRecord } from './JobRecord.js';
+import { identifyJob, isOpen, type ItemOutput, type JobRecord } from './JobRecord.js';
 import type { JobStore } from './JobStore.js';
 import type { ProgressStore } from './ProgressStore.js';
 
@@ -40,13 +40,9 @@
   readonly onExpired: (job: HeldJob) => void;
 }
 
-/** Identifies a job among those of all accounts, as callers choose the ids of their jobs. */
-const createKey = ({ account, id }: Pick<JobRecord, 'account' | 'id'>): string =>
-  JSON.stringify([account, id]);
-
 /** Opens, takes over and releases jobs. */
 export class HeldJobs {
-  /** By the keys of the jobs, like the following ones. */
+  /** By the texts that identify the jobs, like the following ones. */
   private readonly heldJobs = new Map<string, HeldJob>();
 
   /** Jobs that another process may have held before. */
@@ -122,7 +118,7 @@
 
   private applyJob(job: VersionedJob): void {
     const { record } = job;
-    const key = createKey(record);
+    const key = identifyJob(record);
     const held = this.heldJobs.get(key);
     if (held) {
       held.applyState(job);
@@ -145,7 +141,7 @@
   private async openJob(job: VersionedJob): Promise<void> {
     const { jobs, progress, identity, journal } = this.dependencies;
     const { id, account } = job.record;
-    const key = createKey(job.record);
+    const key = identifyJob(job.record);
     const policy = this.policyOf(job.record);
     if (this.pendingStoreCalls.has(key) || !policy) return;
     this.pendingStoreCalls.add(key);
@@ -155,10 +151,10 @@
       this.pendingStoreCalls.delete(key);
       return;
     }
-    const items = await jobs.loadInput(job.record);
+    const items = await jobs.loadInput(job);
     // A job that was not taken over has only run in this process, so no other host has saved output.
     const outputs = this.takenOver.has(key)
-      ? await progress.load(job.record)
+      ? await progress.load(job)
       : ok(new Map<number, ItemOutput>());
     this.pendingStoreCalls.delete(key);
     const newest = this.dependencies.jobCache.find(account, id);
@@ -234,7 +230,7 @@
 
   private async takeOver({ record }: VersionedJob): Promise<void> {
     const { jobs, identity, journal } = this.dependencies;
-    const key = createKey(record);
+    const key = identifyJob(record);
     if (this.pendingStoreCalls.has(key)) return;
     this.pendingStoreCalls.add(key);
     // Set before the write, which may be applied even if its response is lost.
@@ -256,7 +252,7 @@
     const { jobs, jobRetentionMs } = this.dependencies;
     const { record } = job;
     if (isOpen(record) || jobs.ageOf(record) < jobRetentionMs) return;
-    const key = createKey(record);
+    const key = identifyJob(record);
     if (this.pendingStoreCalls.has(key) || !this.isResponsible(record.id, workers)) return;
     this.pendingStoreCalls.add(key);
     void jobs.remove(job).finally(() => this.pendingStoreCalls.delete(key));
--- a/packages/serving/src/batch/JobAcceptance.ts
+++ b/packages/serving/src/batch/JobAcceptance.ts
@@ -1,13 +1,19 @@
 /** Accepts batch jobs: each is written once, under the token limit of its account. */
 import { refuse, type Refusal } from '@jacinthlug/catalog/resultCodes';
 import type { Clock } from '@jacinthlug/control/time/Clock';
-import { err, ok, type Result } from 'neverthrow';
+import { err, ok, ResultAsync, type Result } from 'neverthrow';
 import { findRecord, rangeOf } from '../store/recordKeys.js';
-import type { RecordKey, RecordStore, StoreFailure, Transaction } from '../store/RecordStore.js';
+import type {
+  RecordKey,
+  RecordStore,
+  StoredRecord,
+  StoreFailure,
+  Transaction,
+} from '../store/RecordStore.js';
 import type { JobCache } from './JobCache.js';
 import { createInput, type JobInputs, type NewInput } from './JobInputs.js';
-import { admissionKey, jobKey, jobRange } from './jobKeys.js';
-import type { JobInput, JobRecord } from './JobRecord.js';
+import { admissionKey, inputKey, listJobKeys, listJobRanges, type KeyFormat } from './jobKeys.js';
+import { identifyJob, type JobInput, type JobRecord } from './JobRecord.js';
 import type { JobWriter } from './JobWriter.js';
 import { refuseUnavailable, refuseUnconfirmed } from './storeRefusals.js';
 
@@ -40,11 +46,15 @@
   readonly clock: Clock;
   readonly inputs: JobInputs;
   readonly writer: JobWriter;
+  /** Returns the newest format of keys that all hosts of the fleet support. */
+  readonly findKeyFormat: () => KeyFormat;
 }
 
 /** A submission on its way to the store. */
 interface Attempt {
   readonly submission: Submission;
+  /** Keys that the job may have in the store. It is written under the first one unless there is a row under one of them. */
+  readonly keys: readonly RecordKey[];
   readonly record: JobRecord;
   readonly input: NewInput;
   /**
@@ -74,19 +84,20 @@
  * @returns the transaction
  */
 const createTransaction = (
-  { record, input, admission }: Attempt,
+  { keys, record, input, admission }: Attempt,
   admissionRevision: number | undefined,
 ): Transaction => {
-  const key = jobKey(record.account, record.id);
+  const [key] = keys;
+  if (!key) throw new RangeError('the job has no key');
   return {
     conditions: [
-      { ...key, revision: 0 },
+      ...keys.map((each) => ({ ...each, revision: 0 })),
       ...(admissionRevision === undefined ? [] : [{ ...admission, revision: admissionRevision }]),
     ],
     writes: [
       { ...key, value: encode(record) },
       { ...admission, value: encode({ job: record.id }) },
-      ...input.writes,
+      ...input.rows.map((value, part) => ({ ...inputKey(key, part), value })),
     ],
   };
 };
@@ -115,7 +126,7 @@
     const submittedAt = store.now();
     if (submittedAt === undefined || signal.aborted) return err(refuseUnavailable());
     if (this.exceedsTokenLimit(submission)) return err(refuse('job-over-limit'));
-    const input = createInput(account, id, items);
+    const input = createInput(items);
     const record: JobRecord = {
       id,
       account,
@@ -129,7 +140,13 @@
       listed: [],
       endedAt: null,
     };
-    const attempt = { submission, record, input, admission: admissionKey(account, route) };
+    const attempt = {
+      submission,
+      keys: listJobKeys(account, id, this.dependencies.findKeyFormat()),
+      record,
+      input,
+      admission: admissionKey(account, route),
+    };
     if (!input.object) return this.write({ ...attempt, signal });
     const limit = AbortSignal.timeout(OBJECT_ACCEPTANCE_MS);
     const accepted = this.write({ ...attempt, signal: limit }).then((result) => {
@@ -157,6 +174,7 @@
     const { jobCache, writer, clock } = this.dependencies;
     const { submission, record, signal } = attempt;
     const { account, id } = record;
+    let { keys } = attempt;
     let isOutcomeUnknown = false;
     let revision = admissionRevision;
     for (;;) {
@@ -166,16 +184,19 @@
         // A write without a response may still be applied, so the refusal must not promise that nothing runs.
         return err(isOutcomeUnknown ? refuse('deadline-passed') : refuse('job-over-limit'));
       }
-      const written = await writer.write(record, createTransaction(attempt, revision), signal);
+      const [key] = keys;
+      // Other jobs have all keys that the job could have.
+      if (!key) return err(refuseUnconfirmed(isOutcomeUnknown));
+      const transaction = createTransaction({ ...attempt, keys }, revision);
+      const written = await writer.write(key, record, transaction, signal);
       if (written.isOk()) return ok(undefined);
       const failure = written.error;
       isOutcomeUnknown ||= failure.kind === 'unknown';
       if (failure.kind === 'conflict') {
-        const existing = findRecord(failure.records, jobKey(account, id));
-        if (existing) {
-          jobCache.applyRecord(existing);
+        const { records } = failure;
+        if (keys.some((each) => this.mayBeRowOf(record, findRecord(records, each))))
           return ok(undefined);
-        }
+        keys = keys.filter((each) => !findRecord(records, each));
         const admitted = await this.readAdmission(attempt);
         if (admitted.isErr()) return err(refuseUnconfirmed(isOutcomeUnknown));
         revision = admitted.value;
@@ -184,6 +205,13 @@
     }
   }
 
+  /** Checks whether a row is that of a job, and applies it. One that can't be read counts as such. */
+  private mayBeRowOf({ account, id }: JobRecord, row: StoredRecord | undefined): boolean {
+    if (!row) return false;
+    const known = this.dependencies.jobCache.applyRecord(row);
+    return !known || identifyJob(known.record) === identifyJob({ account, id });
+  }
+
   /** Checks whether the job in the store has the input of this attempt, or may get it. */
   private mayUseInput({ account, id, input }: JobRecord, result: Result<void, Refusal>): boolean {
     const known = this.dependencies.jobCache.find(account, id);
@@ -207,16 +235,17 @@
     const { submission, admission, signal } = attempt;
     if (submission.waitingTokens === 0) return ok(undefined);
     const { store, jobCache } = this.dependencies;
+    const ranges = listJobRanges(submission.account);
     const [row, jobs] = await Promise.all([
       store.read(rangeOf(admission), signal),
-      store.read(jobRange(submission.account), signal),
+      ResultAsync.combine(ranges.map((range) => store.read(range, signal))),
     ]);
     if (row.isErr()) return err(row.error);
     if (jobs.isErr()) return err(jobs.error);
-    jobs.value.records.forEach((record) => jobCache.applyRecord(record));
-    const revision = row.value.records[0]?.revision ?? 0;
-    // Another job was accepted between the two reads.
-    if (revision > jobs.value.revision) return this.readAdmission(attempt);
+    jobs.value.forEach(({ records }) => records.forEach((each) => jobCache.applyRecord(each)));
+    const revision = findRecord(row.value.records, admission)?.revision ?? 0;
+    // Another job was accepted between the reads.
+    if (jobs.value.some((page) => revision > page.revision)) return this.readAdmission(attempt);
     return ok(revision);
   }
 }
--- a/packages/serving/src/batch/JobCache.ts
+++ b/packages/serving/src/batch/JobCache.ts
@@ -1,21 +1,25 @@
 /** Cache of all batch jobs, filled from the store. */
 import type { Journal } from '@jacinthlug/catalog/Journal';
 import { parseJson } from '../store/parseJson.js';
-import type { RecordChange, StoredRecord } from '../store/RecordStore.js';
+import { isSameKey } from '../store/recordKeys.js';
+import type { RecordChange, RecordKey, StoredRecord } from '../store/RecordStore.js';
 import type { TableListener } from '../store/TableFollower.js';
 import { JOBS_TABLE } from './jobKeys.js';
-import { jobRecord, type JobRecord } from './JobRecord.js';
+import { identifyJob, jobRecord, type JobRecord } from './JobRecord.js';
 
-/** A job with the revision of its row. */
+/** A job with the key and the revision of its row. */
 export interface VersionedJob {
   readonly record: JobRecord;
+  /** The keys of all rows of the job begin with it. */
+  readonly key: RecordKey;
   readonly revision: number;
 }
 
-const cacheKey = (account: string, job: string): string => `${account}/${job}`;
+const identifyKey = ({ partition, key }: RecordKey): string => JSON.stringify([partition, key]);
 
 /** Holds the newest known state of each job. */
 export class JobCache implements TableListener {
+  /** By the texts that identify the jobs. */
   private readonly jobs = new Map<string, VersionedJob>();
 
   private readonly listeners = new Set<(job: VersionedJob) => void>();
@@ -23,18 +27,18 @@
   constructor(private readonly journal: Journal) {}
 
   replace(records: readonly StoredRecord[], revision: number): void {
-    const present = new Set(records.map(({ key }) => key));
-    [...this.jobs.entries()]
+    const present = new Set(records.map(identifyKey));
+    this.all()
       // A job that was written after the table was read is missing from the records but must stay.
-      .filter(([key, job]) => !present.has(key) && job.revision <= revision)
-      .forEach(([key]) => this.jobs.delete(key));
+      .filter((job) => !present.has(identifyKey(job.key)) && job.revision <= revision)
+      .forEach(({ record }) => this.jobs.delete(identifyJob(record)));
     records.forEach((record) => this.applyRecord(record));
   }
 
   apply(changes: readonly RecordChange[]): void {
     changes.forEach((change) => {
       if (change.kind === 'written') this.applyRecord(change.record);
-      else this.jobs.delete(change.key.key);
+      else this.removeRow(change.key);
     });
   }
 
@@ -50,7 +54,8 @@
       this.journal.record('record-unreadable', { table: JOBS_TABLE, key: record.key });
       return undefined;
     }
-    return this.put({ record: parsed.data, revision: record.revision });
+    const { table, partition, key, revision } = record;
+    return this.put({ record: parsed.data, key: { table, partition, key }, revision });
   }
 
   /**
@@ -60,10 +65,10 @@
    * @returns the newest known state
    */
   put(job: VersionedJob): VersionedJob {
-    const key = cacheKey(job.record.account, job.record.id);
-    const known = this.jobs.get(key);
+    const name = identifyJob(job.record);
+    const known = this.jobs.get(name);
     if (known && known.revision >= job.revision) return known;
-    this.jobs.set(key, job);
+    this.jobs.set(name, job);
     this.listeners.forEach((listener) => listener(job));
     return job;
   }
@@ -72,21 +77,21 @@
    * Finds a job.
    *
    * @param account - name of the account
-   * @param job - id of the job
+   * @param id - id of the job
    * @returns its newest known state
    */
-  find(account: string, job: string): VersionedJob | undefined {
-    return this.jobs.get(cacheKey(account, job));
+  find(account: string, id: string): VersionedJob | undefined {
+    return this.jobs.get(identifyJob({ account, id }));
   }
 
   /**
    * Removes a job whose row was removed from the store.
    *
    * @param account - name of the account
-   * @param job - id of the job
+   * @param id - id of the job
    */
-  remove(account: string, job: string): void {
-    this.jobs.delete(cacheKey(account, job));
+  remove(account: string, id: string): void {
+    this.jobs.delete(identifyJob({ account, id }));
   }
 
   /**
@@ -130,4 +135,9 @@
     this.listeners.add(listener);
     return () => this.listeners.delete(listener);
   }
+
+  private removeRow(key: RecordKey): void {
+    const removed = this.all().find((job) => isSameKey(job.key, key));
+    if (removed) this.jobs.delete(identifyJob(removed.record));
+  }
 }
--- a/packages/serving/src/batch/JobInputs.ts
+++ b/packages/serving/src/batch/JobInputs.ts
@@ -3,9 +3,10 @@
 import type { ObjectStore } from '@jacinthlug/backing/ObjectStore';
 import type { Journal } from '@jacinthlug/catalog/Journal';
 import { err, ok, type Result } from 'neverthrow';
-import type { RecordKey, RecordStore, Transaction } from '../store/RecordStore.js';
-import { inputKey, inputRange, JOBS_TABLE } from './jobKeys.js';
-import { jobInput, type JobInput, type JobRecord } from './JobRecord.js';
+import type { RecordKey, RecordStore } from '../store/RecordStore.js';
+import type { VersionedJob } from './JobCache.js';
+import { inputKey, inputRange, JOBS_TABLE, selectJobRows } from './jobKeys.js';
+import { jobInput, type JobInput } from './JobRecord.js';
 
 /** Size of the content of a row. A row holds 65,536 bytes, which is 49,152 before base64. Unit: bytes. */
 const ROW_BYTES = 49_000;
@@ -24,35 +25,29 @@
   /** Identifies the input in the job's row. */
   readonly name: string;
   readonly items: JobInput;
-  /** Rows that have to be written together with the job; none if the input is an object. */
-  readonly writes: Transaction['writes'];
+  /** Content of the rows that have to be written together with the job; none if the input is an object. */
+  readonly rows: readonly Buffer[];
   /** Content of the object that has to be stored before the job; undefined if the input is in rows. */
   readonly object: Buffer | undefined;
 }
 
-/** Identifies a job and its input. */
-type StoredJob = Pick<JobRecord, 'account' | 'id' | 'input'>;
-
 const countRows = (name: string): number => Number(ROWS_NAME.exec(name)?.[1] ?? 0);
 
 /**
  * Prepares the input of a job for the store.
  *
- * @param account - name of the account
- * @param job - id of the job
  * @param items - items with their content
  * @returns the input, whose name is unique
  */
-export const createInput = (account: string, job: string, items: JobInput): NewInput => {
+export const createInput = (items: JobInput): NewInput => {
   const content = Buffer.from(JSON.stringify(items));
   const rowCount = Math.ceil(content.length / ROW_BYTES);
-  const name = `${JOBS_TABLE}-${job}-${randomUUID()}`;
-  if (rowCount > MAX_ROWS) return { name, items, writes: [], object: content };
-  const writes = Array.from({ length: rowCount }, (_, index) => ({
-    ...inputKey(account, job, index),
-    value: content.subarray(index * ROW_BYTES, (index + 1) * ROW_BYTES),
-  }));
-  return { name: `rows-${rowCount}-${name}`, items, writes, object: undefined };
+  const name = `${JOBS_TABLE}-${randomUUID()}`;
+  if (rowCount > MAX_ROWS) return { name, items, rows: [], object: content };
+  const rows = Array.from({ length: rowCount }, (_, index) =>
+    content.subarray(index * ROW_BYTES, (index + 1) * ROW_BYTES),
+  );
+  return { name: `rows-${rowCount}-${name}`, items, rows, object: undefined };
 };
 
 /**
@@ -61,8 +56,8 @@
  * @param job - the job
  * @returns keys of the rows; none if the input is an object
  */
-export const listInputRows = ({ account, id, input }: StoredJob): RecordKey[] =>
-  Array.from({ length: countRows(input) }, (_, index) => inputKey(account, id, index));
+export const listInputRows = ({ key, record }: VersionedJob): RecordKey[] =>
+  Array.from({ length: countRows(record.input) }, (_, index) => inputKey(key, index));
 
 /** Dependencies of {@link JobInputs}. */
 export interface JobInputsDependencies {
@@ -108,13 +103,14 @@
    * @param signal - aborted when a caller must get a status
    * @returns the items, or a failure
    */
-  async load(job: StoredJob, signal?: AbortSignal): Promise<Result<JobInput, InputFailure>> {
-    const cached = this.cache.get(job.input);
+  async load(job: VersionedJob, signal?: AbortSignal): Promise<Result<JobInput, InputFailure>> {
+    const { input: name } = job.record;
+    const cached = this.cache.get(name);
     if (cached) return ok(cached);
     const content = await this.read(job, signal);
     return content.map((bytes) => {
       const input = jobInput.parse(JSON.parse(bytes.toString()));
-      this.keep(job.input, input);
+      this.keep(name, input);
       return input;
     });
   }
@@ -150,16 +146,16 @@
   }
 
   private async read(
-    { account, id, input }: StoredJob,
+    { key, record: { input } }: VersionedJob,
     signal?: AbortSignal,
   ): Promise<Result<Buffer, InputFailure>> {
     const { store, objects } = this.dependencies;
     const rowCount = countRows(input);
     if (rowCount === 0) return objects.get(input, undefined, signal);
-    const page = await store.read(inputRange(account, id), signal);
+    const page = await store.read(inputRange(key), signal);
     if (page.isErr()) return err(page.error);
-    const rows = page.value.records.slice(0, rowCount);
+    const rows = selectJobRows(key, page.value.records).slice(0, rowCount);
     if (rows.length < rowCount) return err({ kind: 'absent' });
-    return ok(Buffer.concat(rows.map(({ value }) => value)));
+    return ok(Buffer.concat(rows.map(({ record: { value } }) => value)));
   }
 }
--- a/packages/serving/src/batch/JobRecord.ts
+++ b/packages/serving/src/batch/JobRecord.ts
@@ -34,6 +34,15 @@
 /** A batch job as stored. */
 export type JobRecord = z.infer<typeof jobRecord>;
 
+/**
+ * Identifies a job among those of all accounts, as callers choose the ids of their jobs.
+ *
+ * @param job - name of the account and id of the job
+ * @returns a text that no other job has
+ */
+export const identifyJob = ({ account, id }: Pick<JobRecord, 'account' | 'id'>): string =>
+  JSON.stringify([account, id]);
+
 /** Schema of the content of a job's items. */
 export const jobInput = z.array(
   z.object({
--- a/packages/serving/src/batch/JobStore.ts
+++ b/packages/serving/src/batch/JobStore.ts
@@ -16,7 +16,15 @@
 import { JobAcceptance, type Submission } from './JobAcceptance.js';
 import type { JobCache, VersionedJob } from './JobCache.js';
 import { JobInputs, listInputRows } from './JobInputs.js';
-import { jobKey, progressKey, progressRange, resultKey, resultRange } from './jobKeys.js';
+import {
+  listJobKeys,
+  progressKey,
+  progressRange,
+  resultKey,
+  resultRange,
+  selectJobRows,
+  type KeyFormat,
+} from './jobKeys.js';
 import {
   resultRecord,
   type ItemResult,
@@ -55,6 +63,8 @@
   readonly jobCache: JobCache;
   readonly journal: Journal;
   readonly clock?: Clock;
+  /** Returns the newest format of keys that all hosts of the fleet support. */
+  readonly findKeyFormat: () => KeyFormat;
 }
 
 /** A result to be stored. */
@@ -181,7 +191,6 @@
     signal?: AbortSignal,
   ): Promise<Result<VersionedJob | undefined, StoreFailure>> {
     const { jobCache } = this.dependencies;
-    const key = jobKey(account, id);
     const deadline = this.clock.now() + COMMIT_RETRY_TIMEOUT_MS;
     let known = jobCache.find(account, id);
     if (!known) {
@@ -196,11 +205,12 @@
       const next = edit(known.record);
       if (!next) return ok(known);
       if (signal?.aborted) return err(unconfirmed);
+      const { key } = known;
       const transaction: Transaction = {
         conditions: [{ ...key, revision: known.revision }],
         writes: [{ ...key, value: encode(next) }],
       };
-      const written = await this.writer.write(next, transaction, signal);
+      const written = await this.writer.write(key, next, transaction, signal);
       if (written.isOk()) return written;
       const failure = written.error;
       if (failure.kind === 'conflict') {
@@ -232,15 +242,14 @@
     results: readonly NewResult[],
   ): Promise<Result<VersionedJob, StoreFailure>> {
     const { store, jobCache } = this.dependencies;
-    const { record } = job;
+    const { record, key } = job;
     const from = record.listed.length;
-    const key = jobKey(record.account, record.id);
     const rows: { key: RecordKey; content: ResultRecord }[] = [];
     for (const [offset, { item, state, text }] of results.entries()) {
       const stored = await this.storeText(item, text);
       if (stored.isErr()) return err(stored.error);
       rows.push({
-        key: resultKey(record.account, record.id, from + offset),
+        key: resultKey(key, from + offset),
         content: { item, state, ...stored.value },
       });
     }
@@ -259,9 +268,9 @@
       ],
       removals: results
         .filter(({ hasProgress }) => hasProgress)
-        .map(({ index }) => progressKey(record.account, record.id, index)),
+        .map(({ index }) => progressKey(key, index)),
     });
-    if (written.isOk()) return ok(jobCache.put({ record: next, revision: written.value }));
+    if (written.isOk()) return ok(jobCache.put({ record: next, key, revision: written.value }));
     if (written.error.kind !== 'conflict') return err(written.error);
     const current = findRecord(written.error.records, key);
     const known = current && jobCache.applyRecord(current);
@@ -277,18 +286,18 @@
    * @returns results in order; not empty if there is a result at this position
    */
   async readResults(
-    job: JobRecord,
+    { record: job, key }: VersionedJob,
     start: number,
     signal: AbortSignal,
   ): Promise<Result<ItemResult[], Refusal>> {
     if (start >= job.listed.length) return ok([]);
-    const range = resultRange(job.account, job.id, start, job.listed.length);
+    const range = resultRange(key, start, job.listed.length);
     const page = await this.dependencies.store.read(range, signal);
     if (page.isErr()) return err(refuseUnavailable());
     const results: ItemResult[] = [];
     let size = 0;
-    for (const { value } of page.value.records) {
-      const { item, state, text, object } = resultRecord.parse(JSON.parse(value.toString()));
+    for (const { record } of selectJobRows(key, page.value.records)) {
+      const { item, state, text, object } = resultRecord.parse(JSON.parse(record.value.toString()));
       const content = text ?? (await this.loadText(object, signal));
       if (content === undefined) return results.length > 0 ? ok(results) : err(refuseUnavailable());
       size += Buffer.byteLength(content);
@@ -301,12 +310,12 @@
   /**
    * Loads the content of a job's items.
    *
-   * @param record - the job
+   * @param job - the job
    * @param signal - aborted when a caller must get a status
    * @returns the items, or a refusal if they can't be loaded
    */
-  async loadInput(record: JobRecord, signal?: AbortSignal): Promise<Result<JobInput, Refusal>> {
-    const input = await this.inputs.load(record, signal);
+  async loadInput(job: VersionedJob, signal?: AbortSignal): Promise<Result<JobInput, Refusal>> {
+    const input = await this.inputs.load(job, signal);
     return input.mapErr(refuseUnavailable);
   }
 
@@ -316,16 +325,17 @@
    *
    * @param job - a job whose retention time has passed
    */
-  async remove({ record, revision }: VersionedJob): Promise<void> {
+  async remove(job: VersionedJob): Promise<void> {
+    const { record, key, revision } = job;
     const { store, jobCache } = this.dependencies;
-    const key = jobKey(record.account, record.id);
-    const results = record.listed.map((_, position) =>
-      resultKey(record.account, record.id, position),
-    );
+    const results = record.listed.map((_, position) => resultKey(key, position));
     // Saved outputs remain for items that were never finished, and where a delayed write came after the removal.
-    const progress = await store.read(progressRange(record.account, record.id));
+    const progress = await store.read(progressRange(key));
     if (progress.isErr()) return;
-    const keys: RecordKey[] = [...results, ...progress.value.records, ...listInputRows(record)];
+    const outputs = selectJobRows(key, progress.value.records).map(({ index }) =>
+      progressKey(key, index),
+    );
+    const keys: RecordKey[] = [...results, ...outputs, ...listInputRows(job)];
     // The job's row is removed last, so that an incomplete removal is found and repeated.
     for (let start = 0; start < keys.length; start += MAX_REMOVALS_PER_TRANSACTION) {
       const removals = keys.slice(start, start + MAX_REMOVALS_PER_TRANSACTION);
@@ -350,8 +360,14 @@
     id: string,
     signal?: AbortSignal,
   ): Promise<Result<VersionedJob | undefined, StoreFailure>> {
-    const page = await this.dependencies.store.read(rangeOf(jobKey(account, id)), signal);
-    return page.andThen(({ records: [record] }) => this.applyRow(record));
+    for (const key of listJobKeys(account, id)) {
+      const page = await this.dependencies.store.read(rangeOf(key), signal);
+      const known = page.andThen(({ records }) => this.applyRow(findRecord(records, key)));
+      if (known.isErr()) return known;
+      // In the joined format, a key may be that of another job.
+      if (known.value?.record.account === account && known.value.record.id === id) return known;
+    }
+    return ok(undefined);
   }
 
   /** Applies the row of a job, if there is one. One that can't be read is no sign that the job is absent. */
--- a/packages/serving/src/batch/JobWriter.ts
+++ b/packages/serving/src/batch/JobWriter.ts
@@ -1,6 +1,6 @@
 /** Writes the rows of batch jobs for callers, which wait for a limited time, and for background work. */
 import { err, type Result } from 'neverthrow';
-import type { RecordStore, StoreFailure, Transaction } from '../store/RecordStore.js';
+import type { RecordKey, RecordStore, StoreFailure, Transaction } from '../store/RecordStore.js';
 import type { JobCache, VersionedJob } from './JobCache.js';
 import type { JobRecord } from './JobRecord.js';
 
@@ -28,12 +28,14 @@
    * the write was applied, nor for long without a response, as a repeat may get through. The write goes on nevertheless,
    * until the signal is aborted.
    *
+   * @param key - key of the job's row
    * @param record - the job as it is written
    * @param transaction - the write
    * @param signal - aborted when a caller must get a status; absent for background work
    * @returns the job as it is known after the write, or a failure
    */
   async write(
+    key: RecordKey,
     record: JobRecord,
     transaction: Transaction,
     signal?: AbortSignal,
@@ -43,7 +45,7 @@
     const written = store.commit(transaction, signal).map((revision) => {
       // The change of the cache that follows is no reason to stop waiting.
       waiting.abort();
-      return jobCache.put({ record, revision });
+      return jobCache.put({ record, key, revision });
     });
     if (!signal) return written;
     try {
--- a/packages/serving/src/batch/ProgressStore.ts
+++ b/packages/serving/src/batch/ProgressStore.ts
@@ -3,8 +3,9 @@
 import { ok, type Result } from 'neverthrow';
 import { parseJson } from '../store/parseJson.js';
 import type { RecordStore, StoreFailure } from '../store/RecordStore.js';
-import { parseProgressIndex, PROGRESS_TABLE, progressKey, progressRange } from './jobKeys.js';
-import { itemOutput, type ItemOutput, type JobRecord } from './JobRecord.js';
+import type { VersionedJob } from './JobCache.js';
+import { PROGRESS_TABLE, progressKey, progressRange, selectJobRows } from './jobKeys.js';
+import { itemOutput, type ItemOutput } from './JobRecord.js';
 
 /** Maximum outputs in a transaction, which holds at most 1 MB. */
 const MAX_OUTPUTS_PER_TRANSACTION = 16;
@@ -28,18 +29,18 @@
    * Saves outputs and replaces earlier ones. The write needs no fencing: whichever host wrote it, the output is a
    * prefix of the item's complete output.
    *
-   * @param record - the job
+   * @param job - the job
    * @param outputs - output of each item by its index
    * @returns indexes of the items whose output was saved; a failure if the store did not confirm the write
    */
   async save(
-    record: JobRecord,
+    job: VersionedJob,
     outputs: readonly (readonly [number, ItemOutput])[],
   ): Promise<Result<number[], StoreFailure>> {
     const writes = outputs
       .map(([index, output]) => ({
         index,
-        ...progressKey(record.account, record.id, index),
+        ...progressKey(job.key, index),
         value: Buffer.from(JSON.stringify(output)),
       }))
       .filter(({ value }) => value.length <= MAX_ROW_BYTES)
@@ -52,16 +53,16 @@
   /**
    * Loads the saved outputs of a job's items.
    *
-   * @param record - the job
+   * @param job - the job
    * @returns output of each item that has one, by its index
    */
-  async load(record: JobRecord): Promise<Result<Map<number, ItemOutput>, StoreFailure>> {
-    const page = await this.dependencies.store.read(progressRange(record.account, record.id));
+  async load(job: VersionedJob): Promise<Result<Map<number, ItemOutput>, StoreFailure>> {
+    const page = await this.dependencies.store.read(progressRange(job.key));
     return page.map(({ records }) => {
       const outputs = new Map<number, ItemOutput>();
-      records.forEach(({ key, value }) => {
+      selectJobRows(job.key, records).forEach(({ index, record: { key, value } }) => {
         const output = itemOutput.safeParse(parseJson(value)).data;
-        if (output) outputs.set(parseProgressIndex(key), output);
+        if (output) outputs.set(index, output);
         // Without this output, the item runs from its beginning.
         else this.dependencies.journal.record('record-unreadable', { table: PROGRESS_TABLE, key });
       });
--- a/packages/serving/src/batch/jobKeys.ts
+++ b/packages/serving/src/batch/jobKeys.ts
@@ -1,5 +1,14 @@
-/** Tables, partitions and keys of batch jobs and their results in the store. */
-import type { RecordKey, RecordRange } from '../store/RecordStore.js';
+/**
+ * Tables, partitions and keys of batch jobs, their items and results in the store.
+ *
+ * Callers choose the ids of jobs, and operators the names of accounts. The key of a job joins both by a separator that is
+ * escaped within them, so that the keys of two jobs differ and neither continues the other up to a separator. The keys of
+ * the rows of a job's items, results and content continue the job's key by an index.
+ *
+ * Earlier versions of the host joined the names as they are. A job keeps the key with which it was accepted.
+ */
+import { rangeOf } from '../store/recordKeys.js';
+import type { RecordKey, RecordRange, StoredRecord } from '../store/RecordStore.js';
 
 /** Table of the jobs; every host follows its changes. */
 export const JOBS_TABLE = 'jobs';
@@ -17,7 +26,34 @@
 /** Number of partitions of each table. A partition handles 200 transactions a second. */
 const PARTITION_COUNT = 16;
 
-const padIndex = (position: number): string => String(position).padStart(5, '0');
+const SEPARATOR = '/';
+
+/** The character after the separator. */
+const AFTER_SEPARATOR = '0';
+
+/** Characters that are escaped in names: the separator, the escape character, and those that not every text can contain. */
+const ESCAPED_CHARACTERS = /[/%\p{Cc}\p{Cs}]/gu;
+
+/** How the names in a key are written, by the version of the host that introduced it. */
+const writeName = {
+  /** As they are, so that different names can give the same key. */
+  joined: (name: string): string => name,
+  escaped: (name: string): string =>
+    name.replace(
+      ESCAPED_CHARACTERS,
+      (character) => `%${character.charCodeAt(0).toString(16).padStart(4, '0')}`,
+    ),
+} as const;
+
+/** Format of the keys of jobs. */
+export type KeyFormat = keyof typeof writeName;
+
+/** Formats from the newest to the oldest one. */
+export const KEY_FORMATS = ['escaped', 'joined'] as const satisfies readonly KeyFormat[];
+
+const INDEX_DIGITS = 5;
+
+const padIndex = (index: number): string => String(index).padStart(INDEX_DIGITS, '0');
 
 /**
  * Returns the partition of an account's rows. All jobs of an account share it, so that accepting one can be
@@ -39,30 +75,59 @@
  *
  * @param account - name of the account
  * @param job - id of the job
+ * @param format - how the names are written
  * @returns the key
  */
-export const jobKey = (account: string, job: string): RecordKey => ({
+export const jobKey = (
+  account: string,
+  job: string,
+  format: KeyFormat = KEY_FORMATS[0],
+): RecordKey => ({
   table: JOBS_TABLE,
   partition: partitionOf(account),
-  key: `${account}/${job}`,
+  key: [account, job].map(writeName[format]).join(SEPARATOR),
 });
 
 /**
- * Returns the key range of an account's jobs.
+ * Lists the keys that a job's row may have. There is one for most names, and otherwise one for each format.
  *
  * @param account - name of the account
- * @returns the range
+ * @param job - id of the job
+ * @param preferred - format whose key comes first
+ * @returns different keys
  */
-export const jobRange = (account: string): RecordRange => ({
-  table: JOBS_TABLE,
-  partition: partitionOf(account),
-  from: `${account}/`,
-  // The character after the slash.
-  to: `${account}0`,
+export const listJobKeys = (
+  account: string,
+  job: string,
+  preferred: KeyFormat = KEY_FORMATS[0],
+): RecordKey[] => {
+  const formats = [preferred, ...KEY_FORMATS.filter((format) => format !== preferred)];
+  const keys = formats.map((format) => jobKey(account, job, format));
+  return keys.filter(({ key }, index) => keys.findIndex((each) => each.key === key) === index);
+};
+
+/** Returns the range of the keys that continue a text by a separator. */
+const rangeBelow = (table: string, partition: string, text: string): RecordRange => ({
+  table,
+  partition,
+  from: `${text}${SEPARATOR}`,
+  to: `${text}${AFTER_SEPARATOR}`,
 });
 
 /**
- * Returns the key of the row that is written with each acceptance of an account's job on a route.
+ * Lists the ranges that contain the rows of an account's jobs. Those of the joined format may contain other jobs too.
+ *
+ * @param account - name of the account
+ * @returns one range for most names, and otherwise one for each format
+ */
+export const listJobRanges = (account: string): RecordRange[] => {
+  const names = new Set(KEY_FORMATS.map((format) => writeName[format](account)));
+  return [...names].map((name) => rangeBelow(JOBS_TABLE, partitionOf(account), name));
+};
+
+/**
+ * Returns the key of the row that is written with each acceptance of an account's job on a route. Accounts and routes
+ * whose names join to the same text share a row; their acceptances then conflict, and are repeated.
  *
  * @param account - name of the account
  * @param route - name of the route
@@ -71,105 +136,93 @@
 export const admissionKey = (account: string, route: string): RecordKey => ({
   table: ADMISSIONS_TABLE,
   partition: partitionOf(account),
-  key: `${account}/${route}`,
+  key: [account, route].join(SEPARATOR),
+});
+
+/** Returns the key of a row that belongs to a job. */
+const rowKey = (table: string, { partition, key }: RecordKey, index: number): RecordKey => ({
+  table,
+  partition,
+  key: `${key}${SEPARATOR}${padIndex(index)}`,
 });
 
 /**
  * Returns the key of a result's row.
  *
- * @param account - name of the account
- * @param job - id of the job
+ * @param job - key of the job
  * @param position - position in the job's results
  * @returns the key
  */
-export const resultKey = (account: string, job: string, position: number): RecordKey => ({
-  table: RESULTS_TABLE,
-  partition: partitionOf(account),
-  key: `${account}/${job}/${padIndex(position)}`,
-});
+export const resultKey = (job: RecordKey, position: number): RecordKey =>
+  rowKey(RESULTS_TABLE, job, position);
 
 /**
  * Returns the key of the saved output of an unfinished item.
  *
- * @param account - name of the account
- * @param job - id of the job
+ * @param job - key of the job
  * @param index - index of the item
  * @returns the key
  */
-export const progressKey = (account: string, job: string, index: number): RecordKey => ({
-  table: PROGRESS_TABLE,
-  partition: partitionOf(account),
-  key: `${account}/${job}/${padIndex(index)}`,
-});
-
-/**
- * Returns the key range of the saved outputs of a job's unfinished items.
- *
- * @param account - name of the account
- * @param job - id of the job
- * @returns the range
- */
-export const progressRange = (account: string, job: string): RecordRange => ({
-  table: PROGRESS_TABLE,
-  partition: partitionOf(account),
-  from: `${account}/${job}/`,
-  to: `${account}/${job}0`,
-});
+export const progressKey = (job: RecordKey, index: number): RecordKey =>
+  rowKey(PROGRESS_TABLE, job, index);
 
 /**
  * Returns the key of a part of the content of a job's items.
  *
- * @param account - name of the account
- * @param job - id of the job
+ * @param job - key of the job
  * @param part - index of the part
  * @returns the key
  */
-export const inputKey = (account: string, job: string, part: number): RecordKey => ({
-  table: INPUTS_TABLE,
-  partition: partitionOf(account),
-  key: `${account}/${job}/${padIndex(part)}`,
-});
+export const inputKey = (job: RecordKey, part: number): RecordKey =>
+  rowKey(INPUTS_TABLE, job, part);
 
 /**
- * Returns the key range of the content of a job's items.
+ * Returns the key range of the saved outputs of a job's unfinished items.
  *
- * @param account - name of the account
- * @param job - id of the job
+ * @param job - key of the job
  * @returns the range
  */
-export const inputRange = (account: string, job: string): RecordRange => ({
-  table: INPUTS_TABLE,
-  partition: partitionOf(account),
-  from: `${account}/${job}/`,
-  to: `${account}/${job}0`,
-});
+export const progressRange = ({ partition, key }: RecordKey): RecordRange =>
+  rangeBelow(PROGRESS_TABLE, partition, key);
 
 /**
- * Parses the index of an item from the key of its saved output.
+ * Returns the key range of the content of a job's items.
  *
- * @param key - key of the row
- * @returns index of the item
+ * @param job - key of the job
+ * @returns the range
  */
-export const parseProgressIndex = (key: string): number =>
-  Number(key.slice(key.lastIndexOf('/') + 1));
+export const inputRange = ({ partition, key }: RecordKey): RecordRange =>
+  rangeBelow(INPUTS_TABLE, partition, key);
 
 /**
  * Returns the key range of a job's results.
  *
- * @param account - name of the account
- * @param job - id of the job
+ * @param job - key of the job
  * @param from - first position
  * @param to - first position after the range
  * @returns the range
  */
-export const resultRange = (
-  account: string,
-  job: string,
-  from: number,
-  to: number,
-): RecordRange => ({
-  table: RESULTS_TABLE,
-  partition: partitionOf(account),
-  from: resultKey(account, job, from).key,
-  to: resultKey(account, job, to).key,
+export const resultRange = (job: RecordKey, from: number, to: number): RecordRange => ({
+  ...rangeOf(resultKey(job, from)),
+  to: resultKey(job, to).key,
 });
+
+/** A row that belongs to a job. */
+export interface JobRow {
+  /** Position of a result, index of an item, or index of a part of the content. */
+  readonly index: number;
+  readonly record: StoredRecord;
+}
+
+/**
+ * Selects the rows that belong to a job. Ranges of jobs whose keys are in the joined format may contain rows of others.
+ *
+ * @param job - key of the job
+ * @param records - records of a range of the job
+ * @returns the rows with their indexes, in the same order
+ */
+export const selectJobRows = (job: RecordKey, records: readonly StoredRecord[]): JobRow[] =>
+  records.flatMap((record) => {
+    const index = Number(record.key.slice(-INDEX_DIGITS));
+    return record.key === `${job.key}${SEPARATOR}${padIndex(index)}` ? [{ index, record }] : [];
+  });
--- a/packages/serving/src/fleet/Members.ts
+++ b/packages/serving/src/fleet/Members.ts
@@ -2,6 +2,7 @@
 import type { Journal } from '@jacinthlug/catalog/Journal';
 import type { LoadReport } from '@jacinthlug/protocol/loadReport';
 import * as z from 'zod';
+import { KEY_FORMATS, type KeyFormat } from '../batch/jobKeys.js';
 import { parseJson } from '../store/parseJson.js';
 import type { RecordChange, RecordStore, StoredRecord } from '../store/RecordStore.js';
 import type { TableListener } from '../store/TableFollower.js';
@@ -52,6 +53,8 @@
   failureDomain: z.string(),
   /** Number of CPU cores available to the process. */
   cores: z.number().positive().default(1),
+  /** Newest format of the keys of batch jobs that the host supports; absent in rows of earlier versions of the host. */
+  keyFormat: z.enum(KEY_FORMATS).catch('joined'),
 });
 
 type MemberRow = z.infer<typeof memberRow>;
@@ -248,6 +251,22 @@
     return (1 + responsive) / (1 + peers.length);
   }
 
+  /**
+   * Finds the newest format of the keys of batch jobs that all hosts support. While hosts are updated, some of them would
+   * not find jobs with other keys.
+   *
+   * @returns the format; the oldest one until this host has read its own row, and with it those of others
+   */
+  findKeyFormat(): KeyFormat {
+    const { identity } = this.dependencies;
+    const isRegistered = this.members.get(identity.name)?.incarnation === identity.incarnation;
+    if (!isRegistered) return 'joined';
+    const oldest = Math.max(
+      ...[...this.members.values()].map(({ keyFormat }) => KEY_FORMATS.indexOf(keyFormat)),
+    );
+    return KEY_FORMATS[oldest]!;
+  }
+
   /**
    * Checks whether a process of a host can take jobs.
    *
@@ -362,7 +381,8 @@
     if (this.isRegistering || own?.incarnation === identity.incarnation) return;
     this.isRegistering = true;
     const { address, port, incarnation, failureDomain, cores } = identity;
-    const row: MemberRow = { address, port, incarnation, failureDomain, cores };
+    const [keyFormat] = KEY_FORMATS;
+    const row: MemberRow = { address, port, incarnation, failureDomain, cores, keyFormat };
     const key = { table: MEMBERS_TABLE, partition: '', key: identity.name };
     void store
       .commit({
--- a/packages/serving/src/store/recordKeys.ts
+++ b/packages/serving/src/store/recordKeys.ts
@@ -1,7 +1,14 @@
 /** Finds records by their keys. */
 import type { RecordKey, RecordRange, StoredRecord } from './RecordStore.js';
 
-const isSameKey = (a: RecordKey, b: RecordKey): boolean =>
+/**
+ * Compares the keys of two records.
+ *
+ * @param a - a key
+ * @param b - another key
+ * @returns whether they identify the same record
+ */
+export const isSameKey = (a: RecordKey, b: RecordKey): boolean =>
   a.table === b.table && a.partition === b.partition && a.key === b.key;
 
 /**
--- a/packages/serving/src/wiring/createHost.ts
+++ b/packages/serving/src/wiring/createHost.ts
@@ -339,7 +339,13 @@
     onUse: (account, requests, now) => shares.recordUse(account, requests, now),
   });
   const jobCache = new JobCache(journal);
-  const jobs = new JobStore({ store, objects, jobCache, journal });
+  const jobs = new JobStore({
+    store,
+    objects,
+    jobCache,
+    journal,
+    findKeyFormat: () => members.findKeyFormat(),
+  });
   const progress = new ProgressStore({ store, journal });
 
   const storeContact = new StoreContact();
--- a/packages/serving/test/features/members.feature
+++ b/packages/serving/test/features/members.feature
@@ -170,3 +170,19 @@
       | 499 | 60000   | 60000 | 11000  | keeps            |
       | 500 | 3000    | 60000 | 60000  | keeps            |
       | 500 | 60000   | 200   | 60000  | keeps            |
+
+  # Guards against jobs that hosts of an earlier version can't find while hosts are updated.
+  Scenario Outline: A host writes keys of the newest format that all hosts support: own row <own>, other row <other>
+    Given a host that receives reports
+    When the rows of "h-1" and "h-2" state the key formats <own> and <other>
+    Then the host uses the key format "<format>"
+
+    Examples:
+      | own     | other   | format  |
+      | escaped | escaped | escaped |
+      | escaped | missing | escaped |
+      | escaped | none    | joined  |
+      | escaped | joined  | joined  |
+      | escaped | later   | joined  |
+      | missing | escaped | joined  |
+      | missing | missing | joined  |
--- a/packages/serving/test/steps/jobInputs.steps.ts
+++ b/packages/serving/test/steps/jobInputs.steps.ts
@@ -73,7 +73,13 @@
     if (change.kind === 'written' && change.record.table === JOBS_TABLE)
       jobCache.applyRecord(change.record);
   });
-  const jobs = new JobStore({ store, objects, jobCache, journal: silentJournal });
+  const jobs = new JobStore({
+    store,
+    objects,
+    jobCache,
+    journal: silentJournal,
+    findKeyFormat: () => 'escaped',
+  });
   return { jobs, find: () => jobCache.find(ACCOUNT, JOB)! };
 };
 
@@ -131,7 +137,7 @@
 
 const readContent = async (world: JobInputsWorld): Promise<void> => {
   const { jobs, find } = createStore(world);
-  const input = await jobs.loadInput(find().record);
+  const input = await jobs.loadInput(find());
   assert.deepEqual(input.unwrapOr(undefined), world.items);
 };
 
--- a/packages/serving/test/steps/jobs.steps.ts
+++ b/packages/serving/test/steps/jobs.steps.ts
@@ -10,7 +10,12 @@
 import type { ItemState } from '@jacinthlug/serving/batch/JobRecord';
 import { ItemTask } from '@jacinthlug/serving/batch/ItemTask';
 import { JobCache } from '@jacinthlug/serving/batch/JobCache';
-import { jobKey, JOBS_TABLE, PROGRESS_TABLE } from '@jacinthlug/serving/batch/jobKeys';
+import {
+  jobKey,
+  JOBS_TABLE,
+  PROGRESS_TABLE,
+  type KeyFormat,
+} from '@jacinthlug/serving/batch/jobKeys';
 import { JobStore } from '@jacinthlug/serving/batch/JobStore';
 import { ConfigurationView } from '@jacinthlug/serving/configuration/ConfigurationView';
 import { ProgressStore } from '@jacinthlug/serving/batch/ProgressStore';
@@ -32,6 +37,8 @@
   state: ItemState | undefined;
   store: MemoryRecordStore;
   hosts: Map<string, JobHost>;
+  /** Name of the account whose jobs are submitted. */
+  account: string;
   limit: number;
   responses: Result<void, Refusal>[];
   job: string;
@@ -84,7 +91,7 @@
   const response = await jobs.accept(
     {
       id,
-      account: ACCOUNT,
+      account: world.account,
       route: 'r',
       host: 'x.example',
       items: Array.from({ length: items }, (_, index) => createItem(index)),
@@ -113,7 +120,7 @@
   const policy = { attempts: 3, completionTargetMs: 1000, retentionMs: 60_000 };
   const dependencies = { jobs, progress, journal: silentJournal, holder: [host, 1] as const };
   const held = new HeldJob(known, policy, input, dependencies);
-  const outputs = await progress.load(known.record);
+  const outputs = await progress.load(known);
   assert.ok(outputs.isOk());
   held.resume(outputs.value);
   Object.assign(world, { held });
@@ -237,23 +244,38 @@
   },
 );
 
+/** Starts two hosts with a store; each host writes keys of one format. */
+const startHosts = (world: JobsWorld, formats: Readonly<Record<string, KeyFormat>>): void => {
+  const store = new MemoryRecordStore();
+  const objects = new MemoryObjects();
+  const hosts = Object.entries(formats).map(([name, format]): [string, JobHost] => {
+    const jobCache = new JobCache(silentJournal);
+    const clock = createSkippingClock();
+    const dependencies = { store, objects, jobCache, journal: silentJournal, clock };
+    const jobs = new JobStore({ ...dependencies, findKeyFormat: () => format });
+    return [name, { jobCache, jobs, progress: new ProgressStore(dependencies), clock }];
+  });
+  Object.assign(world, { store, hosts: new Map(hosts), account: ACCOUNT, limit: 0, responses: [] });
+};
+
 Given(
   'hosts {string} and {string} with a store',
   function (this: JobsWorld, first: string, second: string) {
-    this.store = new MemoryRecordStore();
-    this.limit = 0;
-    this.responses = [];
-    const objects = new MemoryObjects();
-    this.hosts = new Map(
-      [first, second].map((name) => {
-        const jobCache = new JobCache(silentJournal);
-        const { store } = this;
-        const clock = createSkippingClock();
-        const dependencies = { store, objects, jobCache, journal: silentJournal, clock };
-        const progress = new ProgressStore(dependencies);
-        return [name, { jobCache, jobs: new JobStore(dependencies), progress, clock }];
-      }),
-    );
+    startHosts(this, { [first]: 'escaped', [second]: 'escaped' });
+  },
+);
+
+Given(
+  'hosts {string} and {string} with a store, of which {string} joins names as earlier versions do',
+  function (this: JobsWorld, first: string, second: string, earlier: string) {
+    startHosts(this, { [first]: 'escaped', [second]: 'escaped', [earlier]: 'joined' });
+  },
+);
+
+Given(
+  'the account is named {string}, and may have {int} tokens waiting',
+  function (this: JobsWorld, account: string, limit: number) {
+    Object.assign(this, { account, limit });
   },
 );
 
@@ -390,6 +412,15 @@
   },
 );
 
+Then(
+  'at {string} all items start from the beginning',
+  async function (this: JobsWorld, host: string) {
+    applyStoreChanges(this, host);
+    const held = await openJob(this, host);
+    held.tasks.forEach(({ response }) => assert.equal(response.lastEventId, undefined));
+  },
+);
+
 When(
   '{string} outputs events {int} to {int} of item {int} and stores its result',
   async function (this: JobsWorld, _host: string, first: number, last: number, index: number) {
@@ -497,8 +528,8 @@
 const readResults = async (world: JobsWorld, host: string) => {
   applyStoreChanges(world, host);
   const { jobCache, jobs } = world.hosts.get(host)!;
-  const { record } = jobCache.find(ACCOUNT, world.job)!;
-  const results = await jobs.readResults(record, 0, new AbortController().signal);
+  const job = jobCache.find(ACCOUNT, world.job)!;
+  const results = await jobs.readResults(job, 0, new AbortController().signal);
   assert.ok(results.isOk());
   return results.value;
 };
--- a/packages/serving/test/steps/members.steps.ts
+++ b/packages/serving/test/steps/members.steps.ts
@@ -62,8 +62,21 @@
   },
 );
 
-const register = (world: MembersWorld, incarnation: number, name: string, now: number): void => {
-  const row = { address: '127.0.0.1', port: 2, incarnation, failureDomain: 'a', cores: 1 };
+const register = (
+  world: MembersWorld,
+  incarnation: number,
+  name: string,
+  now: number,
+  fields: object = {},
+): void => {
+  const row = {
+    address: '127.0.0.1',
+    port: 2,
+    incarnation,
+    failureDomain: 'a',
+    cores: 1,
+    ...fields,
+  };
   const record = {
     table: MEMBERS_TABLE,
     partition: '',
@@ -103,9 +116,26 @@
     incarnation: 500,
     failureDomain: 'a',
     cores: 1,
+    keyFormat: 'escaped',
   });
 });
 
+When(
+  /^the rows of "h-1" and "h-2" state the key formats (\w+) and (\w+)$/,
+  function (this: MembersWorld, own: string, other: string) {
+    Object.entries({ 'h-1': own, 'h-2': other })
+      .filter(([, keyFormat]) => keyFormat !== 'missing')
+      .forEach(([name, keyFormat]) => {
+        const fields = keyFormat === 'none' ? {} : { keyFormat };
+        register(this, 500, name, this.now, fields);
+      });
+  },
+);
+
+Then('the host uses the key format {string}', function (this: MembersWorld, format: string) {
+  assert.equal(this.members.findKeyFormat(), format);
+});
+
 When(
   'process {int} of {string} registers',
   function (this: MembersWorld, incarnation: number, name: string) {
