Replace names that are too long for a key of the store by their digest

What callers saw: a submission whose id is too long was refused with 503 and a Retry-After of 0.5 s each time it came, and so was a read of such an id, though its request is within all limits.

Cause: the store takes keys of at most 200 bytes; the keys of a job's rows held the account and the id as they are, and the store's rejection counted as an outage. The name of a stored output held the id of its item.

The joined format is left out where it has no key for the names. Hashes of texts of more than 200 characters aren't cached any more, as callers choose them.

--- a/packages/serving/src/batch/JobStore.ts
+++ b/packages/serving/src/batch/JobStore.ts
@@ -246,7 +246,7 @@
     const from = record.listed.length;
     const rows: { key: RecordKey; content: ResultRecord }[] = [];
     for (const [offset, { item, state, text }] of results.entries()) {
-      const stored = await this.storeText(item, text);
+      const stored = await this.storeText(text);
       if (stored.isErr()) return err(stored.error);
       rows.push({
         key: resultKey(key, from + offset),
@@ -380,11 +380,10 @@
   }
 
   private async storeText(
-    item: string,
     text: string,
   ): Promise<Result<Pick<ResultRecord, 'text' | 'object'>, StoreFailure>> {
     if (Buffer.byteLength(JSON.stringify(text)) <= MAX_ROW_TEXT_BYTES) return ok({ text });
-    const object = `results-${item}-${randomUUID()}`;
+    const object = `results-${randomUUID()}`;
     const put = await this.dependencies.objects.put(object, text);
     if (put.isErr()) return err({ kind: 'unavailable', message: 'object store unavailable' });
     return ok({ object });
--- a/packages/serving/src/batch/jobKeys.ts
+++ b/packages/serving/src/batch/jobKeys.ts
@@ -2,11 +2,13 @@
  * Tables, partitions and keys of batch jobs, their items and results in the store.
  *
  * Callers choose the ids of jobs, and operators the names of accounts. The key of a job joins both by a separator that is
- * escaped within them, so that the keys of two jobs differ and neither continues the other up to a separator. The keys of
- * the rows of a job's items, results and content continue the job's key by an index.
+ * escaped within them, so that the keys of two jobs differ and neither continues the other up to a separator. A name that is
+ * too long for a key is replaced by its digest. The keys of the rows of a job's items, results and content continue the
+ * job's key by an index.
  *
  * Earlier versions of the host joined the names as they are. A job keeps the key with which it was accepted.
  */
+import { createHash } from 'node:crypto';
 import { rangeOf } from '../store/recordKeys.js';
 import type { RecordKey, RecordRange, StoredRecord } from '../store/RecordStore.js';
 
@@ -34,25 +36,63 @@
 /** Characters that are escaped in names: the separator, the escape character, and those that not every text can contain. */
 const ESCAPED_CHARACTERS = /[/%\p{Cc}\p{Cs}]/gu;
 
+/** Maximum size of a key in the store. Unit: bytes. */
+const MAX_KEY_BYTES = 200;
+
+const INDEX_DIGITS = 5;
+
+/** Maximum size of a job's key, which the keys of its rows continue. Unit: bytes. */
+const MAX_JOB_KEY_BYTES = MAX_KEY_BYTES - SEPARATOR.length - INDEX_DIGITS;
+
+/** Begins the digest of a name. Escaped names don't contain it. */
+const DIGEST_PREFIX = '%~';
+
+/** Size of a digest with its prefix: 32 bytes in base64. Unit: bytes. */
+const DIGEST_BYTES = DIGEST_PREFIX.length + 43;
+
+/** Maximum size of an account's name in a key, which leaves room for the digest of an id. Unit: bytes. */
+const MAX_ACCOUNT_BYTES = MAX_JOB_KEY_BYTES - SEPARATOR.length - DIGEST_BYTES;
+
+const escapeName = (name: string): string =>
+  name.replace(
+    ESCAPED_CHARACTERS,
+    (character) => `%${character.charCodeAt(0).toString(16).padStart(4, '0')}`,
+  );
+
+const createDigest = (text: string): string =>
+  `${DIGEST_PREFIX}${createHash('sha256').update(text).digest('base64url')}`;
+
+/** Escapes a name, or replaces it by its digest if it is too long. */
+const shortenName = (name: string, maxBytes: number): string => {
+  const escaped = escapeName(name);
+  if (Buffer.byteLength(escaped) <= maxBytes) return escaped;
+  return createDigest(escaped);
+};
+
+/** Replaces a key that is too long by its digest. The end of the range that contains only the key is one byte longer. */
+const shortenKey = (key: string): string =>
+  Buffer.byteLength(key) < MAX_KEY_BYTES ? key : createDigest(key);
+
 /** How the names in a key are written, by the version of the host that introduced it. */
-const writeName = {
-  /** As they are, so that different names can give the same key. */
-  joined: (name: string): string => name,
-  escaped: (name: string): string =>
-    name.replace(
-      ESCAPED_CHARACTERS,
-      (character) => `%${character.charCodeAt(0).toString(16).padStart(4, '0')}`,
-    ),
+const keyWriters = {
+  /** As they are, so that different names can give the same key, and long ones give a key that is too long. */
+  joined: {
+    writeAccount: (account: string): string => account,
+    writeJob: (job: string): string => job,
+  },
+  escaped: {
+    writeAccount: (account: string): string => shortenName(account, MAX_ACCOUNT_BYTES),
+    writeJob: (job: string, account: string): string =>
+      shortenName(job, MAX_JOB_KEY_BYTES - Buffer.byteLength(account) - SEPARATOR.length),
+  },
 } as const;
 
 /** Format of the keys of jobs. */
-export type KeyFormat = keyof typeof writeName;
+export type KeyFormat = keyof typeof keyWriters;
 
 /** Formats from the newest to the oldest one. */
 export const KEY_FORMATS = ['escaped', 'joined'] as const satisfies readonly KeyFormat[];
 
-const INDEX_DIGITS = 5;
-
 const padIndex = (index: number): string => String(index).padStart(INDEX_DIGITS, '0');
 
 /**
@@ -82,14 +122,19 @@
   account: string,
   job: string,
   format: KeyFormat = KEY_FORMATS[0],
-): RecordKey => ({
-  table: JOBS_TABLE,
-  partition: partitionOf(account),
-  key: [account, job].map(writeName[format]).join(SEPARATOR),
-});
+): RecordKey => {
+  const { writeAccount, writeJob } = keyWriters[format];
+  const writtenAccount = writeAccount(account);
+  return {
+    table: JOBS_TABLE,
+    partition: partitionOf(account),
+    key: `${writtenAccount}${SEPARATOR}${writeJob(job, writtenAccount)}`,
+  };
+};
 
 /**
- * Lists the keys that a job's row may have. There is one for most names, and otherwise one for each format.
+ * Lists the keys that a job's row may have. There is one for most names, and otherwise one for each format that has a key
+ * for them.
  *
  * @param account - name of the account
  * @param job - id of the job
@@ -102,7 +147,9 @@
   preferred: KeyFormat = KEY_FORMATS[0],
 ): RecordKey[] => {
   const formats = [preferred, ...KEY_FORMATS.filter((format) => format !== preferred)];
-  const keys = formats.map((format) => jobKey(account, job, format));
+  const keys = formats
+    .map((format) => jobKey(account, job, format))
+    .filter(({ key }) => Buffer.byteLength(key) <= MAX_JOB_KEY_BYTES);
   return keys.filter(({ key }, index) => keys.findIndex((each) => each.key === key) === index);
 };
 
@@ -121,8 +168,10 @@
  * @returns one range for most names, and otherwise one for each format
  */
 export const listJobRanges = (account: string): RecordRange[] => {
-  const names = new Set(KEY_FORMATS.map((format) => writeName[format](account)));
-  return [...names].map((name) => rangeBelow(JOBS_TABLE, partitionOf(account), name));
+  const names = KEY_FORMATS.map((format) => keyWriters[format].writeAccount(account)).filter(
+    (name) => Buffer.byteLength(name) < MAX_JOB_KEY_BYTES,
+  );
+  return [...new Set(names)].map((name) => rangeBelow(JOBS_TABLE, partitionOf(account), name));
 };
 
 /**
@@ -136,7 +185,7 @@
 export const admissionKey = (account: string, route: string): RecordKey => ({
   table: ADMISSIONS_TABLE,
   partition: partitionOf(account),
-  key: [account, route].join(SEPARATOR),
+  key: shortenKey(`${account}${SEPARATOR}${route}`),
 });
 
 /** Returns the key of a row that belongs to a job. */
--- a/packages/serving/src/fleet/rendezvousHash.ts
+++ b/packages/serving/src/fleet/rendezvousHash.ts
@@ -28,7 +28,11 @@
 /** Maximum number of cached hashes; the cache is cleared when it is full. */
 const MAX_CACHED_HASHES = 10_000;
 
+/** Maximum length of a text whose hash is cached, as callers choose the ids of jobs. */
+const MAX_CACHED_LENGTH = 200;
+
 const getHash = (text: string): number => {
+  if (text.length > MAX_CACHED_LENGTH) return hashText(text);
   const cached = hashCache.get(text);
   if (cached !== undefined) return cached;
   if (hashCache.size >= MAX_CACHED_HASHES) hashCache.clear();
--- a/packages/serving/test/fakes/MemoryRecordStore.ts
+++ b/packages/serving/test/fakes/MemoryRecordStore.ts
@@ -15,6 +15,9 @@
 
 const rowKey = ({ table, partition, key }: RecordKey): string => `${table}|${partition}|${key}`;
 
+/** Maximum size of a key. Unit: bytes. */
+const MAX_KEY_BYTES = 200;
+
 /** A simulated fault of a commit. */
 export type CommitFault =
   /** The commit is applied, but its response is lost. */
@@ -55,6 +58,8 @@
 
   read({ table, partition, from = '', to }: RecordRange): ResultAsync<RecordPage, StoreFailure> {
     if (this.down) return errAsync({ kind: 'unavailable', message: 'down' });
+    if ([from, to ?? ''].some((key) => Buffer.byteLength(key) > MAX_KEY_BYTES))
+      return errAsync({ kind: 'unavailable', message: 'key is too long' });
     const records = [...this.rows.values()]
       .filter((row) => row.table === table && row.partition === partition)
       .filter(({ key }) => key >= from && (to === undefined || key < to))
@@ -86,6 +91,9 @@
 
   commit(transaction: Transaction): ResultAsync<number, StoreFailure> {
     this.commitCount += 1;
+    const keys = [transaction.conditions, transaction.writes, transaction.removals ?? []].flat();
+    if (keys.some(({ key }) => Buffer.byteLength(key) > MAX_KEY_BYTES))
+      return errAsync({ kind: 'unavailable', message: 'key is too long' });
     if (this.down) return errAsync({ kind: 'unavailable', message: 'down' });
     const fault = this.faults.shift();
     if (fault === 'late') {
--- a/packages/serving/test/steps/jobKeys.steps.ts
+++ b/packages/serving/test/steps/jobKeys.steps.ts
@@ -29,6 +29,9 @@
 
 const RUNS = 2000;
 
+/** Maximum size of a key in the store. Unit: bytes. */
+const MAX_KEY_BYTES = 200;
+
 /** Maximum number of items of a job. */
 const MAX_ITEMS = 200;
 
@@ -59,7 +62,14 @@
   ...['\t', '\0', '\u007f', 'é', '\u{1F600}', '\uD800', '"', ',', '-', '~'],
 );
 
-const name = fc.array(namePart, { minLength: 1, maxLength: 4 }).map((parts) => parts.join(''));
+const shortName = fc.array(namePart, { minLength: 1, maxLength: 4 }).map((parts) => parts.join(''));
+
+/** Lengths near those from which a name is replaced by its digest, and the longest one that a head can hold. */
+const longName = fc
+  .tuple(fc.oneof(fc.integer({ min: 40, max: 210 }), fc.constant(16_000)), shortName)
+  .map(([length, end]) => 'n'.repeat(length) + end);
+
+const name = fc.oneof({ weight: 4, arbitrary: shortName }, { weight: 1, arbitrary: longName });
 
 const names: fc.Arbitrary<Names> = fc.record(
   { account: name, id: name },
@@ -115,6 +125,7 @@
     fc.property(twoJobs, ([first, second]) => {
       const ownKeys = listKeys(first);
       const otherKeys = listKeys(second);
+      assert.ok(ownKeys.every(({ key }) => Buffer.byteLength(key) <= MAX_KEY_BYTES));
       const own = new Set(ownKeys.map(identifyKey));
       assert.ok(otherKeys.every((key) => !own.has(identifyKey(key))));
       listRanges(first).forEach((range) => {
