Leave saved output of an earlier job with the same id out

What callers would see: an item of a job is completed with events of an item of an earlier job, whose id its caller has used again after that job was removed.

Cause: saves of output need no condition, so that one without a response may be applied after its job was removed. The row was found again under the key of the next job with that id, when a host took that job over. The row didn't say whose it is.

Fix: a saved output names the content of its job, which no other job has. One that names another is left out; outputs that earlier versions have saved name none, and are taken as before.

Evidence: the scenario in jobs.feature resumed after event 40 of the earlier job before, and passes now.

--- a/packages/serving/src/batch/JobRecord.ts
+++ b/packages/serving/src/batch/JobRecord.ts
@@ -90,6 +90,18 @@
 /** Output of an unfinished item, starting with its first event. */
 export type ItemOutput = z.infer<typeof itemOutput>;
 
+/** Schema of the row of such an output. */
+export const savedOutput = itemOutput.extend({
+  /**
+   * Name of the content of the job's items, which no other job has, also none with the same id; absent in outputs that earlier
+   * versions of the host have saved.
+   */
+  input: z.string().optional(),
+});
+
+/** Output of an unfinished item as stored. */
+export type SavedOutput = z.infer<typeof savedOutput>;
+
 /** A result as returned to callers. */
 export interface ItemResult {
   readonly item: string;
--- a/packages/serving/src/batch/ProgressStore.ts
+++ b/packages/serving/src/batch/ProgressStore.ts
@@ -5,7 +5,7 @@
 import type { RecordStore, StoreFailure } from '../store/RecordStore.js';
 import type { VersionedJob } from './JobCache.js';
 import { PROGRESS_TABLE, progressKey, progressRange, selectJobRows } from './jobKeys.js';
-import { itemOutput, type ItemOutput } from './JobRecord.js';
+import { savedOutput, type ItemOutput, type SavedOutput } from './JobRecord.js';
 
 /** Maximum outputs in a transaction, which holds at most 1 MB. */
 const MAX_OUTPUTS_PER_TRANSACTION = 16;
@@ -37,12 +37,13 @@
     job: VersionedJob,
     outputs: readonly (readonly [number, ItemOutput])[],
   ): Promise<Result<number[], StoreFailure>> {
+    const { input } = job.record;
     const writes = outputs
-      .map(([index, output]) => ({
-        index,
-        ...progressKey(job.key, index),
-        value: Buffer.from(JSON.stringify(output)),
-      }))
+      .map(([index, output]) => {
+        const saved: SavedOutput = { ...output, input };
+        const value = Buffer.from(JSON.stringify(saved));
+        return { index, ...progressKey(job.key, index), value };
+      })
       .filter(({ value }) => value.length <= MAX_ROW_BYTES)
       .slice(0, MAX_OUTPUTS_PER_TRANSACTION);
     if (writes.length === 0) return ok([]);
@@ -51,7 +52,8 @@
   }
 
   /**
-   * Loads the saved outputs of a job's items.
+   * Loads the saved outputs of a job's items. Those of an earlier job with the same id are left out: a delayed write may have
+   * restored them after that job was removed.
    *
    * @param job - the job
    * @returns output of each item that has one, by its index
@@ -61,10 +63,14 @@
     return page.map(({ records }) => {
       const outputs = new Map<number, ItemOutput>();
       selectJobRows(job.key, records).forEach(({ index, record: { key, value } }) => {
-        const output = itemOutput.safeParse(parseJson(value)).data;
-        if (output) outputs.set(index, output);
-        // Without this output, the item runs from its beginning.
-        else this.dependencies.journal.record('record-unreadable', { table: PROGRESS_TABLE, key });
+        const saved = savedOutput.safeParse(parseJson(value)).data;
+        if (!saved) {
+          // Without this output, the item runs from its beginning.
+          this.dependencies.journal.record('record-unreadable', { table: PROGRESS_TABLE, key });
+          return;
+        }
+        const { input, ...output } = saved;
+        if (input === undefined || input === job.record.input) outputs.set(index, output);
       });
       return outputs;
     });
--- a/packages/serving/test/features/jobs.feature
+++ b/packages/serving/test/features/jobs.feature
@@ -107,6 +107,26 @@
     And "h-1" removes the job
     Then the store holds no saved output of unfinished items
 
+  # Guards against items that are completed with the output of an earlier job, whose id a caller has used again.
+  Scenario: A job is not resumed after the saved output of an earlier job with the same id
+    Given hosts "h-1" and "h-2" with a store
+    When job "j-1" with 3 items is submitted to "h-1"
+    And the store delays the next commit
+    And "h-1" outputs events 1 to 40 of item 1 and saves its progress
+    And "h-1" removes the job
+    And the delayed commit is applied
+    And job "j-1" with 3 items is submitted to "h-1", which does not know the other job
+    And "h-2" takes over the job
+    Then at "h-2" all items start from the beginning
+
+  # Guards against output that is lost when hosts are updated.
+  Scenario: A job is resumed after output that an earlier version of the host has saved
+    Given hosts "h-1" and "h-2" with a store
+    When job "j-1" with 3 items is submitted to "h-1"
+    And "h-1" outputs events 1 to 40 of item 1 and saves its progress as earlier versions do
+    And "h-2" takes over the job
+    Then at "h-2" item 1 resumes after event "40" and the others start from the beginning
+
   Scenario Outline: An item whose runs were ended by failures of targets runs again soon after the failures
     When <runs> runs of an item in a row end as <outcome>
     Then the item has no final state, and can run again within 3000 ms
--- a/packages/serving/test/steps/jobs.steps.ts
+++ b/packages/serving/test/steps/jobs.steps.ts
@@ -14,6 +14,7 @@
   jobKey,
   JOBS_TABLE,
   PROGRESS_TABLE,
+  progressKey,
   type KeyFormat,
 } from '@jacinthlug/serving/batch/jobKeys';
 import { JobStore } from '@jacinthlug/serving/batch/JobStore';
@@ -402,6 +403,22 @@
   },
 );
 
+When(
+  '{string} outputs events {int} to {int} of item {int} and saves its progress as earlier versions do',
+  async function (this: JobsWorld, host: string, first: number, last: number, index: number) {
+    const { jobCache } = this.hosts.get(host)!;
+    const { key } = jobCache.find(this.account, this.job)!;
+    const output = {
+      lastEventId: String(last),
+      data: eventTexts(first, last),
+      service: 'chat',
+      version: 'v1',
+    };
+    const value = Buffer.from(JSON.stringify(output));
+    await this.store.commit({ conditions: [], writes: [{ ...progressKey(key, index), value }] });
+  },
+);
+
 Then(
   'at {string} item {int} resumes after event {string} and the others start from the beginning',
   async function (this: JobsWorld, host: string, index: number, event: string) {
