Choose the keys of a job where it is written

createTransaction gets a list that has a key, so that it needs no check of its own. No change of behaviour; the scenarios of jobs, jobKeys, jobInputs and members pass (126 of 126).

--- a/packages/serving/src/batch/JobAcceptance.ts
+++ b/packages/serving/src/batch/JobAcceptance.ts
@@ -53,8 +53,6 @@
 /** A submission on its way to the store. */
 interface Attempt {
   readonly submission: Submission;
-  /** Keys that the job may have in the store. It is written under the first one unless there is a row under one of them. */
-  readonly keys: readonly RecordKey[];
   readonly record: JobRecord;
   readonly input: NewInput;
   /**
@@ -66,6 +64,9 @@
   readonly signal: AbortSignal;
 }
 
+/** Keys that a job may have in the store; there is at least one. */
+type JobKeys = readonly [RecordKey, ...RecordKey[]];
+
 const encode = (content: unknown): Buffer => Buffer.from(JSON.stringify(content));
 
 /** Refuses a submission at its deadline, without a promise, as its acceptance goes on. */
@@ -79,28 +80,26 @@
 /**
  * Creates the write of a job with its input.
  *
+ * @param keys - the key of the job, and those under which it may not be either
  * @param attempt - a submission
  * @param admissionRevision - revision of the admission row up to which jobs are known; undefined if none need be known
  * @returns the transaction
  */
 const createTransaction = (
-  { keys, record, input, admission }: Attempt,
+  [key, ...otherKeys]: JobKeys,
+  { record, input, admission }: Attempt,
   admissionRevision: number | undefined,
-): Transaction => {
-  const [key] = keys;
-  if (!key) throw new RangeError('the job has no key');
-  return {
-    conditions: [
-      ...keys.map((each) => ({ ...each, revision: 0 })),
-      ...(admissionRevision === undefined ? [] : [{ ...admission, revision: admissionRevision }]),
-    ],
-    writes: [
-      { ...key, value: encode(record) },
-      { ...admission, value: encode({ job: record.id }) },
-      ...input.rows.map((value, part) => ({ ...inputKey(key, part), value })),
-    ],
-  };
-};
+): Transaction => ({
+  conditions: [
+    ...[key, ...otherKeys].map((each) => ({ ...each, revision: 0 })),
+    ...(admissionRevision === undefined ? [] : [{ ...admission, revision: admissionRevision }]),
+  ],
+  writes: [
+    { ...key, value: encode(record) },
+    { ...admission, value: encode({ job: record.id }) },
+    ...input.rows.map((value, part) => ({ ...inputKey(key, part), value })),
+  ],
+});
 
 /** Accepts batch jobs. */
 export class JobAcceptance {
@@ -140,13 +139,7 @@
       listed: [],
       endedAt: null,
     };
-    const attempt = {
-      submission,
-      keys: listJobKeys(account, id, this.dependencies.findKeyFormat()),
-      record,
-      input,
-      admission: admissionKey(account, route),
-    };
+    const attempt = { submission, record, input, admission: admissionKey(account, route) };
     if (!input.object) return this.write({ ...attempt, signal });
     const limit = AbortSignal.timeout(OBJECT_ACCEPTANCE_MS);
     const accepted = this.write({ ...attempt, signal: limit }).then((result) => {
@@ -174,7 +167,8 @@
     const { jobCache, writer, clock } = this.dependencies;
     const { submission, record, signal } = attempt;
     const { account, id } = record;
-    let { keys } = attempt;
+    // The job is written under the first one, unless there is a row under one of them.
+    let keys = listJobKeys(account, id, this.dependencies.findKeyFormat());
     let isOutcomeUnknown = false;
     let revision = admissionRevision;
     for (;;) {
@@ -184,10 +178,10 @@
         // A write without a response may still be applied, so the refusal must not promise that nothing runs.
         return err(isOutcomeUnknown ? refuse('deadline-passed') : refuse('job-over-limit'));
       }
-      const [key] = keys;
+      const [key, ...otherKeys] = keys;
       // Other jobs have all keys that the job could have.
       if (!key) return err(refuseUnconfirmed(isOutcomeUnknown));
-      const transaction = createTransaction({ ...attempt, keys }, revision);
+      const transaction = createTransaction([key, ...otherKeys], attempt, revision);
       const written = await writer.write(key, record, transaction, signal);
       if (written.isOk()) return ok(undefined);
       const failure = written.error;
