Create the hosts of the job scenarios in one place

jobs, jobKeys and jobInputs each built the cache, the store and the progress of a host, and two of them applied the written rows of jobs; createJobHost.ts does both. The limit of keys stands in the fake of the store alone.

--- a/packages/serving/test/fakes/MemoryRecordStore.ts
+++ b/packages/serving/test/fakes/MemoryRecordStore.ts
@@ -16,7 +16,7 @@
 const rowKey = ({ table, partition, key }: RecordKey): string => `${table}|${partition}|${key}`;
 
 /** Maximum size of a key. Unit: bytes. */
-const MAX_KEY_BYTES = 200;
+export const MAX_KEY_BYTES = 200;
 
 /** A simulated fault of a commit. */
 export type CommitFault =
--- a/packages/serving/test/steps/jobInputs.steps.ts
+++ b/packages/serving/test/steps/jobInputs.steps.ts
@@ -2,12 +2,10 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { MemoryObjects } from '@jacinthlug/batch/testing/MemoryObjects';
-import { silentJournal } from '@jacinthlug/catalog/Journal';
-import { JobCache } from '@jacinthlug/serving/batch/JobCache';
 import { INPUTS_TABLE, JOBS_TABLE } from '@jacinthlug/serving/batch/jobKeys';
 import type { JobInput } from '@jacinthlug/serving/batch/JobRecord';
-import { JobStore } from '@jacinthlug/serving/batch/JobStore';
 import { ResultAsync } from 'neverthrow';
+import { applyJobRows, createJobHost } from '../fakes/createJobHost.js';
 import { MemoryRecordStore } from '../fakes/MemoryRecordStore.js';
 
 const ACCOUNT = 'fitters';
@@ -68,18 +66,8 @@
 
 const createStore = (world: JobInputsWorld) => {
   const { store, objects } = world;
-  const jobCache = new JobCache(silentJournal);
-  store.changes.forEach((change) => {
-    if (change.kind === 'written' && change.record.table === JOBS_TABLE)
-      jobCache.applyRecord(change.record);
-  });
-  const jobs = new JobStore({
-    store,
-    objects,
-    jobCache,
-    journal: silentJournal,
-    findKeyFormat: () => 'escaped',
-  });
+  const { jobCache, jobs } = createJobHost({ store, objects });
+  applyJobRows(store, jobCache);
   return { jobs, find: () => jobCache.find(ACCOUNT, JOB)! };
 };
 
--- a/packages/serving/test/steps/jobKeys.steps.ts
+++ b/packages/serving/test/steps/jobKeys.steps.ts
@@ -1,8 +1,7 @@
 import assert from 'node:assert/strict';
 import { Then } from '@cucumber/cucumber';
 import { MemoryObjects } from '@jacinthlug/batch/testing/MemoryObjects';
-import { silentJournal } from '@jacinthlug/catalog/Journal';
-import { JobCache, type VersionedJob } from '@jacinthlug/serving/batch/JobCache';
+import type { VersionedJob } from '@jacinthlug/serving/batch/JobCache';
 import {
   inputKey,
   inputRange,
@@ -14,24 +13,19 @@
   progressRange,
   resultKey,
   resultRange,
-  type KeyFormat,
 } from '@jacinthlug/serving/batch/jobKeys';
 import { identifyJob } from '@jacinthlug/serving/batch/JobRecord';
-import { JobStore } from '@jacinthlug/serving/batch/JobStore';
-import { ProgressStore } from '@jacinthlug/serving/batch/ProgressStore';
 import type { RecordKey, RecordRange } from '@jacinthlug/serving/store/RecordStore';
 import fc from 'fast-check';
 import type { Result } from 'neverthrow';
-import { MemoryRecordStore } from '../fakes/MemoryRecordStore.js';
+import { createJobHost, type JobHost } from '../fakes/createJobHost.js';
+import { MAX_KEY_BYTES, MemoryRecordStore } from '../fakes/MemoryRecordStore.js';
 
 /** Seed of the random names, so that each run checks the same ones. */
 const SEED = 59;
 
 const RUNS = 2000;
 
-/** Maximum size of a key in the store. Unit: bytes. */
-const MAX_KEY_BYTES = 200;
-
 /** Maximum number of items of a job. */
 const MAX_ITEMS = 200;
 
@@ -161,16 +155,6 @@
   );
 });
 
-/** A host with an empty cache. */
-const createHost = (store: MemoryRecordStore, objects: MemoryObjects, format: KeyFormat) => {
-  const jobCache = new JobCache(silentJournal);
-  const dependencies = { store, objects, jobCache, journal: silentJournal };
-  const jobs = new JobStore({ ...dependencies, findKeyFormat: () => format });
-  return { jobs, progress: new ProgressStore(dependencies) };
-};
-
-type JobHost = ReturnType<typeof createHost>;
-
 const ITEMS = 3;
 
 const createItemId = ({ account, id }: Names, index: number): string =>
@@ -243,14 +227,14 @@
         const store = new MemoryRecordStore();
         const objects = new MemoryObjects();
         const [firstHost, secondHost, reader] = formats.map((each) =>
-          createHost(store, objects, each),
+          createJobHost({ store, objects }, each),
         );
         await runJob(firstHost!, first);
         await runJob(secondHost!, second);
         await checkJob(reader!, first);
         await checkJob(reader!, second);
         await reader!.jobs.remove(await findJob(reader!, first));
-        await checkJob(createHost(store, objects, formats[0]), second);
+        await checkJob(createJobHost({ store, objects }, formats[0]), second);
         await reader!.jobs.remove(await findJob(reader!, second));
         assert.equal(store.countRows(JOBS_TABLE), 0);
         const tables = new Set([...store.rows.values()].map(({ table }) => table));
--- a/packages/serving/test/steps/jobs.steps.ts
+++ b/packages/serving/test/steps/jobs.steps.ts
@@ -9,7 +9,6 @@
 import type { AttemptOutcome } from '@jacinthlug/serving/online/runAttempt';
 import type { ItemState } from '@jacinthlug/serving/batch/JobRecord';
 import { ItemTask } from '@jacinthlug/serving/batch/ItemTask';
-import { JobCache } from '@jacinthlug/serving/batch/JobCache';
 import {
   jobKey,
   JOBS_TABLE,
@@ -17,18 +16,15 @@
   progressKey,
   type KeyFormat,
 } from '@jacinthlug/serving/batch/jobKeys';
-import { JobStore } from '@jacinthlug/serving/batch/JobStore';
 import { ConfigurationView } from '@jacinthlug/serving/configuration/ConfigurationView';
-import { ProgressStore } from '@jacinthlug/serving/batch/ProgressStore';
 import { ok, type Result } from 'neverthrow';
+import { applyJobRows, createJobHost, type JobHost } from '../fakes/createJobHost.js';
 import { MemoryRecordStore } from '../fakes/MemoryRecordStore.js';
 
 const TOKENS_PER_ITEM = 100;
 
-interface JobHost {
-  readonly jobCache: JobCache;
-  readonly jobs: JobStore;
-  readonly progress: ProgressStore;
+/** A host with a clock of its own. */
+interface ClockedHost extends JobHost {
   readonly clock: ReturnType<typeof createSkippingClock>;
 }
 
@@ -37,7 +33,7 @@
   /** Final state of the task, if it has one. */
   state: ItemState | undefined;
   store: MemoryRecordStore;
-  hosts: Map<string, JobHost>;
+  hosts: Map<string, ClockedHost>;
   /** Name of the account whose jobs are submitted. */
   account: string;
   limit: number;
@@ -106,13 +102,8 @@
 };
 
 /** Applies all job changes in the store to a host's cache. */
-const applyStoreChanges = (world: JobsWorld, host: string): void => {
-  const { jobCache } = world.hosts.get(host)!;
-  world.store.changes.forEach((change) => {
-    if (change.kind === 'written' && change.record.table === JOBS_TABLE)
-      jobCache.applyRecord(change.record);
-  });
-};
+const applyStoreChanges = (world: JobsWorld, host: string): void =>
+  applyJobRows(world.store, world.hosts.get(host)!.jobCache);
 
 const openJob = async (world: JobsWorld, host: string): Promise<HeldJob> => {
   const { jobCache, jobs, progress } = world.hosts.get(host)!;
@@ -249,12 +240,9 @@
 const startHosts = (world: JobsWorld, formats: Readonly<Record<string, KeyFormat>>): void => {
   const store = new MemoryRecordStore();
   const objects = new MemoryObjects();
-  const hosts = Object.entries(formats).map(([name, format]): [string, JobHost] => {
-    const jobCache = new JobCache(silentJournal);
+  const hosts = Object.entries(formats).map(([name, format]): [string, ClockedHost] => {
     const clock = createSkippingClock();
-    const dependencies = { store, objects, jobCache, journal: silentJournal, clock };
-    const jobs = new JobStore({ ...dependencies, findKeyFormat: () => format });
-    return [name, { jobCache, jobs, progress: new ProgressStore(dependencies), clock }];
+    return [name, { ...createJobHost({ store, objects, clock }, format), clock }];
   });
   Object.assign(world, { store, hosts: new Map(hosts), account: ACCOUNT, limit: 0, responses: [] });
 };
